--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line for operators of primrosechute.
+
+fn main() {}
--- /dev/null
+++ b/crates/sheet/src/model.rs
@@ -0,0 +1,168 @@
+//! The checked content of a sheet.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A shared immutable name of a zone, workspace, pool, target, tier or route.
+pub type Name = Arc<str>;
+
+/// SHA-256 over the canonical form of a sheet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ContentHash(pub [u8; 32]);
+
+/// An accepted sheet. All names that it refers to exist.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Sheet {
+    /// Title in the `sheet` row.
+    pub title: String,
+    /// Revision; the highest accepted one is in force.
+    pub revision: u64,
+    /// Hash of the canonical content.
+    pub hash: ContentHash,
+    /// Availability zones by name.
+    pub zones: BTreeMap<Name, Zone>,
+    /// Tiers by rank, the highest tier first.
+    pub tiers: Vec<Tier>,
+    /// Workspaces by name.
+    pub workspaces: BTreeMap<Name, Workspace>,
+    /// Keys by the SHA-256 of the key.
+    pub keys: BTreeMap<[u8; 32], Key>,
+    /// Pools by name.
+    pub pools: BTreeMap<Name, Pool>,
+    /// Targets by name.
+    pub targets: BTreeMap<Name, Target>,
+    /// Routes, longest path prefix first.
+    pub routes: Vec<Route>,
+}
+
+/// An availability zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Zone {
+    /// Whether targets in this zone may get new work.
+    pub state: ZoneState,
+}
+
+/// Whether operators have taken a zone out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ZoneState {
+    /// Targets in the zone may get new work.
+    In,
+    /// Targets in the zone get no new work.
+    Out,
+}
+
+/// A tier of requests. Its rank is its index in [`Sheet::tiers`]; 0 is the highest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tier {
+    /// Name that callers use in a request header.
+    pub name: Name,
+}
+
+/// A workspace and its fleet-wide token limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Workspace {
+    /// Tokens per second over the whole fleet.
+    pub rate: u64,
+    /// Largest number of tokens that may be spent at once over the whole fleet.
+    pub burst: u64,
+}
+
+/// A caller's key. The sheet holds only its hash.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Key {
+    /// Label of the key, for operators.
+    pub name: Name,
+    /// Workspace that requests with this key run for.
+    pub workspace: Name,
+    /// Rank of the highest tier that the key may use.
+    pub highest_tier: u8,
+    /// Whether the key is valid.
+    pub state: KeyState,
+}
+
+/// State of a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyState {
+    /// The key is valid.
+    Active,
+    /// The key was withdrawn.
+    Withdrawn,
+}
+
+/// A set of targets that serve the same requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pool {
+    /// What the targets of the pool are.
+    pub kind: PoolKind,
+}
+
+/// Kind of the targets of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PoolKind {
+    /// Model engines that batch continuously and stream tokens.
+    Engine,
+    /// Plain HTTP services.
+    Service,
+}
+
+/// A back end that runs requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// Pool that the target belongs to.
+    pub pool: Name,
+    /// Availability zone of the target.
+    pub zone: Name,
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// Whether the target may get new work.
+    pub state: TargetState,
+    /// Tokens in flight that the target bears when warm; an upper bound for the learned limit.
+    pub capacity: u64,
+    /// Requests in flight that the target bears while cold.
+    pub cold_limit: u32,
+    /// Relative speed of the hardware generation; 1.0 is the slowest.
+    pub speed: f64,
+    /// Whether the target checks fencing numbers in orders.
+    pub fencing: bool,
+}
+
+/// State of a target in the sheet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetState {
+    /// The target may get new work.
+    In,
+    /// The target is leaving and gets no new work.
+    Leaving,
+}
+
+/// A path prefix that callers use and the pool that serves it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Path prefix, for example `/v1/chat/completions`.
+    pub path: Name,
+    /// Pool that serves the route.
+    pub pool: Name,
+    /// Who may call the route.
+    pub access: Access,
+    /// Whether a repeated call has the same effect as one call.
+    pub idempotent: bool,
+    /// Largest request body in bytes.
+    pub max_body: u64,
+    /// Largest number of output tokens of one request; for plain services, the cost of one call.
+    pub max_tokens: u64,
+    /// Time from arrival to the first byte of the answer after which a request is not worth running.
+    pub deadline: Duration,
+    /// Rank of the tier of requests that name none.
+    pub tier: u8,
+}
+
+/// Who may call a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Access {
+    /// Anyone; no key is needed.
+    Open,
+    /// Only callers with a valid key.
+    Keyed,
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! testkit
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,77 @@
+//! Framing of messages.
+
+use std::fmt;
+use std::io;
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::message::Frame;
+
+/// Largest frame in bytes. It holds the largest value of the configuration service, 1 MB, and a
+/// peer can make a reader keep no more than this.
+pub const MAX_FRAME: usize = 1 << 20;
+
+/// Why a link can't be read any more.
+#[derive(Debug)]
+pub enum FrameError {
+    /// The connection failed, ended inside a frame, or announced a frame above [`MAX_FRAME`].
+    Io(io::Error),
+    /// A frame does not hold a valid message.
+    Decode(prost::DecodeError),
+}
+
+impl fmt::Display for FrameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FrameError::Io(err) => write!(f, "cannot read a frame: {err}"),
+            FrameError::Decode(err) => write!(f, "a frame holds no valid message: {err}"),
+        }
+    }
+}
+
+impl std::error::Error for FrameError {}
+
+impl From<io::Error> for FrameError {
+    fn from(err: io::Error) -> Self {
+        FrameError::Io(err)
+    }
+}
+
+/// Encodes and decodes [`Frame`]s for `tokio_util::codec::Framed`.
+#[derive(Debug)]
+pub struct Codec {
+    lengths: LengthDelimitedCodec,
+}
+
+impl Default for Codec {
+    fn default() -> Self {
+        Codec {
+            lengths: LengthDelimitedCodec::builder()
+                .max_frame_length(MAX_FRAME)
+                .new_codec(),
+        }
+    }
+}
+
+impl Decoder for Codec {
+    type Item = Frame;
+    type Error = FrameError;
+
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Frame>, FrameError> {
+        match self.lengths.decode(buf)? {
+            Some(frame) => Frame::decode(frame).map(Some).map_err(FrameError::Decode),
+            None => Ok(None),
+        }
+    }
+}
+
+impl Encoder<Frame> for Codec {
+    type Error = FrameError;
+
+    fn encode(&mut self, frame: Frame, buf: &mut BytesMut) -> Result<(), FrameError> {
+        let encoded = Bytes::from(frame.encode_to_vec());
+        Ok(self.lengths.encode(encoded, buf)?)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,16 @@
+//! Messages and framing between daemons.
+//!
+//! A frame is a 4-byte big-endian length and a [`Frame`] in protocol buffer encoding. The length
+//! counts the message only and is at most [`MAX_FRAME`].
+
+#![forbid(unsafe_code)]
+
+mod codec;
+mod message;
+
+pub use codec::{Codec, FrameError, MAX_FRAME};
+pub use message::{
+    Body, Digest, Frame, Grant, Handover, HandoverAsk, HandoverRun, Heartbeat, Hello, ListPush,
+    Offer, OfferReply, OutcomeAsk, OutcomeReply, PROTOCOL_VERSION, PartAck, PartAsk, PartClaim,
+    PartMove, PartQuery, Release, Shed, SheetPush, Suspect, TargetPhase, Verdict, VmRow, Withdraw,
+};
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,488 @@
+//! Messages between daemons.
+//!
+//! Times are relative, in microseconds, since the clocks of two VMs have no common origin.
+
+/// Version of the protocol; daemons of another version are not linked.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// One message. A reply carries the `seq` of its request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Frame {
+    /// Number of a request, unique per direction of a link; 0 if no reply is expected.
+    #[prost(uint64, tag = "1")]
+    pub seq: u64,
+    /// The content.
+    #[prost(
+        oneof = "Body",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+    )]
+    pub body: Option<Body>,
+}
+
+/// Content of a frame.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// First frame in each direction of a link.
+    #[prost(message, tag = "2")]
+    Hello(Hello),
+    /// Sent at a fixed interval in each direction.
+    #[prost(message, tag = "3")]
+    Heartbeat(Heartbeat),
+    /// Asks a target owner for a permit.
+    #[prost(message, tag = "4")]
+    Offer(Offer),
+    /// Decision about an offer.
+    #[prost(message, tag = "5")]
+    OfferReply(OfferReply),
+    /// Takes back an offer.
+    #[prost(message, tag = "6")]
+    Withdraw(Withdraw),
+    /// Ends a permit.
+    #[prost(message, tag = "7")]
+    Release(Release),
+    /// Load of an owner.
+    #[prost(message, tag = "8")]
+    Digest(Digest),
+    /// Asks a holder for tokens.
+    #[prost(message, tag = "9")]
+    PartAsk(PartAsk),
+    /// Moves a part.
+    #[prost(message, tag = "10")]
+    PartMove(PartMove),
+    /// Answers a move.
+    #[prost(message, tag = "11")]
+    PartAck(PartAck),
+    /// Asks which parts a daemon holds.
+    #[prost(message, tag = "12")]
+    PartQuery(PartQuery),
+    /// Answers a query.
+    #[prost(message, tag = "13")]
+    PartClaim(PartClaim),
+    /// Asks the old owner of a target for its state.
+    #[prost(message, tag = "14")]
+    HandoverAsk(HandoverAsk),
+    /// State of a target.
+    #[prost(message, tag = "15")]
+    Handover(Handover),
+    /// A newer sheet.
+    #[prost(message, tag = "16")]
+    SheetPush(SheetPush),
+    /// A fresher VM list.
+    #[prost(message, tag = "17")]
+    ListPush(ListPush),
+    /// Asks for the outcome of a request.
+    #[prost(message, tag = "18")]
+    OutcomeAsk(OutcomeAsk),
+    /// Outcome of a request.
+    #[prost(message, tag = "19")]
+    OutcomeReply(OutcomeReply),
+    /// A fingerprint that crashed targets.
+    #[prost(message, tag = "20")]
+    Suspect(Suspect),
+}
+
+/// Introduces a daemon.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hello {
+    /// [`PROTOCOL_VERSION`] of the sender.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// Name of the sender's VM.
+    #[prost(string, tag = "2")]
+    pub vm: String,
+    /// Incarnation of the sender.
+    #[prost(fixed64, tag = "3")]
+    pub incarnation: u64,
+    /// Availability zone of the sender.
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    /// Address of the sender for callers.
+    #[prost(string, tag = "5")]
+    pub entry: String,
+}
+
+/// Shows that the sender lives and what it knows.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Heartbeat {
+    /// Generation of the sender's VM list.
+    #[prost(uint64, tag = "1")]
+    pub list_generation: u64,
+    /// Time since the sender, or a daemon that relayed to it, read the list from the platform.
+    #[prost(uint64, tag = "2")]
+    pub list_age_us: u64,
+    /// Revision of the sender's sheet.
+    #[prost(uint64, tag = "3")]
+    pub sheet_revision: u64,
+    /// Whether the sender takes calls; false while it starts or drains.
+    #[prost(bool, tag = "4")]
+    pub ready: bool,
+}
+
+/// Descriptor of a waiting request.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Offer {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Pool that should serve it.
+    #[prost(string, tag = "2")]
+    pub pool: String,
+    /// Rank of its tier.
+    #[prost(uint32, tag = "3")]
+    pub tier: u32,
+    /// Workspace.
+    #[prost(string, tag = "4")]
+    pub workspace: String,
+    /// Prompt plus output tokens.
+    #[prost(uint64, tag = "5")]
+    pub cost: u64,
+    /// Prompt tokens.
+    #[prost(uint64, tag = "6")]
+    pub prompt: u64,
+    /// Hash of the prompt's first block.
+    #[prost(fixed64, tag = "7")]
+    pub prefix: u64,
+    /// Time left until the first byte of the answer is due.
+    #[prost(uint64, tag = "8")]
+    pub deadline_us: u64,
+    /// Time left until the run is over at the latest.
+    #[prost(uint64, tag = "9")]
+    pub hard_deadline_us: u64,
+    /// Hash of the body.
+    #[prost(fixed64, tag = "10")]
+    pub fingerprint: u64,
+}
+
+/// Decision about an offer; sent when it is made, which may be long after the offer.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct OfferReply {
+    /// The decision.
+    #[prost(oneof = "Verdict", tags = "1, 2, 3")]
+    pub verdict: Option<Verdict>,
+}
+
+/// A decision about an offer.
+#[derive(Clone, PartialEq, Eq, prost::Oneof)]
+pub enum Verdict {
+    /// The request may be sent to a target.
+    #[prost(message, tag = "1")]
+    Grant(Grant),
+    /// The request is shed and was not run.
+    #[prost(message, tag = "2")]
+    Shed(Shed),
+    /// This daemon owns no target of the pool; the revision of its sheet.
+    #[prost(uint64, tag = "3")]
+    NotOwner(u64),
+}
+
+/// A permit.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Grant {
+    /// Number of the permit at its owner.
+    #[prost(uint64, tag = "1")]
+    pub permit: u64,
+    /// Target.
+    #[prost(string, tag = "2")]
+    pub target: String,
+    /// Time from the sending of the offer until the permit is void; counted from the offer so
+    /// that a delayed reply can't extend it.
+    #[prost(uint64, tag = "3")]
+    pub expires_us: u64,
+    /// Incarnation of the owner.
+    #[prost(fixed64, tag = "4")]
+    pub owner: u64,
+}
+
+/// Why an offer was shed.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Shed {
+    /// Reason, as in the `x-primrosechute-reason` header.
+    #[prost(string, tag = "1")]
+    pub reason: String,
+}
+
+/// Takes back an offer whose caller left.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Withdraw {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Pool.
+    #[prost(string, tag = "2")]
+    pub pool: String,
+}
+
+/// Ends a permit and reports its run.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Release {
+    /// Pool of the target.
+    #[prost(string, tag = "1")]
+    pub pool: String,
+    /// Number of the permit.
+    #[prost(uint64, tag = "2")]
+    pub permit: u64,
+    /// How it ended: the index of the end in the scheduler's list.
+    #[prost(uint32, tag = "3")]
+    pub end: u32,
+    /// Tokens generated.
+    #[prost(uint64, tag = "4")]
+    pub tokens: u64,
+    /// Time to the first token, if one came.
+    #[prost(uint64, optional, tag = "5")]
+    pub first_token_us: Option<u64>,
+    /// Mean time between tokens.
+    #[prost(uint64, optional, tag = "6")]
+    pub token_gap_us: Option<u64>,
+    /// Request id, for an owner that took the target over and numbers its permits anew.
+    #[prost(string, tag = "7")]
+    pub id: String,
+    /// Incarnation of the owner that gave the permit.
+    #[prost(fixed64, tag = "8")]
+    pub owner: u64,
+}
+
+/// Load of an owner in one pool.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Digest {
+    /// Pool.
+    #[prost(string, tag = "1")]
+    pub pool: String,
+    /// Tokens that could be admitted now.
+    #[prost(uint64, tag = "2")]
+    pub free: u64,
+    /// Tokens that all open targets bear.
+    #[prost(uint64, tag = "3")]
+    pub limit: u64,
+    /// Waiting descriptors by tier rank.
+    #[prost(uint32, repeated, tag = "4")]
+    pub waiting: Vec<u32>,
+}
+
+/// Asks a holder to move parts.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PartAsk {
+    /// Workspace.
+    #[prost(string, tag = "1")]
+    pub workspace: String,
+    /// Tokens that the asking daemon is short of.
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
+}
+
+/// Moves a part to the receiver, or, with `none`, answers that nothing can be moved.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PartMove {
+    /// Workspace.
+    #[prost(string, tag = "1")]
+    pub workspace: String,
+    /// Number of the part.
+    #[prost(uint32, tag = "2")]
+    pub number: u32,
+    /// Epoch of the part; a higher one replaces it.
+    #[prost(uint64, tag = "3")]
+    pub epoch: u64,
+    /// Tokens in it, in thousandths.
+    #[prost(uint64, tag = "4")]
+    pub level_millis: u64,
+    /// Incarnation of the receiver; another one denies the move.
+    #[prost(fixed64, tag = "5")]
+    pub receiver: u64,
+    /// Number of moves that the part made in this epoch.
+    #[prost(uint64, tag = "6")]
+    pub hops: u64,
+}
+
+/// Answers a move.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PartAck {
+    /// Workspace.
+    #[prost(string, tag = "1")]
+    pub workspace: String,
+    /// Number of the part.
+    #[prost(uint32, tag = "2")]
+    pub number: u32,
+    /// Epoch of the part.
+    #[prost(uint64, tag = "3")]
+    pub epoch: u64,
+    /// Number of the move.
+    #[prost(uint64, tag = "4")]
+    pub hops: u64,
+    /// Whether the receiver took it.
+    #[prost(bool, tag = "5")]
+    pub taken: bool,
+}
+
+/// Asks which parts of a workspace the receiver holds.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PartQuery {
+    /// Workspace; empty for all.
+    #[prost(string, tag = "1")]
+    pub workspace: String,
+}
+
+/// Parts that a daemon holds or has in transit.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PartClaim {
+    /// Workspace.
+    #[prost(string, tag = "1")]
+    pub workspace: String,
+    /// Numbers of the parts.
+    #[prost(uint32, repeated, tag = "2")]
+    pub numbers: Vec<u32>,
+    /// Epochs of the parts, in the same order.
+    #[prost(uint64, repeated, tag = "3")]
+    pub epochs: Vec<u64>,
+    /// Tokens available in all of them.
+    #[prost(uint64, tag = "4")]
+    pub tokens: u64,
+}
+
+/// Asks the old owner of targets to hand them over.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct HandoverAsk {
+    /// Target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Generation of the list that moved it.
+    #[prost(uint64, tag = "2")]
+    pub list_generation: u64,
+}
+
+/// Warm-up state of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum TargetPhase {
+    /// Unknown to the sender, who never owned the target in this incarnation.
+    Unknown = 0,
+    /// Bears only its cold limit.
+    Cold = 1,
+    /// Its limit grows with completed work.
+    Warming = 2,
+    /// Bears its learned limit.
+    Serving = 3,
+    /// Gets no new work.
+    Draining = 4,
+    /// Gets no work and has none.
+    Out = 5,
+}
+
+/// State of a target, from its old owner.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Handover {
+    /// Target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Whether the old owner gave it up. False if it still owns it by a fresher list.
+    #[prost(bool, tag = "2")]
+    pub given: bool,
+    /// Warm-up state.
+    #[prost(enumeration = "TargetPhase", tag = "3")]
+    pub phase: i32,
+    /// Learned limit in tokens.
+    #[prost(uint64, tag = "4")]
+    pub limit: u64,
+    /// Runs in flight.
+    #[prost(message, repeated, tag = "5")]
+    pub runs: Vec<HandoverRun>,
+}
+
+/// A run in flight at a target that is handed over.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct HandoverRun {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Number of the permit at the old owner.
+    #[prost(uint64, tag = "2")]
+    pub permit: u64,
+    /// Tokens it counts for.
+    #[prost(uint64, tag = "3")]
+    pub cost: u64,
+    /// Time left until its place is freed.
+    #[prost(uint64, tag = "4")]
+    pub hard_deadline_us: u64,
+}
+
+/// A sheet in canonical form. Sheets above one frame are sent in numbered pieces.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct SheetPush {
+    /// Revision.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Content.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub content: bytes::Bytes,
+    /// Number of this piece, from 0.
+    #[prost(uint32, tag = "3")]
+    pub piece: u32,
+    /// Count of pieces.
+    #[prost(uint32, tag = "4")]
+    pub pieces: u32,
+}
+
+/// A VM list.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ListPush {
+    /// Generation.
+    #[prost(uint64, tag = "1")]
+    pub generation: u64,
+    /// Time since it was read from the platform.
+    #[prost(uint64, tag = "2")]
+    pub age_us: u64,
+    /// Rows.
+    #[prost(message, repeated, tag = "3")]
+    pub vms: Vec<VmRow>,
+}
+
+/// A row of a VM list.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct VmRow {
+    /// Name of the VM.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Availability zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Whether the VM is leaving.
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
+    /// Address for callers.
+    #[prost(string, tag = "4")]
+    pub entry: String,
+    /// Address for daemons.
+    #[prost(string, tag = "5")]
+    pub peer: String,
+}
+
+/// Asks the incarnation named in a request id for the outcome.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct OutcomeAsk {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub id: String,
+}
+
+/// Outcome of a request.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct OutcomeReply {
+    /// Outcome and reason as in the answer headers; empty if the request is not known.
+    #[prost(string, tag = "1")]
+    pub outcome: String,
+    /// Reason.
+    #[prost(string, tag = "2")]
+    pub reason: String,
+}
+
+/// A fingerprint that crashed targets.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Suspect {
+    /// Hash of the body.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Distinct targets that it crashed.
+    #[prost(string, repeated, tag = "2")]
+    pub targets: Vec<String>,
+    /// Time for which it is remembered.
+    #[prost(uint64, tag = "3")]
+    pub remember_us: u64,
+}
