Add the public API of the sheet package

Cause: the daemon is written against the sheet lookups and the settings types. Change: settings types with defaults, lookups, the diff summary and the error types.

--- /dev/null
+++ b/crates/sheet/src/diff.rs
@@ -0,0 +1,125 @@
+//! Summary of the differences between two sheets, for logs.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::{Name, Sheet};
+
+/// Most names that the summary lists for one kind of change.
+const MAX_NAMES: usize = 5;
+
+/// The differences between two sheets by kind of row.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SheetDiff {
+    /// Revisions of the older and the newer sheet.
+    pub revisions: (u64, u64),
+    /// The kinds of rows that differ, in the order of the design page.
+    pub kinds: Vec<KindDiff>,
+}
+
+/// The names of one kind of row that differ.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KindDiff {
+    /// Kind as in the `kind` column.
+    pub kind: &'static str,
+    /// Names that only the newer sheet has.
+    pub added: Vec<Name>,
+    /// Names that only the older sheet has.
+    pub removed: Vec<Name>,
+    /// Names that both sheets have with different content.
+    pub changed: Vec<Name>,
+}
+
+impl Sheet {
+    /// Compares this sheet with a newer one.
+    #[must_use]
+    pub fn diff(&self, newer: &Sheet) -> SheetDiff {
+        let kinds = [
+            compare("zone", named(&self.zones), named(&newer.zones)),
+            compare("tier", ranks(self), ranks(newer)),
+            compare(
+                "workspace",
+                named(&self.workspaces),
+                named(&newer.workspaces),
+            ),
+            compare("key", keys(self), keys(newer)),
+            compare("pool", named(&self.pools), named(&newer.pools)),
+            compare("target", named(&self.targets), named(&newer.targets)),
+            compare("route", routes(self), routes(newer)),
+        ];
+        SheetDiff {
+            revisions: (self.revision, newer.revision),
+            kinds: kinds.into_iter().flatten().collect(),
+        }
+    }
+}
+
+fn named<T>(rows: &BTreeMap<Name, T>) -> BTreeMap<&Name, &T> {
+    rows.iter().collect()
+}
+
+fn ranks(sheet: &Sheet) -> BTreeMap<&Name, usize> {
+    let tiers = sheet.tiers.iter().enumerate();
+    tiers.map(|(rank, tier)| (&tier.name, rank)).collect()
+}
+
+fn keys(sheet: &Sheet) -> BTreeMap<&Name, impl PartialEq> {
+    let keys = sheet.keys.iter();
+    keys.map(|(hash, key)| (&key.name, (hash, key))).collect()
+}
+
+fn routes(sheet: &Sheet) -> BTreeMap<&Name, impl PartialEq> {
+    let routes = sheet.routes.iter();
+    routes.map(|route| (&route.path, route)).collect()
+}
+
+fn compare<T: PartialEq>(
+    kind: &'static str,
+    older: BTreeMap<&Name, T>,
+    mut newer: BTreeMap<&Name, T>,
+) -> Option<KindDiff> {
+    let (mut removed, mut changed) = (Vec::new(), Vec::new());
+    for (name, row) in older {
+        match newer.remove(name) {
+            None => removed.push(name.clone()),
+            Some(other) if other != row => changed.push(name.clone()),
+            Some(_) => {}
+        }
+    }
+    let added: Vec<Name> = newer.into_keys().cloned().collect();
+    let differs = !(added.is_empty() && removed.is_empty() && changed.is_empty());
+    differs.then_some(KindDiff {
+        kind,
+        added,
+        removed,
+        changed,
+    })
+}
+
+impl fmt::Display for SheetDiff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "revision {} to {}: ", self.revisions.0, self.revisions.1)?;
+        if self.kinds.is_empty() {
+            return f.write_str("no rows differ");
+        }
+        let mut separator = "";
+        for diff in &self.kinds {
+            let changes = [
+                ("added", &diff.added),
+                ("removed", &diff.removed),
+                ("changed", &diff.changed),
+            ];
+            for (change, names) in changes {
+                if names.is_empty() {
+                    continue;
+                }
+                let (kind, count) = (diff.kind, names.len());
+                write!(f, "{separator}{kind} {count} {change} (")?;
+                f.write_str(&names[..count.min(MAX_NAMES)].join(", "))?;
+                f.write_str(if count > MAX_NAMES { ", ...)" } else { ")" })?;
+                separator = "; ";
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -4,9 +4,23 @@
 
 #![forbid(unsafe_code)]
 
+mod diff;
+mod error;
+mod lookup;
 mod model;
+mod parse;
+mod read;
+mod settings;
+mod settings_error;
+mod units;
 
+pub use diff::{KindDiff, SheetDiff};
+pub use error::{SheetError, SheetFault};
+pub use lookup::key_hash;
 pub use model::{
     Access, ContentHash, Key, KeyState, Name, Pool, PoolKind, Route, Sheet, Target, TargetState,
     Tier, Workspace, Zone, ZoneState,
 };
+pub use parse::MAX_SHEET_BYTES;
+pub use settings::{Limits, Log, LogFormat, LogLevel, Settings, SheetSource, Timing};
+pub use settings_error::{SettingsError, SettingsFault};
--- /dev/null
+++ b/crates/sheet/src/settings.rs
@@ -0,0 +1,222 @@
+//! Settings of one daemon.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::Name;
+use crate::units::{duration, name, size};
+
+/// Time added to the hold-down for late timers and clocks that run at different rates.
+const HOLD_DOWN_SLACK: Duration = Duration::from_secs(1);
+
+/// Settings of one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this VM in the VM list.
+    #[serde(deserialize_with = "name")]
+    pub vm: Name,
+    /// Availability zone of this VM.
+    #[serde(deserialize_with = "name")]
+    pub zone: Name,
+    /// Address for callers.
+    pub entry: SocketAddr,
+    /// Address for metrics, health and status.
+    pub admin: SocketAddr,
+    /// Address for peers; a daemon without it runs alone.
+    #[serde(default)]
+    pub peer: Option<SocketAddr>,
+    /// Where the sheet comes from.
+    pub sheet: SheetSource,
+    /// Address of the platform's VM list.
+    #[serde(default)]
+    pub vm_list: Option<SocketAddr>,
+    /// Bounds on what the daemon holds.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Intervals and timeouts.
+    #[serde(default)]
+    pub timing: Timing,
+    /// Log output.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Where the sheet comes from.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum SheetSource {
+    /// A local file, read at start and on SIGHUP.
+    File(PathBuf),
+    /// The configuration service.
+    Service(SocketAddr),
+}
+
+/// Bounds on what the daemon holds.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Open caller connections.
+    pub max_connections: usize,
+    /// Size of a request head in bytes.
+    #[serde(deserialize_with = "size")]
+    pub max_header: usize,
+    /// Requests that wait for a permit.
+    pub max_waiting: usize,
+    /// Outcomes kept for resends.
+    pub max_outcomes: usize,
+    /// Time for which an outcome is kept.
+    #[serde(deserialize_with = "duration")]
+    pub max_outcome_age: Duration,
+    /// Time after which a caller connection without a request is closed.
+    #[serde(deserialize_with = "duration")]
+    pub idle_timeout: Duration,
+    /// Time in which a request head must arrive.
+    #[serde(deserialize_with = "duration")]
+    pub header_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_connections: 10_000,
+            max_header: 16 << 10,
+            max_waiting: 10_000,
+            // Ten minutes of answers at 100 requests/s.
+            max_outcomes: 60_000,
+            max_outcome_age: Duration::from_mins(10),
+            idle_timeout: Duration::from_mins(1),
+            header_timeout: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Intervals and timeouts.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timing {
+    /// Interval of heartbeats on a peer link.
+    #[serde(deserialize_with = "duration")]
+    pub heartbeat: Duration,
+    /// Silence after which a peer link is closed.
+    #[serde(deserialize_with = "duration")]
+    pub silent: Duration,
+    /// Time for which a VM list that contains this VM holds the lease.
+    #[serde(deserialize_with = "duration")]
+    pub lease: Duration,
+    /// Largest lag of the platform's VM list.
+    #[serde(deserialize_with = "duration")]
+    pub list_lag: Duration,
+    /// Interval between reads of the VM list.
+    #[serde(deserialize_with = "duration")]
+    pub list_poll: Duration,
+    /// Time for which a watch of the configuration service waits.
+    #[serde(deserialize_with = "duration")]
+    pub watch_wait: Duration,
+    /// Time within which a permit must be used.
+    #[serde(deserialize_with = "duration")]
+    pub permit_life: Duration,
+    /// Interval between reads of a target's load.
+    #[serde(deserialize_with = "duration")]
+    pub load_poll: Duration,
+    /// Time after which a sheet counts as known to all daemons.
+    #[serde(deserialize_with = "duration")]
+    pub propagation: Duration,
+    /// Time for streams to finish when the daemon shuts down.
+    #[serde(deserialize_with = "duration")]
+    pub drain: Duration,
+    /// First pause before a peer link is dialled again.
+    #[serde(deserialize_with = "duration")]
+    pub redial_min: Duration,
+    /// Largest pause before a peer link is dialled again.
+    #[serde(deserialize_with = "duration")]
+    pub redial_max: Duration,
+    /// Interval of keepalive comments on a caller's stream.
+    #[serde(deserialize_with = "duration")]
+    pub keepalive: Duration,
+    /// Silence after which a target's stream is dialled again and resumed.
+    #[serde(deserialize_with = "duration")]
+    pub stream_silent: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        let (ms, secs) = (Duration::from_millis, Duration::from_secs);
+        Self {
+            heartbeat: ms(500),
+            silent: secs(2),
+            lease: secs(15),
+            list_lag: secs(10),
+            list_poll: secs(1),
+            watch_wait: secs(30),
+            permit_life: secs(1),
+            load_poll: ms(500),
+            propagation: secs(5),
+            drain: secs(60),
+            redial_min: ms(50),
+            redial_max: secs(2),
+            keepalive: secs(1),
+            stream_silent: secs(5),
+        }
+    }
+}
+
+impl Timing {
+    /// Time to wait before taking over what a VM held that left the VM list.
+    ///
+    /// The VM may read a list that contains it up to `list_lag` later, hold its lease for `lease`
+    /// from then, and use a permit granted at the end of the lease within `permit_life`.
+    #[must_use]
+    pub fn hold_down(&self) -> Duration {
+        self.list_lag + self.lease + self.permit_life + HOLD_DOWN_SLACK
+    }
+}
+
+/// Log output.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Format of log lines.
+    pub format: LogFormat,
+    /// Least severe level that is written.
+    pub level: LogLevel,
+}
+
+/// Format of log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// Plain text.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Level of log lines, the most severe first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// A failure that needs an operator.
+    Error,
+    /// A condition that may need an operator.
+    Warn,
+    /// A change of state.
+    #[default]
+    Info,
+    /// Details of decisions.
+    Debug,
+    /// Details of messages.
+    Trace,
+}
+
+impl Settings {
+    /// Time to wait before taking over what a VM held that left the VM list.
+    #[must_use]
+    pub fn hold_down(&self) -> Duration {
+        self.timing.hold_down()
+    }
+}
--- /dev/null
+++ b/crates/sheet/src/units.rs
@@ -0,0 +1,64 @@
+//! Durations and sizes with units.
+
+use std::time::Duration;
+
+use bytesize::ByteSize;
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
+
+use crate::Name;
+
+/// Longest text of a duration or size in bytes.
+///
+/// humantime 2.4 panics when the seconds reach `u64::MAX` and the nanoseconds carry; the shortest
+/// such text is longer than this.
+const MAX_TEXT: usize = 16;
+
+/// Largest duration in a sheet or settings file.
+pub(crate) const MAX_DURATION: Duration = Duration::from_hours(24);
+
+/// What is wrong with a value.
+pub(crate) type Reason = &'static str;
+
+/// Parses a duration such as `410ms`, `1.5s` or `1h 30m`.
+pub(crate) fn parse_duration(text: &str) -> Result<Duration, Reason> {
+    const BAD: Reason = "not a duration; write a number and a unit, for example 410ms or 5s";
+    if text.len() > MAX_TEXT {
+        return Err(BAD);
+    }
+    let duration = humantime::parse_duration(text).map_err(|_| BAD)?;
+    if duration > MAX_DURATION {
+        return Err("longer than 24h; write a shorter duration");
+    }
+    Ok(duration)
+}
+
+/// Parses a size such as `64KiB`.
+pub(crate) fn parse_size(text: &str) -> Result<u64, Reason> {
+    const BAD: Reason = "not a size; write a number and a unit, for example 64KiB or 2MB";
+    if text.len() > MAX_TEXT || text.ends_with(|c: char| c.is_ascii_digit()) {
+        return Err(BAD);
+    }
+    text.parse::<ByteSize>()
+        .map(|size| size.as_u64())
+        .map_err(|_| BAD)
+}
+
+/// Deserializes a duration with a unit.
+pub(crate) fn duration<'de, D: Deserializer<'de>>(d: D) -> Result<Duration, D::Error> {
+    let text = String::deserialize(d)?;
+    parse_duration(&text).map_err(|reason| D::Error::custom(format!("{text:?} is {reason}")))
+}
+
+/// Deserializes a size with a unit.
+pub(crate) fn size<'de, D: Deserializer<'de>>(d: D) -> Result<usize, D::Error> {
+    let text = String::deserialize(d)?;
+    let size = parse_size(&text).and_then(|n| usize::try_from(n).map_err(|_| "too large"));
+    size.map_err(|reason| D::Error::custom(format!("{text:?} is {reason}")))
+}
+
+/// Deserializes a name.
+pub(crate) fn name<'de, D: Deserializer<'de>>(d: D) -> Result<Name, D::Error> {
+    let text = String::deserialize(d)?;
+    Ok(text.into())
+}
