--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,74 @@
+//! Admin address: health, readiness, metrics and status.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::extract::State;
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use http::StatusCode;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::node::Node;
+use crate::owner::Msg;
+
+/// What the admin address needs.
+#[derive(Clone)]
+struct Admin {
+    node: Arc<Node>,
+    metrics: PrometheusHandle,
+}
+
+/// Routes of the admin address.
+pub(crate) fn router(node: Arc<Node>, metrics: PrometheusHandle) -> Router {
+    Router::new()
+        .route("/healthz", get(|| async { "ok\n" }))
+        .route("/readyz", get(ready))
+        .route("/metrics", get(render))
+        .route("/status", get(status))
+        .with_state(Admin { node, metrics })
+}
+
+async fn ready(State(admin): State<Admin>) -> Response {
+    if admin.node.takes_calls() {
+        "ready\n".into_response()
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n").into_response()
+    }
+}
+
+async fn render(State(admin): State<Admin>) -> String {
+    admin.metrics.run_upkeep();
+    admin.metrics.render()
+}
+
+async fn status(State(admin): State<Admin>) -> Response {
+    let node = &admin.node;
+    let sheet = node.sheet();
+    let digests = node.owner.ask(Msg::Digests).await.unwrap_or_default();
+    let pools: Vec<_> = digests
+        .iter()
+        .map(|digest| {
+            serde_json::json!({
+                "pool": digest.pool,
+                "free_tokens": digest.free,
+                "limit_tokens": digest.limit,
+                "waiting_by_tier": digest.waiting,
+            })
+        })
+        .collect();
+    axum::Json(serde_json::json!({
+        "vm": node.settings.vm,
+        "zone": node.settings.zone,
+        "incarnation": node.incarnation.to_string(),
+        "phase": format!("{:?}", node.phase()).to_lowercase(),
+        "sheet": { "revision": sheet.revision, "hash": hex::encode(sheet.hash.0) },
+        "list_generation": node.list_generation(),
+        "linked": node.peers.linked(),
+        "owned": node.owner.ask(Msg::Status).await.unwrap_or_default(),
+        "pools": pools,
+        "running": node.running(),
+        "entries": node.entries(),
+    }))
+    .into_response()
+}
--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,25 @@
+//! The clock port. All decisions take their time from one clock that counts suspend.
+
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Source of the time since an origin that is fixed for the life of the process.
+pub trait Clock: Send + Sync + 'static {
+    /// Time since the origin.
+    fn now(&self) -> Duration;
+}
+
+/// `CLOCK_BOOTTIME`. Unlike the monotonic clock it goes on while the VM is suspended, so that a
+/// permit can't outlive a suspend.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+impl Clock for BootClock {
+    fn now(&self) -> Duration {
+        let time = clock_gettime(ClockId::Boottime);
+        let secs = u64::try_from(time.tv_sec).unwrap_or_default();
+        let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+        Duration::new(secs, nanos)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/admit.rs
@@ -0,0 +1,262 @@
+//! Checks of a call before it becomes a request: id, route, key, tier, deadline and body.
+
+use std::time::Duration;
+
+use ::http::request::Parts;
+use ::http::{HeaderMap, header};
+use axum::body::Body;
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use serde::Deserialize;
+use sheet::{Access, Name, PoolKind, Route, Sheet, key_hash};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+
+use super::table::RequestId;
+use crate::node::Node;
+use crate::outcome::{ID_HEADER, Refusal};
+
+/// Header with the name of the tier.
+const TIER_HEADER: &str = "x-primrosechute-tier";
+/// Header with the longest time to the first byte of the answer, for example `410ms`.
+const DEADLINE_HEADER: &str = "x-primrosechute-deadline";
+/// Longest deadline that a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(600);
+/// Longest time that a run may take after its deadline.
+const MAX_RUN: Duration = Duration::from_secs(300);
+/// Bytes of a prompt that count as one token before the engine has counted them.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Bytes of a body whose hash decides the affinity to targets with a warm prefix cache.
+const PREFIX_BYTES: usize = 256;
+
+/// A request that passed all checks of the entry.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub(super) id: RequestId,
+    pub(super) method: ::http::Method,
+    pub(super) path: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) pool: Name,
+    pub(super) kind: PoolKind,
+    /// Hash of the key and its workspace; `None` on open routes.
+    pub(super) caller: Option<Caller>,
+    pub(super) tier: u8,
+    pub(super) tier_name: Name,
+    pub(super) cost: u64,
+    pub(super) prompt: u64,
+    pub(super) prefix: u64,
+    /// Hash of the body alone, to recognise a request that crashes targets.
+    pub(super) fingerprint: u64,
+    pub(super) deadline: Duration,
+    pub(super) hard_deadline: Duration,
+}
+
+/// Who called a keyed route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Caller {
+    pub(super) key: [u8; 32],
+    pub(super) workspace: Name,
+}
+
+impl Job {
+    pub(super) fn workspace(&self) -> Option<&Name> {
+        self.caller.as_ref().map(|caller| &caller.workspace)
+    }
+
+    /// Hash of what a resend must repeat.
+    pub(super) fn content(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        hash.update(self.method.as_str().as_bytes());
+        hash.update(b" ");
+        hash.update(self.path.as_bytes());
+        hash.update(b"\n");
+        hash.update(&self.body);
+        hash.digest()
+    }
+}
+
+/// Takes the id of a call from its headers, or makes one.
+pub(super) fn request_id(node: &Node, headers: &HeaderMap) -> Result<RequestId, Refusal> {
+    let Some(value) = headers.get(ID_HEADER) else {
+        return Ok(node.with_table(|table| table.mint()));
+    };
+    value
+        .to_str()
+        .ok()
+        .and_then(|text| RequestId::parse(text).ok())
+        .ok_or(Refusal::Malformed(
+            "x-request-id is not <incarnation>-<1 to 64 letters, digits, '-' or '_'>",
+        ))
+}
+
+/// Checks a call and reads its body.
+pub(super) async fn check(
+    node: &Node,
+    id: RequestId,
+    parts: &Parts,
+    body: Body,
+) -> Result<Job, Refusal> {
+    let arrival = node.now();
+    let sheet = node.sheet();
+    let route = sheet.route(parts.uri.path()).ok_or(Refusal::Route)?;
+    let caller = authenticate(&sheet, route, &parts.headers)?;
+    let tier = tier(&sheet, route, caller.as_ref(), &parts.headers)?;
+    let deadline = deadline(route, &parts.headers)?;
+    let kind = sheet
+        .pools
+        .get(&route.pool)
+        .map_or(PoolKind::Service, |pool| pool.kind);
+    let body = read_body(node, route, body).await?;
+    let size = match kind {
+        PoolKind::Engine => engine_size(route, &body)?,
+        PoolKind::Service => Size {
+            prompt: 0,
+            output: route.max_tokens,
+            body: None,
+        },
+    };
+    Ok(Job {
+        id,
+        method: parts.method.clone(),
+        path: parts
+            .uri
+            .path_and_query()
+            .map_or_else(|| "/".to_string(), ToString::to_string),
+        headers: parts.headers.clone(),
+        prefix: xxh3_64(&body[..body.len().min(PREFIX_BYTES)]),
+        fingerprint: xxh3_64(&body),
+        body: size.body.unwrap_or(body),
+        pool: route.pool.clone(),
+        kind,
+        caller,
+        tier,
+        tier_name: sheet
+            .tiers
+            .get(usize::from(tier))
+            .map_or_else(|| Name::from(""), |tier| tier.name.clone()),
+        cost: size.prompt + size.output,
+        prompt: size.prompt,
+        deadline: arrival + deadline,
+        hard_deadline: arrival + deadline + MAX_RUN,
+    })
+}
+
+fn authenticate(
+    sheet: &Sheet,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<Caller>, Refusal> {
+    match route.access {
+        Access::Open => Ok(None),
+        Access::Keyed => caller(sheet, headers).ok_or(Refusal::Key).map(Some),
+    }
+}
+
+/// The caller whose valid key came with the call.
+fn caller(sheet: &Sheet, headers: &HeaderMap) -> Option<Caller> {
+    let value = headers.get(header::AUTHORIZATION)?;
+    let hash = key_hash(value.as_bytes().strip_prefix(b"Bearer ")?);
+    let key = sheet.active_key(&hash)?;
+    Some(Caller {
+        key: hash,
+        workspace: key.workspace.clone(),
+    })
+}
+
+/// Whether the call may read answers of the workspace.
+pub(super) fn may_read(sheet: &Sheet, workspace: &Name, headers: &HeaderMap) -> bool {
+    caller(sheet, headers).is_some_and(|caller| caller.workspace == *workspace)
+}
+
+/// Rank of the tier: the one that the call names, or the route's, but no higher than the key may.
+fn tier(
+    sheet: &Sheet,
+    route: &Route,
+    caller: Option<&Caller>,
+    headers: &HeaderMap,
+) -> Result<u8, Refusal> {
+    let highest = match caller {
+        Some(caller) => sheet
+            .active_key(&caller.key)
+            .map_or(u8::MAX, |key| key.highest_tier),
+        None => route.tier,
+    };
+    let Some(value) = headers.get(TIER_HEADER) else {
+        return Ok(route.tier.max(highest));
+    };
+    let rank = value
+        .to_str()
+        .ok()
+        .and_then(|name| sheet.tier_rank(name))
+        .ok_or(Refusal::Tier)?;
+    if rank < highest {
+        return Err(Refusal::Tier);
+    }
+    Ok(rank)
+}
+
+fn deadline(route: &Route, headers: &HeaderMap) -> Result<Duration, Refusal> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else {
+        return Ok(route.deadline);
+    };
+    value
+        .to_str()
+        .ok()
+        .and_then(|text| humantime::parse_duration(text).ok())
+        .filter(|deadline| !deadline.is_zero() && *deadline <= MAX_DEADLINE)
+        .ok_or(Refusal::Malformed(
+            "x-primrosechute-deadline is not a duration of at most 10min, such as 410ms",
+        ))
+}
+
+async fn read_body(node: &Node, route: &Route, body: Body) -> Result<Bytes, Refusal> {
+    let limit = usize::try_from(route.max_body).unwrap_or(usize::MAX);
+    let read = Limited::new(body, limit).collect();
+    match tokio::time::timeout(node.settings.limits.idle_timeout, read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+        Ok(Err(_)) => Err(Refusal::Malformed("the body ended early")),
+        Err(_) => Err(Refusal::Malformed("the body did not arrive in time")),
+    }
+}
+
+/// Estimated size of a model call.
+struct Size {
+    prompt: u64,
+    output: u64,
+    /// The body with a limit of output tokens, if the call named none.
+    body: Option<Bytes>,
+}
+
+fn engine_size(route: &Route, body: &Bytes) -> Result<Size, Refusal> {
+    #[derive(Deserialize)]
+    struct Call {
+        max_tokens: Option<u64>,
+        max_completion_tokens: Option<u64>,
+    }
+    const NOT_JSON: Refusal = Refusal::Malformed("the body is not a JSON object of a model call");
+    let call: Call = serde_json::from_slice(body).map_err(|_| NOT_JSON)?;
+    let prompt = u64::try_from(body.len()).unwrap_or(u64::MAX) / BYTES_PER_TOKEN + 1;
+    match call.max_completion_tokens.or(call.max_tokens) {
+        Some(output) if output > route.max_tokens => Err(Refusal::Malformed(
+            "max_tokens is larger than the route allows",
+        )),
+        Some(output) => Ok(Size {
+            prompt,
+            output,
+            body: None,
+        }),
+        None => {
+            // The reservation covers the route's limit, so the engine must not exceed it.
+            let mut value: serde_json::Map<String, serde_json::Value> =
+                serde_json::from_slice(body).map_err(|_| NOT_JSON)?;
+            value.insert("max_tokens".into(), route.max_tokens.into());
+            let body = serde_json::to_vec(&value).map_err(|_| NOT_JSON)?;
+            Ok(Size {
+                prompt,
+                output: route.max_tokens,
+                body: Some(body.into()),
+            })
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/dispatch.rs
@@ -0,0 +1,136 @@
+//! Sending a request to its target, at most once.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ::http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use metrics::counter;
+
+use super::admit::Job;
+use super::answer::Answer;
+use super::permit::{Held, caller_gone, check};
+use crate::node::Node;
+use crate::outcome::{ID_HEADER, Outcome};
+use crate::target::{ConnectError, Connection};
+
+/// Header that tells the target for which workspace a request runs.
+const WORKSPACE_HEADER: &str = "x-primrosechute-workspace";
+
+/// Longest time to connect to a target.
+const CONNECT_WAIT: Duration = Duration::from_secs(1);
+
+/// Headers that are not passed on: the caller's key and those that belong to one connection.
+const DROPPED: [HeaderName; 13] = [
+    header::AUTHORIZATION,
+    header::PROXY_AUTHORIZATION,
+    header::COOKIE,
+    header::HOST,
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::EXPECT,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("x-api-key"),
+];
+
+/// Why no byte was sent with a permit.
+#[derive(Debug)]
+pub(super) enum NotSent {
+    /// The target can't be reached.
+    Connect(ConnectError),
+    /// The permit is void or its target may get no new work.
+    Permit,
+    /// The request must not run any more.
+    Over(Outcome),
+}
+
+/// What came of a request that was sent, so that it may have run.
+#[derive(Debug)]
+pub(super) enum Sent {
+    /// The target answers.
+    Answered(Response<Incoming>),
+    /// The connection broke before the answer began.
+    Broken,
+    /// The run's time is over.
+    TimedOut,
+    /// The caller left.
+    CallerGone,
+}
+
+/// Connects to the permit's target, checks everything again and sends the request.
+///
+/// # Errors
+/// Fails only if no byte of the request was sent.
+pub(super) async fn send(
+    node: &Arc<Node>,
+    job: &Job,
+    held: &Held,
+    answer: &Answer,
+) -> Result<Sent, NotSent> {
+    let sheet = node.sheet();
+    let target = sheet.targets.get(&held.target).ok_or(NotSent::Permit)?;
+    let connected = Connection::open(target.address, CONNECT_WAIT).await;
+    let mut connection = connected.map_err(NotSent::Connect)?;
+    let req = request(job, target.address).map_err(NotSent::Over)?;
+    // The one place where a request becomes a run. Nothing may wait between here and the write.
+    recheck(node, job, held)?;
+    counter!("primrosechute_dispatched_total", "pool" => job.pool.to_string()).increment(1);
+    let left = job.hard_deadline.saturating_sub(node.now());
+    Ok(tokio::select! {
+        response = connection.send(req) => response.map_or(Sent::Broken, Sent::Answered),
+        () = tokio::time::sleep(left) => Sent::TimedOut,
+        () = caller_gone(answer) => Sent::CallerGone,
+    })
+}
+
+/// Checks permit, deadline, key, zone and target state at the newest known revision.
+fn recheck(node: &Node, job: &Job, held: &Held) -> Result<(), NotSent> {
+    check(node, job).map_err(NotSent::Over)?;
+    let valid = node.now() < held.expires
+        && node.pauses() == held.pauses
+        && node.sheet().takes_new_work(&held.target);
+    if valid { Ok(()) } else { Err(NotSent::Permit) }
+}
+
+fn request(job: &Job, address: std::net::SocketAddr) -> Result<Request<Full<Bytes>>, Outcome> {
+    let malformed = |_| {
+        Outcome::Refused(crate::outcome::Refusal::Malformed(
+            "the path can't be passed on",
+        ))
+    };
+    let mut req = Request::builder()
+        .method(job.method.clone())
+        .uri(job.path.as_str())
+        .body(Full::new(job.body.clone()))
+        .map_err(malformed)?;
+    let headers = req.headers_mut();
+    *headers = passed_on(&job.headers);
+    if let Ok(value) = HeaderValue::from_str(&address.to_string()) {
+        headers.insert(header::HOST, value);
+    }
+    if let Ok(value) = HeaderValue::from_str(job.id.as_str()) {
+        headers.insert(ID_HEADER, value);
+    }
+    if let Some(workspace) = job.workspace()
+        && let Ok(value) = HeaderValue::from_str(workspace)
+    {
+        headers.insert(WORKSPACE_HEADER, value);
+    }
+    Ok(req)
+}
+
+/// The caller's headers that a target may see.
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    headers
+        .iter()
+        .filter(|(name, _)| !DROPPED.contains(name))
+        .filter(|(name, _)| !name.as_str().starts_with("x-primrosechute-"))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
--- /dev/null
+++ b/crates/daemon/src/entry/http.rs
@@ -0,0 +1,243 @@
+//! HTTP interface for callers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use ::http::{HeaderMap, HeaderValue, StatusCode, header};
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Path, Query, Request, State};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use bytes::{Bytes, BytesMut};
+use metrics::counter;
+use serde::Deserialize;
+
+use super::admit::{self, Job};
+use super::answer::{Answer, Head, Piece, Reader};
+use super::run;
+use super::table::{Found, Record, RequestId};
+use crate::node::Node;
+use crate::outcome::{ID_HEADER, OUTCOME_HEADER, Outcome, Refusal};
+
+/// Routes of the caller address.
+pub(crate) fn router(node: Arc<Node>) -> Router {
+    Router::new()
+        .route("/v1/entries", get(entries))
+        .route("/v1/outcomes/{id}", get(outcome))
+        .route("/v1/streams/{id}", get(resume))
+        .fallback(call)
+        .with_state(node)
+}
+
+/// Seconds for which callers may keep the list of entries.
+const ENTRIES_TTL: u64 = 5;
+
+async fn entries(State(node): State<Arc<Node>>) -> Response {
+    axum::Json(serde_json::json!({
+        "ttl_seconds": ENTRIES_TTL,
+        "entries": node.entries(),
+    }))
+    .into_response()
+}
+
+async fn outcome(State(node): State<Arc<Node>>, Path(id): Path<String>) -> Response {
+    let Ok(id) = RequestId::parse(&id) else {
+        return Outcome::Refused(Refusal::Malformed("the request id is malformed")).response(&id);
+    };
+    let known = if id.incarnation() == node.incarnation {
+        node.outcome(id.as_str())
+    } else {
+        node.ask_outcome(&id.name(), id.incarnation()).await
+    };
+    let (label, reason) = known.unwrap_or_else(|| ("unknown".into(), "unknown".into()));
+    axum::Json(serde_json::json!({
+        "request_id": id.as_str(),
+        "outcome": label,
+        "reason": reason,
+    }))
+    .into_response()
+}
+
+#[derive(Deserialize)]
+struct Offset {
+    #[serde(default)]
+    offset: u64,
+}
+
+/// Resumes a stream. The caller needs a key of the workspace that the request runs for.
+async fn resume(
+    State(node): State<Arc<Node>>,
+    Path(id): Path<String>,
+    Query(from): Query<Offset>,
+    headers: HeaderMap,
+) -> Response {
+    let Some(record) = node.with_table(|table| table.get(&id)) else {
+        return Outcome::Unknown.response(&id);
+    };
+    if let Some(workspace) = &record.workspace
+        && !admit::may_read(&node.sheet(), workspace, &headers)
+    {
+        return Outcome::Refused(Refusal::Key).response(&id);
+    }
+    let reader = record.answer.reader(from.offset);
+    respond(&node, &record.id, reader).await
+}
+
+async fn call(State(node): State<Arc<Node>>, req: Request) -> Response {
+    let (parts, body) = req.into_parts();
+    let id = match admit::request_id(&node, &parts.headers) {
+        Ok(id) => id,
+        Err(refusal) => return refuse(&refusal, ""),
+    };
+    if id.incarnation() != node.incarnation {
+        return other(&node, &id).await;
+    }
+    let job = match admit::check(&node, id.clone(), &parts, body).await {
+        Ok(job) => job,
+        Err(refusal) => return refuse(&refusal, id.as_str()),
+    };
+    match enter(&node, job) {
+        Ok(reader) => respond(&node, &id, reader).await,
+        Err(outcome) => {
+            count(&outcome);
+            outcome.response(id.as_str())
+        }
+    }
+}
+
+fn refuse(refusal: &Refusal, id: &str) -> Response {
+    let outcome = Outcome::Refused(refusal.clone());
+    count(&outcome);
+    log::debug!("entry: request {id} refused: {}", refusal.label());
+    outcome.response(id)
+}
+
+/// Counts an outcome that was decided without a run.
+fn count(outcome: &Outcome) {
+    counter!(
+        "primrosechute_requests_total",
+        "outcome" => outcome.label(),
+        "reason" => outcome.reason(),
+    )
+    .increment(1);
+}
+
+/// Answers a call whose id another incarnation made: this daemon must not dispatch it.
+async fn other(node: &Node, id: &RequestId) -> Response {
+    let known = node.ask_outcome(&id.name(), id.incarnation()).await;
+    let mut response = Outcome::Unknown.response(id.as_str());
+    count(&Outcome::Unknown);
+    if let Some((label, _)) = known
+        && let Ok(value) = HeaderValue::from_str(&label)
+    {
+        response.headers_mut().insert(OUTCOME_HEADER, value);
+    }
+    response
+}
+
+/// Starts the run of a new request, or joins the run of a known one.
+fn enter(node: &Arc<Node>, job: Job) -> Result<Reader, Outcome> {
+    let content = job.content();
+    let workspace = job.workspace().cloned();
+    let draining = !node.takes_calls();
+    let found = node.with_table(|table| {
+        if draining && table.get(job.id.as_str()).is_none() {
+            return None;
+        }
+        Some(table.enter(&job.id, || Record {
+            id: job.id.clone(),
+            workspace: workspace.clone(),
+            content,
+            answer: Arc::new(Answer::new()),
+        }))
+    });
+    match found {
+        None => Err(Outcome::Refused(Refusal::Draining)),
+        Some(Found::New(record)) => {
+            let reader = record.answer.reader(0);
+            tokio::spawn(run::run(Arc::clone(node), job, record));
+            Ok(reader)
+        }
+        Some(Found::Known(record)) => {
+            if record.content != content || record.workspace != workspace {
+                return Err(Outcome::Refused(Refusal::Malformed(
+                    "the request id was used for another request",
+                )));
+            }
+            log::info!(
+                "entry: request {} was sent again and joins its run",
+                job.id.as_str()
+            );
+            Ok(record.answer.reader(0))
+        }
+        Some(Found::Unknown) => Err(Outcome::Unknown),
+    }
+}
+
+/// Builds the answer to a caller from the answer of the run.
+async fn respond(node: &Arc<Node>, id: &RequestId, mut reader: Reader) -> Response {
+    let head = match reader.answer().head().await {
+        Ok(head) => head,
+        Err(outcome) => return outcome.response(id.as_str()),
+    };
+    if head.events {
+        let body = Body::from_stream(events(Arc::clone(node), id.clone(), reader));
+        return with_head(&head, id, None, body);
+    }
+    let mut body = BytesMut::new();
+    loop {
+        match reader.next().await {
+            Piece::Bytes(bytes) => body.extend_from_slice(&bytes),
+            Piece::End(outcome) => {
+                return with_head(&head, id, Some(&outcome), Body::from(body.freeze()));
+            }
+        }
+    }
+}
+
+fn with_head(head: &Head, id: &RequestId, outcome: Option<&Outcome>, body: Body) -> Response {
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers.clone();
+    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+        response.headers_mut().insert(ID_HEADER, value);
+    }
+    // A stream's outcome is not known yet; its last event or an error event tells it.
+    let label = outcome.map_or("streaming", Outcome::label);
+    response
+        .headers_mut()
+        .insert(OUTCOME_HEADER, HeaderValue::from_static(label));
+    if head.events {
+        response
+            .headers_mut()
+            .insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        *response.status_mut() = StatusCode::OK;
+    }
+    response
+}
+
+/// Body of a stream: the events, comments while there are none, and an error event at an
+/// incomplete end.
+fn events(
+    node: Arc<Node>,
+    id: RequestId,
+    mut reader: Reader,
+) -> impl futures_util::Stream<Item = Result<Bytes, Infallible>> {
+    const COMMENT: &[u8] = b": keepalive\n\n";
+    async_stream::stream! {
+        let keepalive = node.settings.timing.keepalive;
+        loop {
+            match tokio::time::timeout(keepalive, reader.next()).await {
+                Ok(Piece::Bytes(bytes)) => yield Ok(bytes),
+                Ok(Piece::End(Outcome::Served)) => break,
+                Ok(Piece::End(outcome)) => {
+                    let problem = outcome.problem(id.as_str());
+                    yield Ok(Bytes::from(format!("event: error\ndata: {problem}\n\n")));
+                    break;
+                }
+                Err(_) => yield Ok(Bytes::from_static(COMMENT)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/mod.rs
@@ -0,0 +1,14 @@
+//! The entry role: takes calls, gets permits, runs requests at targets and relays their answers.
+
+mod admit;
+mod answer;
+mod dispatch;
+mod http;
+mod permit;
+mod relay;
+mod run;
+mod table;
+
+pub(crate) use self::http::router;
+pub(crate) use permit::return_permit;
+pub(crate) use table::{Table, random_incarnation};
--- /dev/null
+++ b/crates/daemon/src/entry/permit.rs
@@ -0,0 +1,284 @@
+//! Getting a permit from a target owner.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics::counter;
+use sched::{PermitId, RunEnd, RunReport};
+use sheet::{Name, Sheet};
+use tokio::sync::oneshot;
+use wire::{Body, Offer, Release, Verdict, Withdraw};
+
+use super::admit::Job;
+use super::answer::Answer;
+use crate::node::Node;
+use crate::outcome::{Outcome, Refusal, shed_reason};
+use crate::owner::{end_code, micros};
+
+/// Time for which a run goes on after its last caller left, so that the caller can come back.
+pub(super) const CALLER_GRACE: Duration = Duration::from_secs(2);
+
+/// Wait before the owners are asked again when none could be reached.
+const RETRY_OWNERS: Duration = Duration::from_millis(50);
+
+/// A permit that this entry holds. It must be released exactly once.
+#[derive(Clone, Debug)]
+pub(super) struct Held {
+    pub(super) owner: Name,
+    pub(super) owner_incarnation: u64,
+    pub(super) permit: PermitId,
+    pub(super) target: Name,
+    /// Time after which the request must not be sent.
+    pub(super) expires: Duration,
+    /// Count of pauses of this process when the permit was asked for.
+    pub(super) pauses: u64,
+}
+
+/// Why there is no permit.
+enum Denied {
+    /// The owner shed the request.
+    Shed(sched::ShedReason),
+    /// The owner owns no target of the pool any more, or can't be reached.
+    Elsewhere,
+    /// The request must not run any more.
+    Over(Outcome),
+}
+
+/// Waits for a permit. Each owner that may have room is tried before the request is shed.
+pub(super) async fn obtain(node: &Arc<Node>, job: &Job, answer: &Answer) -> Result<Held, Outcome> {
+    let mut tried: Vec<Name> = Vec::new();
+    let mut shed = None;
+    loop {
+        check(node, job)?;
+        let Some(owner) = node.pick_owner(&job.pool, job.tier, &tried, job.cost) else {
+            if let Some(reason) = shed {
+                return Err(Outcome::Shed {
+                    tier: job.tier_name.clone(),
+                    reason,
+                });
+            }
+            tried.clear();
+            tokio::time::sleep(RETRY_OWNERS).await;
+            continue;
+        };
+        match ask(node, job, answer, &owner).await {
+            Ok(held) => return Ok(held),
+            Err(Denied::Over(outcome)) => return Err(outcome),
+            Err(Denied::Shed(sched::ShedReason::Poison)) => {
+                return Err(Outcome::Refused(Refusal::Poison));
+            }
+            Err(Denied::Shed(reason)) => shed = Some(reason),
+            Err(Denied::Elsewhere) => {
+                counter!("primrosechute_retries_total", "reason" => "owner_elsewhere").increment(1);
+            }
+        }
+        tried.push(owner);
+    }
+}
+
+/// Whether the request may still run: its deadline, its key and its route.
+pub(super) fn check(node: &Node, job: &Job) -> Result<(), Outcome> {
+    if node.now() >= job.deadline {
+        return Err(Outcome::Refused(Refusal::Expired));
+    }
+    if !key_is_valid(&node.sheet(), job) {
+        return Err(Outcome::Refused(Refusal::Key));
+    }
+    Ok(())
+}
+
+/// Whether the key is valid in this sheet and still belongs to the same workspace.
+fn key_is_valid(sheet: &Sheet, job: &Job) -> bool {
+    job.caller.as_ref().is_none_or(|caller| {
+        sheet
+            .active_key(&caller.key)
+            .is_some_and(|key| key.workspace == caller.workspace)
+    })
+}
+
+/// Offers the request to one owner and waits for its decision.
+async fn ask(node: &Arc<Node>, job: &Job, answer: &Answer, owner: &Name) -> Result<Held, Denied> {
+    let sent = node.now();
+    let pauses = node.pauses();
+    let mut ticket = Ticket::open(node, job, owner).ok_or(Denied::Elsewhere)?;
+    let mut sheets = node.sheet_changes();
+    let deadline = tokio::time::sleep(job.deadline.saturating_sub(sent));
+    let gone = caller_gone(answer);
+    tokio::pin!(deadline, gone);
+    let reply = loop {
+        tokio::select! {
+            reply = &mut ticket.rx => break reply,
+            () = &mut deadline => return Err(Denied::Over(Outcome::Refused(Refusal::Expired))),
+            () = &mut gone => return Err(Denied::Over(Outcome::Refused(Refusal::Cancelled))),
+            _ = sheets.changed() => {
+                if !key_is_valid(&node.sheet(), job) {
+                    return Err(Denied::Over(Outcome::Refused(Refusal::Key)));
+                }
+            }
+        }
+    };
+    ticket.answered = true;
+    match reply.ok().and_then(verdict) {
+        Some(Verdict::Grant(grant)) => Ok(Held {
+            owner: owner.clone(),
+            owner_incarnation: grant.owner,
+            permit: PermitId(grant.permit),
+            target: Name::from(grant.target),
+            // Counted from the offer, so that a late reply can't extend the permit.
+            expires: sent + Duration::from_micros(grant.expires_us),
+            pauses,
+        }),
+        Some(Verdict::Shed(shed)) => Err(Denied::Shed(shed_reason(&shed.reason))),
+        Some(Verdict::NotOwner(_)) | None => Err(Denied::Elsewhere),
+    }
+}
+
+/// Waits until the caller has been gone for the grace time.
+pub(super) async fn caller_gone(answer: &Answer) {
+    loop {
+        answer.abandoned().await;
+        if tokio::time::timeout(CALLER_GRACE, answer.attended())
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+/// An offer that waits for its decision. Dropping it takes the offer back, and returns a permit
+/// that crossed with that.
+struct Ticket<'a> {
+    node: &'a Arc<Node>,
+    owner: &'a Name,
+    id: Name,
+    pool: &'a Name,
+    rx: oneshot::Receiver<Body>,
+    answered: bool,
+}
+
+impl<'a> Ticket<'a> {
+    fn open(node: &'a Arc<Node>, job: &'a Job, owner: &'a Name) -> Option<Self> {
+        let now = node.now();
+        let offer = Offer {
+            id: job.id.as_str().to_string(),
+            pool: job.pool.to_string(),
+            tier: u32::from(job.tier),
+            workspace: job
+                .workspace()
+                .map_or_else(String::new, ToString::to_string),
+            cost: job.cost,
+            prompt: job.prompt,
+            prefix: job.prefix,
+            deadline_us: micros(job.deadline.saturating_sub(now)),
+            hard_deadline_us: micros(job.hard_deadline.saturating_sub(now)),
+            fingerprint: job.fingerprint,
+        };
+        let rx = if *owner == node.settings.vm {
+            node.offer(offer, node.incarnation)
+        } else {
+            node.peers.start(owner, Body::Offer(offer)).ok()?
+        };
+        Some(Ticket {
+            node,
+            owner,
+            id: job.id.name(),
+            pool: &job.pool,
+            rx,
+            answered: false,
+        })
+    }
+}
+
+impl Drop for Ticket<'_> {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        self.rx.close();
+        if let Ok(body) = self.rx.try_recv() {
+            return_permit(self.node, self.owner, &body);
+            return;
+        }
+        let withdraw = Withdraw {
+            id: self.id.to_string(),
+            pool: self.pool.to_string(),
+        };
+        send(self.node, self.owner, Body::Withdraw(withdraw));
+    }
+}
+
+fn verdict(body: Body) -> Option<Verdict> {
+    match body {
+        Body::OfferReply(reply) => reply.verdict,
+        _ => None,
+    }
+}
+
+/// Returns the permit in a reply that nobody waits for any more. No byte was sent with it.
+pub(crate) fn return_permit(node: &Arc<Node>, owner: &Name, reply: &Body) {
+    let Body::OfferReply(reply) = reply else {
+        return;
+    };
+    let Some(Verdict::Grant(grant)) = &reply.verdict else {
+        return;
+    };
+    let Some(pool) = node
+        .sheet()
+        .targets
+        .get(&*grant.target)
+        .map(|t| t.pool.clone())
+    else {
+        return;
+    };
+    counter!("primrosechute_permits_returned_total", "reason" => "nobody_waits").increment(1);
+    let release = Release {
+        pool: pool.to_string(),
+        permit: grant.permit,
+        end: end_code(RunEnd::Unused),
+        tokens: 0,
+        first_token_us: None,
+        token_gap_us: None,
+        id: String::new(),
+        owner: grant.owner,
+    };
+    send(node, owner, Body::Release(release));
+}
+
+impl Held {
+    /// Ends the permit with a report of the run.
+    pub(super) fn release(&self, node: &Arc<Node>, job: &Job, report: RunReport) {
+        let release = Release {
+            pool: job.pool.to_string(),
+            permit: self.permit.0,
+            end: end_code(report.end),
+            tokens: report.tokens,
+            first_token_us: report.first_token.map(micros),
+            token_gap_us: report.token_gap.map(micros),
+            id: job.id.as_str().to_string(),
+            owner: self.owner_incarnation,
+        };
+        send(node, &self.owner, Body::Release(release));
+    }
+
+    /// Returns the permit unused.
+    pub(super) fn give_back(&self, node: &Arc<Node>, job: &Job, end: RunEnd) {
+        let report = RunReport {
+            end,
+            tokens: 0,
+            first_token: None,
+            token_gap: None,
+        };
+        self.release(node, job, report);
+    }
+}
+
+/// Sends a message to the owner role of a VM, which may be this one.
+fn send(node: &Arc<Node>, vm: &Name, body: Body) {
+    if *vm == node.settings.vm {
+        node.on_message(&node.own_peer(), body);
+    } else {
+        // If the link is down, the owner frees the place by itself.
+        node.peers.send(vm, body);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/table.rs
@@ -0,0 +1,222 @@
+//! The outcome table: which requests this incarnation took, and what became of them.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use member::Incarnation;
+use sheet::Name;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::answer::Answer;
+
+/// Requests taken under one id prefix before the daemon changes to the next one.
+const MAX_SEEN: usize = 1 << 20;
+
+/// Most bytes of finished answers that are kept for resends.
+const MAX_KEPT_BYTES: usize = 64 << 20;
+
+/// Bits of an incarnation that number its id prefixes. A daemon remembers the ids of its newest
+/// two prefixes and answers `unknown` for older ones, which bounds its memory.
+const PREFIX_BITS: u64 = 0xffff;
+
+/// A request id, `<incarnation>-<random>`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RequestId {
+    text: Name,
+    prefix: Incarnation,
+}
+
+/// The text is not a request id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct BadRequestId;
+
+impl RequestId {
+    /// Longest random part.
+    const MAX_RANDOM: usize = 64;
+
+    pub(crate) fn parse(text: &str) -> Result<Self, BadRequestId> {
+        let (prefix, random) = text.split_once('-').ok_or(BadRequestId)?;
+        let valid = (1..=Self::MAX_RANDOM).contains(&random.len())
+            && random
+                .bytes()
+                .all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_');
+        let prefix = prefix.parse().map_err(|_| BadRequestId)?;
+        if !valid {
+            return Err(BadRequestId);
+        }
+        Ok(RequestId {
+            text: Name::from(text),
+            prefix,
+        })
+    }
+
+    pub(crate) fn as_str(&self) -> &str {
+        &self.text
+    }
+
+    pub(crate) fn name(&self) -> Name {
+        self.text.clone()
+    }
+
+    /// Incarnation of the daemon that may dispatch the request.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        process_incarnation(self.prefix)
+    }
+}
+
+/// Incarnation of the process that uses an id prefix.
+fn process_incarnation(prefix: Incarnation) -> Incarnation {
+    Incarnation(prefix.0 & !PREFIX_BITS)
+}
+
+/// A new random incarnation.
+pub(crate) fn random_incarnation() -> Incarnation {
+    process_incarnation(Incarnation(rand::random()))
+}
+
+/// One request of this incarnation.
+#[derive(Debug)]
+pub(crate) struct Record {
+    pub(crate) id: RequestId,
+    /// Workspace that the request runs for; `None` on open routes.
+    pub(crate) workspace: Option<Name>,
+    /// Hash of method, path and body; a resend must have the same.
+    pub(crate) content: u64,
+    pub(crate) answer: Arc<Answer>,
+}
+
+/// What the table knows about an id.
+#[derive(Debug)]
+pub(crate) enum Found {
+    /// The id was new; this record was added and may be dispatched once.
+    New(Arc<Record>),
+    /// The request was taken before.
+    Known(Arc<Record>),
+    /// The request was taken before and its record was evicted, or the id belongs to another
+    /// incarnation. It must not be dispatched here.
+    Unknown,
+}
+
+/// The ids taken under one prefix.
+#[derive(Debug, Default)]
+struct Prefix {
+    number: u64,
+    /// Hashes of all ids taken. A collision makes a new id `unknown`, which is safe.
+    seen: HashSet<u64>,
+}
+
+/// Bounded table of requests by id.
+#[derive(Debug)]
+pub(crate) struct Table {
+    incarnation: Incarnation,
+    current: Prefix,
+    previous: Option<Prefix>,
+    records: HashMap<Name, Arc<Record>>,
+    /// Finished records in the order in which they ended.
+    finished: VecDeque<(Duration, Name)>,
+    kept_bytes: usize,
+    max_records: usize,
+    max_age: Duration,
+}
+
+impl Table {
+    pub(crate) fn new(incarnation: Incarnation, max_records: usize, max_age: Duration) -> Self {
+        Table {
+            incarnation,
+            current: Prefix::default(),
+            previous: None,
+            records: HashMap::new(),
+            finished: VecDeque::new(),
+            kept_bytes: 0,
+            max_records,
+            max_age,
+        }
+    }
+
+    /// Prefix for new ids.
+    pub(crate) fn prefix(&self) -> Incarnation {
+        Incarnation(self.incarnation.0 | self.current.number)
+    }
+
+    /// A new id that nobody has used.
+    pub(crate) fn mint(&self) -> RequestId {
+        let text = format!("{}-{:032x}", self.prefix(), rand::random::<u128>());
+        RequestId {
+            text: Name::from(text),
+            prefix: self.prefix(),
+        }
+    }
+
+    /// Finds a request, or adds it with the record that `new` makes.
+    pub(crate) fn enter(&mut self, id: &RequestId, new: impl FnOnce() -> Record) -> Found {
+        if id.incarnation() != self.incarnation {
+            return Found::Unknown;
+        }
+        if let Some(record) = self.records.get(id.as_str()) {
+            return Found::Known(Arc::clone(record));
+        }
+        if !self.claim(id) {
+            return Found::Unknown;
+        }
+        let record = Arc::new(new());
+        self.records.insert(id.name(), Arc::clone(&record));
+        Found::New(record)
+    }
+
+    /// Looks a request up without adding it.
+    pub(crate) fn get(&self, id: &str) -> Option<Arc<Record>> {
+        self.records.get(id).cloned()
+    }
+
+    /// Marks an id as taken. Returns false if it was taken before or its prefix is forgotten.
+    fn claim(&mut self, id: &RequestId) -> bool {
+        let number = id.prefix.0 & PREFIX_BITS;
+        let hash = xxh3_64(id.as_str().as_bytes());
+        if let Some(previous) = &mut self.previous
+            && previous.number == number
+        {
+            return previous.seen.len() < 2 * MAX_SEEN && previous.seen.insert(hash);
+        }
+        if number != self.current.number || !self.current.seen.insert(hash) {
+            return false;
+        }
+        if self.current.seen.len() >= MAX_SEEN && self.current.number < PREFIX_BITS {
+            let next = Prefix {
+                number: self.current.number + 1,
+                seen: HashSet::new(),
+            };
+            self.previous = Some(std::mem::replace(&mut self.current, next));
+        }
+        true
+    }
+
+    /// Notes that a request ended, and evicts the oldest finished ones above the bounds.
+    pub(crate) fn finish(&mut self, now: Duration, record: &Record) {
+        self.kept_bytes += record.answer.size();
+        self.finished.push_back((now, record.id.name()));
+        self.evict(now);
+    }
+
+    /// Evicts finished records that are too old or too many.
+    pub(crate) fn evict(&mut self, now: Duration) {
+        while let Some((ended, _)) = self.finished.front() {
+            let fits = self.finished.len() <= self.max_records
+                && self.kept_bytes <= MAX_KEPT_BYTES
+                && now.saturating_sub(*ended) <= self.max_age;
+            if fits {
+                return;
+            }
+            if let Some((_, id)) = self.finished.pop_front()
+                && let Some(record) = self.records.remove(&id)
+            {
+                self.kept_bytes = self.kept_bytes.saturating_sub(record.answer.size());
+            }
+        }
+    }
+
+    /// Number of requests that have not ended.
+    pub(crate) fn running(&self) -> usize {
+        self.records.len() - self.finished.len()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/feed/list.rs
@@ -0,0 +1,82 @@
+//! Reading the VM list.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use member::{Vm, VmList, VmState};
+use serde::Deserialize;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::http::get;
+use crate::node::Node;
+
+#[derive(Deserialize)]
+struct Rows {
+    generation: u64,
+    vms: Vec<Row>,
+}
+
+#[derive(Deserialize)]
+struct Row {
+    name: String,
+    zone: String,
+    state: State,
+    entry: SocketAddr,
+    peer: SocketAddr,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Live,
+    Leaving,
+}
+
+/// Reads the list again and again. Failed reads are reported once per change.
+pub(crate) async fn poll(node: Arc<Node>, address: SocketAddr) {
+    let timing = &node.settings.timing;
+    let mut tick = interval(timing.list_poll);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut reachable = true;
+    loop {
+        tick.tick().await;
+        let list = read(address, timing.silent).await;
+        if list.is_some() != reachable {
+            reachable = list.is_some();
+            if reachable {
+                log::info!("config: the VM list is readable again");
+            } else {
+                log::warn!("config: the VM list at {address} can't be read");
+            }
+        }
+        if let Some(list) = list {
+            node.on_list(list, Duration::ZERO);
+        }
+    }
+}
+
+async fn read(address: SocketAddr, wait: Duration) -> Option<VmList> {
+    let answer = get(address, "/v1/vms", wait).await?;
+    if answer.status != 200 {
+        return None;
+    }
+    let rows: Rows = serde_json::from_slice(&answer.body).ok()?;
+    Some(VmList {
+        generation: rows.generation,
+        vms: rows.vms.into_iter().map(vm).collect(),
+    })
+}
+
+fn vm(row: Row) -> Vm {
+    Vm {
+        name: row.name.into(),
+        zone: row.zone.into(),
+        state: match row.state {
+            State::Live => VmState::Live,
+            State::Leaving => VmState::Leaving,
+        },
+        entry: row.entry,
+        peer: row.peer,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/feed/load.rs
@@ -0,0 +1,53 @@
+//! Reading the load reports of owned targets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::Method;
+use sched::{LoadReport, Name};
+use serde::Deserialize;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::node::Node;
+use crate::owner::Msg;
+use crate::target::small_call;
+
+#[derive(Deserialize)]
+struct Load {
+    start: u64,
+    running: u32,
+    tokens: u64,
+    cold: bool,
+}
+
+/// Reads the load of each owned target again and again.
+pub(crate) async fn poll(node: Arc<Node>) {
+    let mut tick = interval(node.settings.timing.load_poll);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        let sheet = node.sheet();
+        for name in node.owned() {
+            if let Some(target) = sheet.targets.get(&name) {
+                tokio::spawn(read(Arc::clone(&node), name, target.address));
+            }
+        }
+    }
+}
+
+async fn read(node: Arc<Node>, target: Name, address: SocketAddr) {
+    let wait = node.settings.timing.silent;
+    let Some((200, body)) = small_call(address, Method::GET, "/load", wait).await else {
+        return;
+    };
+    let Ok(load) = serde_json::from_slice::<Load>(&body) else {
+        return;
+    };
+    let report = LoadReport {
+        running: load.running,
+        tokens: load.tokens,
+        cold: load.cold,
+        start: load.start,
+    };
+    node.owner.send(Msg::Load { target, report });
+}
--- /dev/null
+++ b/crates/daemon/src/feed/sheet.rs
@@ -0,0 +1,70 @@
+//! Reading the sheet from the configuration service or a file.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+use sheet::{Sheet, SheetSource};
+
+use super::http::get;
+use crate::node::Node;
+
+/// Reads a sheet file. The error text is ready to print.
+pub(crate) fn read_file(path: &Path) -> Result<Sheet, String> {
+    let bytes =
+        std::fs::read(path).map_err(|err| format!("{}: cannot be read: {err}", path.display()))?;
+    Sheet::parse(&bytes).map_err(|errors| {
+        errors
+            .iter()
+            .map(|err| format!("{}: {err}", path.display()))
+            .collect::<Vec<_>>()
+            .join("\n")
+    })
+}
+
+/// Follows the sheet's source for the life of the daemon.
+pub(crate) async fn follow(node: Arc<Node>) {
+    match &node.settings.sheet {
+        SheetSource::File(_) => {}
+        SheetSource::Service(address) => watch(&node, *address).await,
+    }
+}
+
+/// Watches the configuration service.
+async fn watch(node: &Arc<Node>, address: SocketAddr) {
+    let timing = &node.settings.timing;
+    let mut reachable = true;
+    // The first read does not wait, so that a starting daemon takes the newest sheet at once.
+    let mut path = "/v1/values/sheet".to_string();
+    loop {
+        let answer = get(address, &path, timing.watch_wait + timing.silent).await;
+        let ok = answer
+            .as_ref()
+            .is_some_and(|answer| matches!(answer.status, 200 | 204));
+        if ok != reachable {
+            reachable = ok;
+            if reachable {
+                log::info!("config: the configuration service is readable again");
+            } else {
+                log::warn!("config: the configuration service at {address} can't be read");
+            }
+        }
+        match answer {
+            Some(answer) if answer.status == 200 => {
+                let newer = node.offer_sheet(&answer.body);
+                if !newer {
+                    // A stale service would answer at once again and again.
+                    tokio::time::sleep(timing.redial_max).await;
+                }
+            }
+            Some(answer) if answer.status == 204 => {}
+            _ => tokio::time::sleep(timing.redial_max.mul_f64(rand::random_range(0.5..1.5))).await,
+        }
+        let wait = humantime::format_duration(timing.watch_wait).to_string();
+        let seen = node.sheet().revision;
+        path = format!(
+            "/v1/values/sheet?after={seen}&wait={}",
+            wait.replace(' ', "")
+        );
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,20 @@
-//! daemon
+//! The daemon of primrosechute: all roles of a VM in one process.
+
+#![forbid(unsafe_code)]
+
+mod admin;
+mod clock;
+pub mod command;
+mod demo;
+mod entry;
+mod feed;
+mod logging;
+mod node;
+mod outcome;
+mod owner;
+mod owners;
+mod peer;
+mod serve;
+mod target;
+
+pub use serve::{Daemon, StartError};
--- /dev/null
+++ b/crates/daemon/src/logging.rs
@@ -0,0 +1,40 @@
+//! Log output.
+
+use logforth::append;
+use logforth::layout::{JsonLayout, TextLayout};
+use logforth::record::{Level, LevelFilter};
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Format {
+    Text,
+    Json,
+}
+
+/// Starts logging to standard error. Text is coloured only on a terminal.
+pub(crate) fn start(format: Format, level: Level) {
+    let filter = LevelFilter::MoreSevereEqual(level);
+    let builder = logforth::starter_log::builder();
+    match format {
+        Format::Json => builder
+            .dispatch(|d| {
+                d.filter(filter)
+                    .append(append::Stderr::default().with_layout(JsonLayout::default()))
+            })
+            .apply(),
+        Format::Text => {
+            let colour = std::io::IsTerminal::is_terminal(&std::io::stderr());
+            let layout = if colour {
+                TextLayout::default()
+            } else {
+                TextLayout::default().no_color()
+            };
+            builder
+                .dispatch(|d| {
+                    d.filter(filter)
+                        .append(append::Stderr::default().with_layout(layout))
+                })
+                .apply();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/owner/mod.rs
@@ -0,0 +1,134 @@
+//! The target owner: admission for the targets that this daemon owns.
+//!
+//! One task owns all schedulers; the rest of the daemon sends it messages, so that decisions need
+//! no lock and are made in one order.
+
+mod reclaim;
+mod task;
+
+use std::time::Duration;
+
+use member::Incarnation;
+use sched::{Descriptor, LoadReport, Name, PermitId, RunEnd, RunReport, TargetSpec};
+use tokio::sync::{mpsc, oneshot};
+use wire::{Body, Digest};
+
+pub(crate) use task::{micros, start};
+
+/// Ends of a run in the order of their codes in messages.
+const ENDS: [RunEnd; 5] = [
+    RunEnd::Unused,
+    RunEnd::Complete,
+    RunEnd::Cancelled,
+    RunEnd::Reset,
+    RunEnd::Overloaded,
+];
+
+/// Code of an end in a `Release` message.
+pub(crate) fn end_code(end: RunEnd) -> u32 {
+    let code = ENDS.iter().position(|known| *known == end);
+    code.and_then(|code| u32::try_from(code).ok()).unwrap_or(0)
+}
+
+/// End with a code; an unknown code counts as a cancelled run.
+pub(crate) fn run_end(code: u32) -> RunEnd {
+    usize::try_from(code)
+        .ok()
+        .and_then(|code| ENDS.get(code).copied())
+        .unwrap_or(RunEnd::Cancelled)
+}
+
+/// Message to the owner task.
+#[derive(Debug)]
+pub(crate) enum Msg {
+    /// A request waits for a permit.
+    Offer {
+        pool: Name,
+        descriptor: Descriptor,
+        /// Incarnation of the entry.
+        entry: Incarnation,
+        /// Gets the decision, an `OfferReply`; closed when the entry's link is gone.
+        reply: oneshot::Sender<Body>,
+    },
+    /// The caller of a waiting request left.
+    Withdraw { pool: Name, id: Name },
+    /// A permit ended.
+    Release {
+        pool: Name,
+        permit: PermitId,
+        /// Incarnation that gave the permit.
+        owner: Incarnation,
+        id: Name,
+        report: RunReport,
+    },
+    /// A target reported its load.
+    Load { target: Name, report: LoadReport },
+    /// This daemon came to own a target, or its specification changed.
+    Own {
+        pool: Name,
+        spec: TargetSpec,
+        source: Source,
+    },
+    /// This daemon gives a target up; the state goes to the new owner.
+    GiveUp {
+        target: Name,
+        reply: oneshot::Sender<Option<sched::Handover>>,
+    },
+    /// The lease came into doubt or is held again.
+    InDoubt(bool),
+    /// The process of an entry is gone.
+    EntryGone(Incarnation),
+    /// The engine says that a run of a gone entry is over.
+    RunGone { permit: PermitId, pool: Name },
+    /// Another owner found a fingerprint that crashes targets.
+    Suspect {
+        fingerprint: u64,
+        crashed: Vec<Name>,
+        remember: Duration,
+    },
+    /// Asks for the load of all pools.
+    Digests(oneshot::Sender<Vec<Digest>>),
+    /// Asks for the state of all owned targets.
+    Status(oneshot::Sender<Vec<TargetStatus>>),
+}
+
+/// How a target came to this daemon.
+#[derive(Debug)]
+pub(crate) enum Source {
+    /// Nobody owned it before.
+    Fresh,
+    /// The old owner could not hand over.
+    AssumeFull,
+    /// The old owner handed over.
+    Handed(sched::Handover),
+    /// It was owned before; only the specification changed.
+    Changed,
+}
+
+/// State of an owned target, for the status document.
+#[derive(Clone, Debug, serde::Serialize)]
+pub(crate) struct TargetStatus {
+    pub(crate) target: Name,
+    pub(crate) pool: Name,
+    pub(crate) phase: &'static str,
+}
+
+/// Sends messages to the owner task.
+#[derive(Clone, Debug)]
+pub(crate) struct Handle {
+    pub(crate) tx: mpsc::UnboundedSender<Msg>,
+}
+
+impl Handle {
+    pub(crate) fn send(&self, msg: Msg) {
+        // Fails only while the process shuts down, when nobody needs the decision.
+        let _ = self.tx.send(msg);
+    }
+
+    /// Sends a question and waits for its answer.
+    pub(crate) async fn ask<T>(&self, msg: impl FnOnce(oneshot::Sender<T>) -> Msg) -> Option<T> {
+        let (tx, rx) = oneshot::channel();
+        self.send(msg(tx));
+        rx.await.ok()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/owner/reclaim.rs
@@ -0,0 +1,65 @@
+//! Permits of entries that are gone.
+//!
+//! The place of such a permit is freed only when the engine says that the request is not there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Method;
+use sched::{Name, PermitId};
+
+use super::Msg;
+use crate::node::Node;
+use crate::target::small_call;
+
+/// Time between two questions to the engine.
+const ASK_EVERY: Duration = Duration::from_secs(1);
+
+/// Questions before the owner leaves the place to the hard deadline.
+const MAX_QUESTIONS: u32 = 300;
+
+/// A permit whose entry is gone.
+#[derive(Debug)]
+pub(super) struct Lost {
+    pub(super) pool: Name,
+    pub(super) permit: PermitId,
+    pub(super) target: Name,
+    pub(super) id: Name,
+    pub(super) expires: Duration,
+}
+
+/// Asks the engine for the run until it is over, then frees its place.
+pub(super) fn watch(node: Arc<Node>, lost: Lost) {
+    tokio::spawn(async move {
+        // Before the permit is void its request may be on its way to the engine.
+        tokio::time::sleep(lost.expires.saturating_sub(node.now()) + ASK_EVERY).await;
+        for _ in 0..MAX_QUESTIONS {
+            let Some(address) = node.sheet().targets.get(&lost.target).map(|t| t.address) else {
+                break;
+            };
+            let path = format!("/v1/requests/{}", lost.id);
+            let wait = node.settings.timing.silent;
+            if let Some((200, body)) = small_call(address, Method::GET, &path, wait).await
+                && !is_running(&body)
+            {
+                log::info!("owner: request {} of a gone entry is over", lost.id);
+                node.owner.send(Msg::RunGone {
+                    permit: lost.permit,
+                    pool: lost.pool,
+                });
+                return;
+            }
+            tokio::time::sleep(ASK_EVERY).await;
+        }
+    });
+}
+
+/// Whether the engine still has the run. An answer that can't be read says nothing, so the place
+/// stays taken.
+fn is_running(body: &[u8]) -> bool {
+    #[derive(serde::Deserialize)]
+    struct Answer {
+        state: String,
+    }
+    serde_json::from_slice::<Answer>(body).map_or(true, |answer| answer.state == "running")
+}
--- /dev/null
+++ b/crates/daemon/src/owners.rs
@@ -0,0 +1,115 @@
+//! What an entry knows of the owners of each pool: who they are and how loaded they were.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use sheet::Name;
+use wire::Digest;
+
+/// Age after which a digest says nothing any more.
+const MAX_AGE: Duration = Duration::from_secs(3);
+
+/// Owners tried at random per choice. Two choices keep the load even without full knowledge.
+const CHOICES: usize = 2;
+
+#[derive(Debug)]
+struct Known {
+    digest: Digest,
+    at: Duration,
+    /// Tokens that this entry offered since the digest came.
+    offered: u64,
+}
+
+/// Owners by pool, with their digests.
+#[derive(Debug, Default)]
+pub(crate) struct Owners {
+    pools: HashMap<Name, Vec<Name>>,
+    digests: HashMap<(Name, Name), Known>,
+}
+
+impl Owners {
+    /// Replaces the owners of all pools.
+    pub(crate) fn set(&mut self, pools: HashMap<Name, Vec<Name>>) {
+        self.pools = pools;
+        let pools = &self.pools;
+        self.digests
+            .retain(|(vm, pool), _| pools.get(pool).is_some_and(|vms| vms.contains(vm)));
+    }
+
+    /// Takes a digest from an owner.
+    pub(crate) fn on_digest(&mut self, now: Duration, vm: &Name, digest: Digest) {
+        let key = (vm.clone(), Name::from(digest.pool.as_str()));
+        let known = Known {
+            digest,
+            at: now,
+            offered: 0,
+        };
+        self.digests.insert(key, known);
+    }
+
+    /// Chooses an owner that has not been tried.
+    ///
+    /// After an owner shed the request (`tried` is not empty) only owners are chosen that may have
+    /// room for it, by free tokens or waiting work of a lower tier.
+    pub(crate) fn pick(
+        &mut self,
+        now: Duration,
+        pool: &Name,
+        tier: u8,
+        tried: &[Name],
+        cost: u64,
+    ) -> Option<Name> {
+        let open: Vec<&Name> = self
+            .pools
+            .get(pool)?
+            .iter()
+            .filter(|vm| !tried.contains(vm))
+            .filter(|vm| tried.is_empty() || self.may_have_room(now, vm, pool, tier))
+            .collect();
+        let picked = open
+            .sample(&mut rand::rng(), CHOICES)
+            .copied()
+            .min_by(|a, b| {
+                let (a, b) = (self.load(now, a, pool), self.load(now, b, pool));
+                a.total_cmp(&b)
+            })?
+            .clone();
+        if let Some(known) = self.digests.get_mut(&(picked.clone(), pool.clone())) {
+            known.offered += cost;
+        }
+        Some(picked)
+    }
+
+    fn known(&self, now: Duration, vm: &Name, pool: &Name) -> Option<&Known> {
+        self.digests
+            .get(&(vm.clone(), pool.clone()))
+            .filter(|known| now.saturating_sub(known.at) <= MAX_AGE)
+    }
+
+    fn may_have_room(&self, now: Duration, vm: &Name, pool: &Name, tier: u8) -> bool {
+        self.known(now, vm, pool).is_none_or(|known| {
+            let lower = usize::from(tier) + 1;
+            known.digest.free > known.offered
+                || known.digest.waiting.iter().skip(lower).any(|n| *n > 0)
+        })
+    }
+
+    /// Load relative to the limit; owners without a digest count as half loaded.
+    fn load(&self, now: Duration, vm: &Name, pool: &Name) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "a ratio for comparison")]
+        fn ratio(taken: u64, limit: u64) -> f64 {
+            taken as f64 / limit as f64
+        }
+        const UNKNOWN: f64 = 0.5;
+        match self.known(now, vm, pool) {
+            Some(known) if known.digest.limit > 0 => {
+                let waiting: u32 = known.digest.waiting.iter().sum();
+                let used = known.digest.limit.saturating_sub(known.digest.free);
+                ratio(used + known.offered, known.digest.limit) + f64::from(waiting)
+            }
+            Some(_) => f64::INFINITY,
+            None => UNKNOWN,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/target.rs
@@ -0,0 +1,84 @@
+//! HTTP client for targets.
+//!
+//! Each request gets a connection of its own. A pooled connection that the target closes at the
+//! same moment would leave it open whether the request ran; a failed connect proves that it did
+//! not. At the design scale a daemon opens about 50 connections a second.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// A connection to a target refused or timed out; no byte of a request was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectError {
+    /// The port refuses, so the target's process is gone.
+    Refused,
+    /// The target can't be reached.
+    Unreachable,
+}
+
+/// An open connection for one request.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl Connection {
+    pub(crate) async fn open(address: SocketAddr, wait: Duration) -> Result<Self, ConnectError> {
+        let stream = match timeout(wait, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused => {
+                return Err(ConnectError::Refused);
+            }
+            _ => return Err(ConnectError::Unreachable),
+        };
+        // Without it small answers wait for delayed acknowledgements. Failure costs only time.
+        let _ = stream.set_nodelay(true);
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|_| ConnectError::Unreachable)?;
+        tokio::spawn(connection);
+        Ok(Connection { sender })
+    }
+
+    /// Sends the request. After this call it may have run.
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, hyper::Error> {
+        self.sender.send_request(req).await
+    }
+}
+
+/// Largest answer to a small request of the daemon itself.
+const MAX_SMALL_ANSWER: usize = 64 << 10;
+
+/// Sends a small request of the daemon itself and returns status and body, if all goes well.
+pub(crate) async fn small_call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    wait: Duration,
+) -> Option<(u16, Bytes)> {
+    let call = async {
+        let mut connection = Connection::open(address, wait).await.ok()?;
+        let req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, address.to_string())
+            .body(Full::default())
+            .ok()?;
+        let response = connection.send(req).await.ok()?;
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), MAX_SMALL_ANSWER);
+        Some((status, body.collect().await.ok()?.to_bytes()))
+    };
+    timeout(wait, call).await.ok().flatten()
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -11,4 +11,4 @@
     Descriptor, Digest, Event, Handover, InFlight, LoadReport, Name, Permit, PermitId, RunEnd,
     RunReport, ShedReason, TargetPhase, TargetSpec,
 };
-pub use scheduler::{Config, Scheduler};
+pub use scheduler::{Config, Scheduler, Suspect};
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -40,6 +40,17 @@
     cost: u64,
 }
 
+/// A fingerprint that crashed targets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Suspect {
+    /// Hash of the body.
+    pub fingerprint: u64,
+    /// Distinct targets that it crashed.
+    pub crashed: Vec<Name>,
+    /// Time until which it is remembered.
+    pub until: Duration,
+}
+
 /// Queues descriptors and grants permits for the targets that this daemon owns in one pool.
 pub struct Scheduler {
     cfg: Config,
@@ -148,6 +159,16 @@
         let _ = (now, target, report);
     }
 
+    /// Ends the run of a request whose permit was given by an earlier owner.
+    pub fn release_request(&mut self, now: Duration, request: &str, report: RunReport) {
+        let _ = (now, request, report);
+    }
+
+    /// Fingerprints that crashed targets since the last call.
+    pub fn suspects(&mut self) -> Vec<Suspect> {
+        Vec::new()
+    }
+
     /// Refuses a fingerprint until the given time, as another owner found it to crash targets.
     pub fn suspect(&mut self, fingerprint: u64, crashed: &[Name], until: Duration) {
         let _ = (fingerprint, crashed, until);
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -14,7 +14,7 @@
     /// The content.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: Option<Body>,
 }
@@ -46,9 +46,9 @@
     /// Asks a holder for tokens.
     #[prost(message, tag = "9")]
     PartAsk(PartAsk),
-    /// Moves a part.
+    /// Moves parts.
     #[prost(message, tag = "10")]
-    PartMove(PartMove),
+    PartMoves(PartMoves),
     /// Answers a move.
     #[prost(message, tag = "11")]
     PartAck(PartAck),
@@ -79,6 +79,12 @@
     /// A fingerprint that crashed targets.
     #[prost(message, tag = "20")]
     Suspect(Suspect),
+    /// Asks for the sheet if it is newer than the given revision.
+    #[prost(uint64, tag = "21")]
+    SheetAsk(u64),
+    /// Asks for the VM list if it is fresher than the given generation.
+    #[prost(uint64, tag = "22")]
+    ListAsk(u64),
 }
 
 /// Introduces a daemon.
@@ -269,7 +275,18 @@
     pub tokens: u64,
 }
 
-/// Moves a part to the receiver, or, with `none`, answers that nothing can be moved.
+/// Moves parts to the receiver; none if the sender can spare nothing.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PartMoves {
+    /// The parts.
+    #[prost(message, repeated, tag = "1")]
+    pub moves: Vec<PartMove>,
+    /// Tokens that the sender has left for the workspace.
+    #[prost(uint64, tag = "2")]
+    pub left: u64,
+}
+
+/// Moves one part.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct PartMove {
     /// Workspace.
