Add the test client and the stand-in plain service

Tests of the daemon need callers and a plain service whose faults they control. A crashed stand-in must refuse connections and come back on the same port, so each reserves its port by a bound socket that never listens.

--- /dev/null
+++ b/crates/testkit/src/client/answer.rs
@@ -0,0 +1,184 @@
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_TYPE, HeaderMap};
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::conn::Connection;
+use super::sse::{Event, EventParser};
+
+/// A whole answer, or as much of it as came.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body as received.
+    pub body: Bytes,
+    /// Events of an event stream.
+    pub events: Vec<Event>,
+    /// Why the body broke off, `None` for a body that ended properly.
+    pub error: Option<String>,
+    /// Time from the call to the first event.
+    pub first_event: Option<Duration>,
+    /// Time from the call to the end.
+    pub elapsed: Duration,
+}
+
+impl Answer {
+    /// Value of a header as text, empty when absent.
+    #[must_use]
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name);
+        value.and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+
+    /// Whether the body ended properly by the rules of HTTP.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.error.is_none()
+    }
+
+    /// Whether an event stream ended properly: whole, with `[DONE]` as its last event.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        let last = self.events.last();
+        self.is_whole() && last.is_some_and(|event| event.data == "[DONE]")
+    }
+
+    /// Body as JSON, `null` when it is none.
+    #[must_use]
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Generated text of a completion, from its JSON body or its events.
+    #[must_use]
+    pub fn text(&self) -> String {
+        if self.events.is_empty() {
+            return choice_text(&self.json());
+        }
+        let parts = self.events.iter();
+        let parts = parts.filter_map(|event| serde_json::from_str(&event.data).ok());
+        parts.map(|part| choice_text(&part)).collect()
+    }
+}
+
+fn choice_text(value: &serde_json::Value) -> String {
+    let choice = &value["choices"][0];
+    let places = ["/text", "/delta/content", "/message/content"];
+    let text = places.iter().find_map(|at| choice.pointer(at)?.as_str());
+    text.unwrap_or_default().to_owned()
+}
+
+/// An answer whose body is read step by step. Dropping it closes the connection of its call.
+#[derive(Debug)]
+pub struct EventStream {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    body: Incoming,
+    parser: EventParser,
+    is_events: bool,
+    read: BytesMut,
+    error: Option<String>,
+    ended: bool,
+    start: Instant,
+    deadline: Instant,
+    first_event: Option<Duration>,
+    _conn: Option<Connection>,
+}
+
+impl EventStream {
+    pub(crate) fn new(
+        res: Response<Incoming>,
+        start: Instant,
+        deadline: Instant,
+        conn: Option<Connection>,
+    ) -> Self {
+        let (head, body) = res.into_parts();
+        let kind = head.headers.get(CONTENT_TYPE);
+        let is_events = kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
+        Self {
+            status: head.status,
+            headers: head.headers,
+            body,
+            parser: EventParser::default(),
+            is_events,
+            read: BytesMut::new(),
+            error: None,
+            ended: false,
+            start,
+            deadline,
+            first_event: None,
+            _conn: conn,
+        }
+    }
+
+    /// Returns the next event, `None` at the end, proper or not.
+    pub async fn next(&mut self) -> Option<Event> {
+        loop {
+            if let Some(event) = self.parser.next_event() {
+                self.first_event.get_or_insert(self.start.elapsed());
+                return Some(event);
+            }
+            if !self.read_some().await {
+                return None;
+            }
+        }
+    }
+
+    /// Number of comment lines so far, for keepalive checks.
+    #[must_use]
+    pub fn comments(&self) -> u64 {
+        self.parser.comments()
+    }
+
+    /// Reads the rest. The answer's events are those not taken by [`next`](Self::next).
+    pub async fn finish(mut self) -> Answer {
+        let mut events = Vec::new();
+        if self.is_events {
+            while let Some(event) = self.next().await {
+                events.push(event);
+            }
+        } else {
+            while self.read_some().await {}
+        }
+        Answer {
+            status: self.status,
+            headers: self.headers,
+            body: self.read.freeze(),
+            events,
+            error: self.error,
+            first_event: self.first_event,
+            elapsed: self.start.elapsed(),
+        }
+    }
+
+    /// Reads one piece of the body. Returns false at the end.
+    async fn read_some(&mut self) -> bool {
+        if self.ended {
+            return false;
+        }
+        match tokio::time::timeout_at(self.deadline, self.body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                let data = frame.into_data().unwrap_or_default();
+                self.read.extend_from_slice(&data);
+                if self.is_events {
+                    self.parser.push(&data);
+                }
+                return true;
+            }
+            Ok(Some(Err(e))) => self.error = Some(e.to_string()),
+            Ok(None) => {}
+            Err(_) => self.error = Some("timeout".to_owned()),
+        }
+        self.ended = true;
+        false
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,1 +1,14 @@
-//! testkit
+//! Stand-ins for the outside of a fleet, and the harness that runs daemons against them.
+//!
+//! Every stand-in runs in-process on a tokio runtime and offers an address, recorded facts and
+//! fault controls. The binary `standin` runs each as a process of its own.
+
+pub mod client;
+mod host;
+mod port;
+mod reply;
+mod service;
+
+pub use port::Port;
+pub use reply::Headers;
+pub use service::{PlainService, ServiceCall, ServiceFault};
--- /dev/null
+++ b/crates/testkit/src/reply.rs
@@ -0,0 +1,70 @@
+//! Small parts of HTTP requests and answers that all stand-ins share.
+
+use std::time::Duration;
+
+use axum::body::Body;
+use http::header::{CONTENT_TYPE, HeaderMap};
+use http::{Response, StatusCode};
+use serde::Serialize;
+
+use crate::host::Answer;
+
+/// Header names and values as text, in the order received.
+pub type Headers = Vec<(String, String)>;
+
+pub(crate) fn headers(map: &HeaderMap) -> Headers {
+    map.iter()
+        .map(|(name, value)| {
+            let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+            (name.as_str().to_owned(), value)
+        })
+        .collect()
+}
+
+pub(crate) fn header(map: &HeaderMap, name: &str) -> Option<String> {
+    map.get(name)
+        .map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned())
+}
+
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Answer {
+    let body = serde_json::to_vec(value).expect("answers are serializable");
+    with_body(status, "application/json", Body::from(body))
+}
+
+pub(crate) fn error(status: StatusCode, message: &str) -> Answer {
+    json(
+        status,
+        &serde_json::json!({ "error": { "message": message, "type": "stand_in" } }),
+    )
+}
+
+pub(crate) fn empty(status: StatusCode) -> Answer {
+    let mut res = Response::new(Body::empty());
+    *res.status_mut() = status;
+    res
+}
+
+pub(crate) fn with_body(status: StatusCode, kind: &'static str, body: Body) -> Answer {
+    let mut res = Response::new(body);
+    *res.status_mut() = status;
+    res.headers_mut()
+        .insert(CONTENT_TYPE, http::HeaderValue::from_static(kind));
+    res
+}
+
+/// Value of `name` in a query string; values used here need no percent-decoding.
+pub(crate) fn query<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+    query?
+        .split('&')
+        .find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))
+        .map(|(_, value)| value)
+}
+
+/// Parses `30s`, `250ms` or plain seconds.
+pub(crate) fn duration(text: &str) -> Option<Duration> {
+    if let Some(ms) = text.strip_suffix("ms") {
+        return ms.parse().ok().map(Duration::from_millis);
+    }
+    let seconds = text.strip_suffix('s').unwrap_or(text);
+    Duration::try_from_secs_f64(seconds.parse().ok()?).ok()
+}
--- /dev/null
+++ b/crates/testkit/src/service.rs
@@ -0,0 +1,233 @@
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Body;
+use bytes::Bytes;
+use futures_util::stream::{self, StreamExt};
+use http::{Request, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use serde_json::json;
+use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::host::{Answer, Conn, Host};
+use crate::reply::{self, Headers};
+
+/// Fault of a plain service, applied to each call while it is set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ServiceFault {
+    /// Answers at once.
+    #[default]
+    None,
+    /// Answers after a delay.
+    Delay(Duration),
+    /// Resets the connection after the headers of the request, before it reads the body.
+    ResetBeforeBody,
+    /// Resets the connection once it has read the whole request and counted the call.
+    ResetAfterBody,
+    /// Closes the connection after half of the answer's body.
+    CloseMidAnswer,
+    /// Counts the call and never answers it.
+    Silent,
+}
+
+/// One call that a plain service received with its whole body.
+#[derive(Clone, Debug)]
+pub struct ServiceCall {
+    /// Value of `x-request-id`, empty when absent.
+    pub request_id: String,
+    /// Method.
+    pub method: String,
+    /// Path with query.
+    pub path: String,
+    /// All headers.
+    pub headers: Headers,
+    /// XXH3 of the body.
+    pub body_hash: u64,
+    /// Length of the body in bytes.
+    pub body_len: usize,
+}
+
+#[derive(Default)]
+struct Facts {
+    calls: Vec<ServiceCall>,
+    counts: BTreeMap<String, u64>,
+}
+
+struct State {
+    facts: Mutex<Facts>,
+    fault: Mutex<ServiceFault>,
+    /// Number of recorded calls, for waiting.
+    total: watch::Sender<u64>,
+}
+
+/// Stand-in for a plain service: answers any method and path and counts calls by request id.
+///
+/// ```no_run
+/// # async fn example() -> std::io::Result<()> {
+/// let service = testkit::PlainService::start("127.0.0.1:0".parse().unwrap()).await?;
+/// service.set_fault(testkit::ServiceFault::ResetAfterBody);
+/// assert_eq!(service.count("some-request-id"), 0);
+/// # Ok(())
+/// # }
+/// ```
+pub struct PlainService {
+    host: Arc<Host>,
+    state: Arc<State>,
+}
+
+impl PlainService {
+    /// Starts to serve on `addr`.
+    ///
+    /// # Errors
+    /// The address can't be bound.
+    #[expect(clippy::unused_async, reason = "needs a running tokio runtime")]
+    pub async fn start(addr: SocketAddr) -> io::Result<Self> {
+        let state = Arc::new(State {
+            facts: Mutex::default(),
+            fault: Mutex::default(),
+            total: watch::Sender::new(0),
+        });
+        let shared = Arc::clone(&state);
+        let host = Host::start(addr, move |req, conn| {
+            handle(Arc::clone(&shared), req, conn)
+        })?;
+        Ok(Self { host, state })
+    }
+
+    /// Address it serves.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.host.addr()
+    }
+
+    /// Sets the fault for all later calls.
+    pub fn set_fault(&self, fault: ServiceFault) {
+        *self.state.fault.lock() = fault;
+    }
+
+    /// All calls received so far.
+    #[must_use]
+    pub fn calls(&self) -> Vec<ServiceCall> {
+        self.state.facts.lock().calls.clone()
+    }
+
+    /// Number of calls received with this request id.
+    #[must_use]
+    pub fn count(&self, request_id: &str) -> u64 {
+        let facts = self.state.facts.lock();
+        facts.counts.get(request_id).copied().unwrap_or(0)
+    }
+
+    /// Number of calls by request id.
+    #[must_use]
+    pub fn counts(&self) -> BTreeMap<String, u64> {
+        self.state.facts.lock().counts.clone()
+    }
+
+    /// Waits until at least `n` calls have been received.
+    pub async fn wait_for_calls(&self, n: u64) {
+        let mut rx = self.state.total.subscribe();
+        // The sender lives as long as `self`.
+        let _ = rx.wait_for(|total| *total >= n).await;
+    }
+
+    /// Number of connections accepted so far.
+    #[must_use]
+    pub fn connections(&self) -> u64 {
+        self.host.accepted()
+    }
+
+    /// Resets all connections and refuses new ones.
+    pub async fn crash(&self) {
+        self.host.crash().await;
+    }
+
+    /// Refuses new connections and finishes answers in progress.
+    pub async fn stop(&self) {
+        self.host.stop().await;
+    }
+
+    /// Serves again on the same port. Recorded facts stay.
+    ///
+    /// # Errors
+    /// The port can't be listened on.
+    pub fn restart(&self) -> io::Result<()> {
+        self.host.restart()
+    }
+}
+
+impl Drop for PlainService {
+    fn drop(&mut self) {
+        self.host.abort();
+    }
+}
+
+async fn handle(state: Arc<State>, req: Request<Incoming>, conn: Conn) -> Answer {
+    let fault = *state.fault.lock();
+    if fault == ServiceFault::ResetBeforeBody {
+        return conn.reset_and_wait().await;
+    }
+    let (head, body) = req.into_parts();
+    let Ok(body) = body.collect().await else {
+        return conn.reset_and_wait().await;
+    };
+    let body = body.to_bytes();
+    let call = ServiceCall {
+        request_id: reply::header(&head.headers, "x-request-id").unwrap_or_default(),
+        method: head.method.to_string(),
+        path: head.uri.to_string(),
+        headers: reply::headers(&head.headers),
+        body_hash: xxh3_64(&body),
+        body_len: body.len(),
+    };
+    let answer = record(&state, call);
+    match fault {
+        ServiceFault::None | ServiceFault::ResetBeforeBody => {}
+        ServiceFault::Delay(delay) => tokio::time::sleep(delay).await,
+        ServiceFault::ResetAfterBody => return conn.reset_and_wait().await,
+        ServiceFault::CloseMidAnswer => return half(&answer),
+        ServiceFault::Silent => std::future::pending().await,
+    }
+    reply::json(StatusCode::OK, &answer)
+}
+
+/// Records the call and returns its echo.
+fn record(state: &State, call: ServiceCall) -> serde_json::Value {
+    let mut facts = state.facts.lock();
+    let count = facts.counts.entry(call.request_id.clone()).or_default();
+    *count += 1;
+    let echo = json!({
+        "request_id": call.request_id,
+        "count": *count,
+        "total": facts.calls.len() + 1,
+        "method": call.method,
+        "path": call.path,
+        "body_hash": format!("{:016x}", call.body_hash),
+        "body_len": call.body_len,
+    });
+    facts.calls.push(call);
+    state.total.send_modify(|total| *total += 1);
+    echo
+}
+
+/// Sends half of the body under the whole content length, then closes the connection.
+fn half(answer: &serde_json::Value) -> Answer {
+    let text = answer.to_string();
+    let first = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
+    let cut = async {
+        // The connection writes the first part before it polls again.
+        tokio::task::yield_now().await;
+        Err(io::Error::other("fault: answer cut"))
+    };
+    let parts = stream::once(async { Ok(first) }).chain(stream::once(cut));
+    let mut res = reply::with_body(StatusCode::OK, "application/json", Body::from_stream(parts));
+    res.headers_mut()
+        .insert(http::header::CONTENT_LENGTH, text.len().into());
+    res
+}
