Add the stand-in configuration service and VM list

Calls are counted to check the platform's limit of calls a second; a waiting watch counts once. Changes of the VM list become visible after a lag.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,10 +5,14 @@
 
 pub mod client;
 mod host;
+mod platform;
 mod port;
 mod reply;
 mod service;
 
+pub use platform::{
+    ConfigService, ListFault, Platform, SheetFault, VmEntry, VmList, VmListService, VmState,
+};
 pub use port::Port;
 pub use reply::Headers;
 pub use service::{PlainService, ServiceCall, ServiceFault};
--- /dev/null
+++ b/crates/testkit/src/platform/mod.rs
@@ -0,0 +1,47 @@
+mod sheets;
+mod vms;
+
+pub use self::sheets::{ConfigService, SheetFault};
+pub use self::vms::{ListFault, VmEntry, VmList, VmListService, VmState};
+
+use std::io;
+use std::net::SocketAddr;
+
+/// The configuration service and the VM list together.
+///
+/// ```no_run
+/// # async fn example() -> std::io::Result<()> {
+/// use testkit::{Platform, VmEntry, VmState};
+///
+/// let any = "127.0.0.1:0".parse().unwrap();
+/// let platform = Platform::start(any, any).await?;
+/// platform.sheets.publish(1, "kind,name\nsheet,site\n");
+/// platform.vms.put(VmEntry {
+///     name: "vm-1".into(),
+///     zone: "zone-a".into(),
+///     state: VmState::Live,
+///     entry: "127.0.0.1:7001".parse().unwrap(),
+///     peer: "127.0.0.1:7002".parse().unwrap(),
+/// });
+/// # Ok(())
+/// # }
+/// ```
+pub struct Platform {
+    /// Configuration service.
+    pub sheets: ConfigService,
+    /// VM list.
+    pub vms: VmListService,
+}
+
+impl Platform {
+    /// Starts both services.
+    ///
+    /// # Errors
+    /// An address can't be bound.
+    pub async fn start(sheets: SocketAddr, vms: SocketAddr) -> io::Result<Self> {
+        Ok(Self {
+            sheets: ConfigService::start(sheets).await?,
+            vms: VmListService::start(vms).await?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/platform/sheets.rs
@@ -0,0 +1,212 @@
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use axum::body::Body;
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, StatusCode};
+use hyper::body::Incoming;
+use tokio::sync::watch;
+
+use crate::host::{Answer, Conn, Host};
+use crate::reply;
+
+/// Largest value the service holds, as the platform limits it.
+const MAX_VALUE: usize = 1 << 20;
+
+/// Longest wait of a watch.
+const MAX_WAIT: Duration = Duration::from_mins(1);
+
+/// Fault of the configuration service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SheetFault {
+    /// Serves the newest value.
+    #[default]
+    None,
+    /// Serves the newest value whose revision is at most this one.
+    Stale(u64),
+    /// Accepts calls and never answers.
+    Hang,
+}
+
+#[derive(Default)]
+struct State {
+    sheets: BTreeMap<u64, Bytes>,
+    fault: SheetFault,
+}
+
+impl State {
+    /// Revision and value that readers see.
+    fn visible(&self) -> Option<(u64, Bytes)> {
+        let limit = match self.fault {
+            SheetFault::None | SheetFault::Hang => u64::MAX,
+            SheetFault::Stale(revision) => revision,
+        };
+        let (revision, value) = self.sheets.range(..=limit).next_back()?;
+        Some((*revision, value.clone()))
+    }
+}
+
+struct Shared {
+    state: watch::Sender<State>,
+    calls: AtomicU64,
+    waiting: watch::Sender<usize>,
+}
+
+/// Stand-in for the configuration service: holds the sheet, answers reads and watches.
+pub struct ConfigService {
+    host: Arc<Host>,
+    shared: Arc<Shared>,
+}
+
+impl ConfigService {
+    /// Starts to serve on `addr`, without a sheet.
+    ///
+    /// # Errors
+    /// The address can't be bound.
+    #[expect(clippy::unused_async, reason = "needs a running tokio runtime")]
+    pub async fn start(addr: SocketAddr) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            state: watch::Sender::new(State::default()),
+            calls: AtomicU64::new(0),
+            waiting: watch::Sender::new(0),
+        });
+        let state = Arc::clone(&shared);
+        let host = Host::start(addr, move |req, _: Conn| handle(Arc::clone(&state), req))?;
+        Ok(Self { host, shared })
+    }
+
+    /// Address it serves.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.host.addr()
+    }
+
+    /// Publishes a sheet and wakes the watches that wait for it.
+    ///
+    /// # Panics
+    /// The value is over 1 MB, the platform's limit.
+    pub fn publish(&self, revision: u64, csv: impl Into<Bytes>) {
+        let csv = csv.into();
+        assert!(csv.len() <= MAX_VALUE, "the sheet is over 1 MB");
+        self.shared.state.send_modify(|state| {
+            state.sheets.insert(revision, csv);
+        });
+    }
+
+    /// Sets the fault; waiting watches see it at once.
+    pub fn set_fault(&self, fault: SheetFault) {
+        self.shared.state.send_modify(|state| state.fault = fault);
+    }
+
+    /// Number of calls so far; a watch counts once however long it waits.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.load(Ordering::Relaxed)
+    }
+
+    /// Number of watches that wait now.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        *self.shared.waiting.borrow()
+    }
+
+    /// Waits until at least `n` watches wait.
+    pub async fn wait_for_watches(&self, n: usize) {
+        let mut rx = self.shared.waiting.subscribe();
+        // The sender lives as long as `self`.
+        let _ = rx.wait_for(|waiting| *waiting >= n).await;
+    }
+
+    /// Drops all connections and refuses new ones until [`restart`](Self::restart).
+    pub async fn crash(&self) {
+        self.host.crash().await;
+    }
+
+    /// Refuses new connections and finishes answers in progress.
+    pub async fn stop(&self) {
+        self.host.stop().await;
+    }
+
+    /// Serves again on the same port, with the same sheets.
+    ///
+    /// # Errors
+    /// The port can't be listened on.
+    pub fn restart(&self) -> io::Result<()> {
+        self.host.restart()
+    }
+}
+
+impl Drop for ConfigService {
+    fn drop(&mut self) {
+        self.host.abort();
+    }
+}
+
+async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Answer {
+    shared.calls.fetch_add(1, Ordering::Relaxed);
+    if req.uri().path() != "/v1/values/sheet" {
+        return reply::error(StatusCode::NOT_FOUND, "no such value");
+    }
+    if req.method() != Method::GET {
+        return reply::error(StatusCode::METHOD_NOT_ALLOWED, "values are read-only");
+    }
+    let query = req.uri().query();
+    let after = reply::query(query, "after").map(str::parse::<u64>);
+    let wait = reply::query(query, "wait").map(reply::duration);
+    let (after, wait) = match (after.transpose(), wait) {
+        (Ok(after), None) => (after.unwrap_or(0), Duration::ZERO),
+        (Ok(after), Some(Some(wait))) => (after.unwrap_or(0), wait.min(MAX_WAIT)),
+        (Err(_), _) => return reply::error(StatusCode::BAD_REQUEST, "`after` is not a number"),
+        (_, Some(None)) => return reply::error(StatusCode::BAD_REQUEST, "`wait` is no duration"),
+    };
+    read(&shared, after, wait).await
+}
+
+async fn read(shared: &Shared, after: u64, wait: Duration) -> Answer {
+    let _waiting = (!wait.is_zero()).then(|| Waiting::new(&shared.waiting));
+    let mut rx = shared.state.subscribe();
+    let newer = rx.wait_for(|state| {
+        state.fault != SheetFault::Hang
+            && state
+                .visible()
+                .is_some_and(|(revision, _)| revision > after)
+    });
+    let found = tokio::time::timeout(wait, newer)
+        .await
+        .ok()
+        .and_then(Result::ok)
+        .and_then(|state| state.visible());
+    if let Some((revision, csv)) = found {
+        let mut res = reply::with_body(StatusCode::OK, "text/csv", Body::from(csv));
+        res.headers_mut()
+            .insert("x-revision", HeaderValue::from(revision));
+        return res;
+    }
+    // A hung service answers neither a value nor the end of the wait.
+    let _ = rx.wait_for(|state| state.fault != SheetFault::Hang).await;
+    let none = shared.state.borrow().sheets.is_empty();
+    if after == 0 && wait.is_zero() && none {
+        return reply::error(StatusCode::NOT_FOUND, "no sheet was published");
+    }
+    reply::empty(StatusCode::NO_CONTENT)
+}
+
+/// Counts a watch while it waits.
+struct Waiting<'a>(&'a watch::Sender<usize>);
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a watch::Sender<usize>) -> Self {
+        count.send_modify(|n| *n += 1);
+        Self(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.send_modify(|n| *n -= 1);
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/platform/vms.rs
@@ -0,0 +1,230 @@
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::host::{Answer, Conn, Host};
+use crate::reply;
+
+/// State of a listed VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum VmState {
+    /// The VM runs.
+    Live,
+    /// The VM will be removed soon.
+    Leaving,
+}
+
+/// One row of the VM list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmEntry {
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// State.
+    pub state: VmState,
+    /// Address for callers.
+    pub entry: SocketAddr,
+    /// Address for peers.
+    pub peer: SocketAddr,
+}
+
+/// The VM list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmList {
+    /// Grows by one with each change.
+    pub generation: u64,
+    /// Rows in the order they were added.
+    pub vms: Vec<VmEntry>,
+}
+
+/// Fault of the VM list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ListFault {
+    /// Serves the list with the configured lag.
+    #[default]
+    None,
+    /// Serves the list that was visible when the fault was set.
+    Stale,
+    /// Accepts calls and never answers.
+    Hang,
+}
+
+struct State {
+    /// The list with all changes.
+    newest: VmList,
+    /// What readers see.
+    visible: VmList,
+    /// Lists that become visible at their time, oldest first.
+    pending: VecDeque<(Instant, VmList)>,
+    lag: Duration,
+}
+
+impl State {
+    fn advance(&mut self, now: Instant) {
+        while self.pending.front().is_some_and(|(at, _)| *at <= now) {
+            if let Some((_, list)) = self.pending.pop_front() {
+                self.visible = list;
+            }
+        }
+    }
+}
+
+struct Shared {
+    state: Mutex<State>,
+    fault: watch::Sender<ListFault>,
+    calls: AtomicU64,
+}
+
+/// Stand-in for the platform's VM list, whose changes become visible after a lag.
+pub struct VmListService {
+    host: Arc<Host>,
+    shared: Arc<Shared>,
+}
+
+impl VmListService {
+    /// Starts to serve an empty list on `addr`, without lag.
+    ///
+    /// # Errors
+    /// The address can't be bound.
+    #[expect(clippy::unused_async, reason = "needs a running tokio runtime")]
+    pub async fn start(addr: SocketAddr) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            state: Mutex::new(State {
+                newest: VmList::default(),
+                visible: VmList::default(),
+                pending: VecDeque::new(),
+                lag: Duration::ZERO,
+            }),
+            fault: watch::Sender::default(),
+            calls: AtomicU64::new(0),
+        });
+        let state = Arc::clone(&shared);
+        let host = Host::start(addr, move |req, _: Conn| handle(Arc::clone(&state), req))?;
+        Ok(Self { host, shared })
+    }
+
+    /// Address it serves.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.host.addr()
+    }
+
+    /// Adds a VM or replaces the row of the same name.
+    pub fn put(&self, vm: VmEntry) {
+        self.change(|vms| match vms.iter_mut().find(|row| row.name == vm.name) {
+            Some(row) => *row = vm,
+            None => vms.push(vm),
+        });
+    }
+
+    /// Changes the state of a VM.
+    pub fn set_state(&self, name: &str, state: VmState) {
+        self.change(|vms| {
+            for row in vms.iter_mut().filter(|row| row.name == name) {
+                row.state = state;
+            }
+        });
+    }
+
+    /// Removes a VM.
+    pub fn remove(&self, name: &str) {
+        self.change(|vms| vms.retain(|row| row.name != name));
+    }
+
+    /// Applies any change as one generation.
+    pub fn change(&self, f: impl FnOnce(&mut Vec<VmEntry>)) {
+        let now = Instant::now();
+        let mut state = self.shared.state.lock();
+        f(&mut state.newest.vms);
+        state.newest.generation += 1;
+        // A shortened lag must not let this change overtake an earlier one.
+        let last = state.pending.back().map_or(now, |(at, _)| *at);
+        let at = (now + state.lag).max(last);
+        let changed = state.newest.clone();
+        state.pending.push_back((at, changed));
+    }
+
+    /// Sets how long later changes stay invisible.
+    pub fn set_lag(&self, lag: Duration) {
+        self.shared.state.lock().lag = lag;
+    }
+
+    /// Makes all changes visible now.
+    pub fn flush(&self) {
+        let mut state = self.shared.state.lock();
+        state.pending.clear();
+        state.visible = state.newest.clone();
+    }
+
+    /// The list with all changes, whether visible or not.
+    #[must_use]
+    pub fn newest(&self) -> VmList {
+        self.shared.state.lock().newest.clone()
+    }
+
+    /// Sets the fault.
+    pub fn set_fault(&self, fault: ListFault) {
+        self.shared.state.lock().advance(Instant::now());
+        self.shared.fault.send_replace(fault);
+    }
+
+    /// Number of calls so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.load(Ordering::Relaxed)
+    }
+
+    /// Drops all connections and refuses new ones until [`restart`](Self::restart).
+    pub async fn crash(&self) {
+        self.host.crash().await;
+    }
+
+    /// Refuses new connections and finishes answers in progress.
+    pub async fn stop(&self) {
+        self.host.stop().await;
+    }
+
+    /// Serves again on the same port, with the same list.
+    ///
+    /// # Errors
+    /// The port can't be listened on.
+    pub fn restart(&self) -> io::Result<()> {
+        self.host.restart()
+    }
+}
+
+impl Drop for VmListService {
+    fn drop(&mut self) {
+        self.host.abort();
+    }
+}
+
+async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Answer {
+    shared.calls.fetch_add(1, Ordering::Relaxed);
+    if req.uri().path() != "/v1/vms" || req.method() != Method::GET {
+        return reply::error(StatusCode::NOT_FOUND, "only GET /v1/vms is served");
+    }
+    let mut fault = shared.fault.subscribe();
+    let _ = fault.wait_for(|fault| *fault != ListFault::Hang).await;
+    let frozen = *shared.fault.borrow() == ListFault::Stale;
+    let list = {
+        let mut state = shared.state.lock();
+        if !frozen {
+            state.advance(Instant::now());
+        }
+        state.visible.clone()
+    };
+    reply::json(StatusCode::OK, &list)
+}
--- /dev/null
+++ b/crates/testkit/tests/platform.rs
@@ -0,0 +1,119 @@
+//! Behaviour of the stand-in platform.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use testkit::client::{Call, Client, ClientError};
+use testkit::{ListFault, Platform, SheetFault, VmEntry, VmState};
+
+async fn start() -> Platform {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Platform::start(any, any).await.unwrap()
+}
+
+fn sheet(query: &str) -> Call {
+    Call::get(format!("/v1/values/sheet{query}"))
+}
+
+fn vm(name: &str) -> VmEntry {
+    VmEntry {
+        name: name.into(),
+        zone: "zone-a".into(),
+        state: VmState::Live,
+        entry: SocketAddr::from(([127, 0, 0, 1], 1)),
+        peer: SocketAddr::from(([127, 0, 0, 1], 2)),
+    }
+}
+
+#[tokio::test]
+async fn watch_answers_when_a_newer_sheet_comes() {
+    // Guards against watches that answer early, late or count more than once.
+    let platform = start().await;
+    let client = Client::new(platform.sheets.addr());
+    platform.sheets.publish(3, "old");
+
+    let read = client.call(sheet("")).await.unwrap();
+    let watch = tokio::spawn(async move { client.call(sheet("?after=3&wait=30s")).await });
+    platform.sheets.wait_for_watches(1).await;
+    platform.sheets.publish(4, "new");
+    let seen = watch.await.unwrap().unwrap();
+
+    assert_eq!(
+        (read.header("x-revision"), &read.body[..]),
+        ("3", &b"old"[..])
+    );
+    assert_eq!(
+        (seen.header("x-revision"), &seen.body[..]),
+        ("4", &b"new"[..])
+    );
+    assert_eq!(platform.sheets.calls(), 2);
+}
+
+#[tokio::test]
+async fn watch_ends_empty_after_its_wait() {
+    // Guards against watches that wait forever.
+    let platform = start().await;
+    let client = Client::new(platform.sheets.addr());
+    platform.sheets.publish(3, "old");
+
+    let none = client.call(sheet("?after=3&wait=10ms")).await.unwrap();
+
+    assert_eq!(none.status, 204);
+}
+
+#[tokio::test]
+async fn sheet_faults() {
+    // Guards against faults that still let the newest value through.
+    let platform = start().await;
+    let client = Client::new(platform.sheets.addr());
+    platform.sheets.publish(3, "old");
+    platform.sheets.publish(4, "new");
+
+    platform.sheets.set_fault(SheetFault::Stale(3));
+    let stale = client.call(sheet("")).await.unwrap();
+    platform.sheets.set_fault(SheetFault::Hang);
+    let hung = client
+        .call(sheet("").timeout(Duration::from_millis(50)))
+        .await;
+    platform.sheets.crash().await;
+    let refused = client.call(sheet("")).await;
+    platform.sheets.restart().unwrap();
+    platform.sheets.set_fault(SheetFault::None);
+    let good = client.call(sheet("")).await.unwrap();
+
+    assert_eq!(&stale.body[..], b"old");
+    assert!(matches!(hung, Err(ClientError::Timeout)));
+    assert!(matches!(refused, Err(ClientError::Connect(_))));
+    assert_eq!(&good.body[..], b"new");
+}
+
+#[tokio::test]
+async fn list_changes_become_visible_after_the_lag() {
+    // Guards against lists that are fresher than the platform's.
+    let platform = start().await;
+    let client = Client::new(platform.vms.addr());
+    let names = async || {
+        let list = client.call(Call::get("/v1/vms")).await.unwrap().json();
+        let vms = list["vms"].as_array().unwrap().clone();
+        let names = vms.iter().map(|vm| vm["name"].as_str().unwrap().to_owned());
+        (
+            list["generation"].as_u64().unwrap(),
+            names.collect::<Vec<_>>(),
+        )
+    };
+    platform.vms.put(vm("vm-1"));
+
+    assert_eq!(names().await, (1, vec!["vm-1".to_owned()]));
+    platform.vms.set_lag(Duration::from_hours(1));
+    platform.vms.put(vm("vm-2"));
+    platform.vms.remove("vm-1");
+    assert_eq!(names().await, (1, vec!["vm-1".to_owned()]));
+    platform.vms.flush();
+    assert_eq!(names().await, (3, vec!["vm-2".to_owned()]));
+    platform.vms.set_lag(Duration::ZERO);
+    platform.vms.set_fault(ListFault::Stale);
+    platform.vms.set_state("vm-2", VmState::Leaving);
+    assert_eq!(names().await.0, 3);
+    platform.vms.set_fault(ListFault::None);
+    assert_eq!(names().await.0, 4);
+}
