Add the stand-in engine

It models continuous batching: a step takes longer with tokens in flight beyond the batch, and computes prompt tokens that the prefix cache lacks. A cold engine falls over above its limit. Load that was admitted before it turned cold does not count against the limit, since no scheduler can take it back.

--- /dev/null
+++ b/crates/testkit/src/engine/api.rs
@@ -0,0 +1,168 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::core::{Admitted, Core};
+use super::model::{End, OrderRecord};
+use super::run::{self, Ask, Run};
+use crate::host::{Answer, Conn};
+use crate::reply;
+
+/// The fields of a request body that change the run.
+#[derive(Deserialize)]
+struct Fields {
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(alias = "max_completion_tokens")]
+    max_tokens: Option<u32>,
+}
+
+pub(crate) async fn handle(core: Arc<Core>, req: Request<Incoming>, conn: Conn) -> Answer {
+    let mut stalled = core.stalled.subscribe();
+    let _ = stalled.wait_for(|stalled| !stalled).await;
+    if !core.stats.borrow().up {
+        return conn.reset_and_wait().await;
+    }
+    let path = req.uri().path().to_owned();
+    let parts: Vec<&str> = path.split('/').skip(1).collect();
+    match (req.method(), parts.as_slice()) {
+        (&Method::POST, ["v1", "chat", "completions"]) => generate(&core, req, conn, true).await,
+        (&Method::POST, ["v1", "completions"]) => generate(&core, req, conn, false).await,
+        (&Method::GET, ["v1", "streams", id]) => resume(&core, id, req.uri().query(), conn),
+        (&Method::DELETE, ["v1", "streams", id]) => cancel(&core, id),
+        (&Method::GET, ["v1", "requests", id]) => state(&core, id),
+        (&Method::GET, ["load"]) => load(&core),
+        (&Method::GET, ["cache-events"]) => cache_events(&core, req.uri().query()),
+        (&Method::POST, ["orders"]) => order(&core, req, conn).await,
+        _ => reply::error(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+async fn generate(core: &Core, req: Request<Incoming>, conn: Conn, chat: bool) -> Answer {
+    let (head, body) = req.into_parts();
+    let Ok(body) = body.collect().await else {
+        return conn.reset_and_wait().await;
+    };
+    let body = body.to_bytes();
+    if core.state.lock().faults.unavailable {
+        core.stats.send_modify(|stats| stats.unavailable += 1);
+        return reply::error(StatusCode::SERVICE_UNAVAILABLE, "overloaded");
+    }
+    let ask = match ask(core, &head, &body, chat) {
+        Ok(ask) => ask,
+        Err(e) => return reply::error(StatusCode::BAD_REQUEST, &e.to_string()),
+    };
+    let stream = ask.stream;
+    let headers = reply::headers(&head.headers);
+    let run = match core.admit(ask, head.uri.path(), headers, &body) {
+        Admitted::Run(run) => run,
+        Admitted::Down => return conn.reset_and_wait().await,
+    };
+    if stream {
+        return event_stream(run, 0, conn);
+    }
+    match run.ended().await {
+        Some(End::Complete) => reply::json(StatusCode::OK, &run.whole()),
+        _ => conn.reset_and_wait().await,
+    }
+}
+
+fn ask(
+    core: &Core,
+    head: &http::request::Parts,
+    body: &Bytes,
+    chat: bool,
+) -> serde_json::Result<Ask> {
+    let fields: Fields = serde_json::from_slice(body)?;
+    let wanted = fields.max_tokens.unwrap_or(core.cfg.default_output);
+    Ok(Ask {
+        request_id: reply::header(&head.headers, "x-request-id").unwrap_or_default(),
+        chat,
+        stream: fields.stream,
+        model: fields.model,
+        max_tokens: wanted.clamp(1, core.cfg.max_output.max(1)),
+        prompt_tokens: (body.len() as u64).div_ceil(4),
+        body_hash: xxh3_64(body),
+    })
+}
+
+fn event_stream(run: Arc<Run>, offset: u32, conn: Conn) -> Answer {
+    let body = run::body(run, offset, conn);
+    reply::with_body(StatusCode::OK, "text/event-stream", body)
+}
+
+fn resume(core: &Core, id: &str, query: Option<&str>, conn: Conn) -> Answer {
+    let offset = reply::query(query, "offset").map_or(Ok(0), str::parse);
+    match (core.find(id), offset) {
+        (_, Err(_)) => reply::error(StatusCode::BAD_REQUEST, "`offset` is not a number"),
+        (None, _) => reply::error(StatusCode::NOT_FOUND, "unknown request id"),
+        (Some(run), Ok(offset)) if offset > run.events() => reply::error(
+            StatusCode::RANGE_NOT_SATISFIABLE,
+            "offset is behind the end",
+        ),
+        (Some(run), Ok(offset)) => event_stream(run, offset, conn),
+    }
+}
+
+fn cancel(core: &Core, id: &str) -> Answer {
+    match core.cancel(id) {
+        Some(End::Cancelled) => reply::json(StatusCode::OK, &json!({ "state": "cancelled" })),
+        Some(_) => reply::json(StatusCode::OK, &json!({ "state": "done" })),
+        None => reply::error(StatusCode::NOT_FOUND, "unknown request id"),
+    }
+}
+
+fn state(core: &Core, id: &str) -> Answer {
+    let state = match core.find(id) {
+        Some(run) if run.progress.borrow().end.is_none() => "running",
+        Some(_) => "done",
+        None => "unknown",
+    };
+    reply::json(StatusCode::OK, &json!({ "state": state }))
+}
+
+fn load(core: &Core) -> Answer {
+    match core.state.lock().load.lagging(Instant::now()) {
+        Some(report) => reply::json(StatusCode::OK, &report),
+        None => reply::error(StatusCode::SERVICE_UNAVAILABLE, "no report yet"),
+    }
+}
+
+fn cache_events(core: &Core, query: Option<&str>) -> Answer {
+    let Ok(after) = reply::query(query, "after").map_or(Ok(0), str::parse) else {
+        return reply::error(StatusCode::BAD_REQUEST, "`after` is not a number");
+    };
+    let events = core.state.lock().events.after(after, Instant::now());
+    reply::json(StatusCode::OK, &json!({ "events": events }))
+}
+
+async fn order(core: &Core, req: Request<Incoming>, conn: Conn) -> Answer {
+    let Ok(body) = req.into_body().collect().await else {
+        return conn.reset_and_wait().await;
+    };
+    let mut order: OrderRecord = match serde_json::from_slice(&body.to_bytes()) {
+        Ok(order) => order,
+        Err(e) => return reply::error(StatusCode::BAD_REQUEST, &e.to_string()),
+    };
+    let mut state = core.state.lock();
+    order.accepted = !core.cfg.check_fencing || order.fencing >= state.fencing;
+    if order.accepted {
+        state.fencing = state.fencing.max(order.fencing);
+    }
+    let accepted = order.accepted;
+    state.orders.push(order);
+    if accepted {
+        reply::json(StatusCode::OK, &json!({ "accepted": true }))
+    } else {
+        reply::error(StatusCode::CONFLICT, "old fencing number")
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/engine/cache.rs
@@ -0,0 +1,160 @@
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use serde::Serialize;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Bytes of one cached block; a block holds `BLOCK / 4` tokens.
+const BLOCK: usize = 256;
+const BLOCK_TOKENS: u64 = (BLOCK / 4) as u64;
+
+/// Events kept for readers; older ones are lost.
+const MAX_EVENTS: usize = 4096;
+
+/// Prefix cache: least recently used prompts, each as a chain of block hashes.
+pub(crate) struct PrefixCache {
+    capacity: u64,
+    used: u64,
+    /// Least recently used first.
+    entries: VecDeque<Entry>,
+}
+
+struct Entry {
+    prefix: u64,
+    chain: Vec<u64>,
+}
+
+impl Entry {
+    fn tokens(&self) -> u64 {
+        self.chain.len() as u64 * BLOCK_TOKENS
+    }
+}
+
+/// Change of the cache's content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Change {
+    Stored(u64),
+    Evicted(u64),
+}
+
+impl PrefixCache {
+    pub(crate) fn new(capacity: u64) -> Self {
+        Self {
+            capacity,
+            used: 0,
+            entries: VecDeque::new(),
+        }
+    }
+
+    /// Looks up a prompt, stores it and returns the tokens that were cached.
+    ///
+    /// Two prompts share an entry when their first 256 bytes agree, and share as many tokens as
+    /// they have leading blocks in common.
+    pub(crate) fn touch(&mut self, prompt: &[u8], changes: &mut Vec<Change>) -> u64 {
+        let prefix = xxh3_64(&prompt[..prompt.len().min(BLOCK)]);
+        let chain = chain(prompt);
+        if chain.is_empty() {
+            return 0;
+        }
+        let found = self.entries.iter().position(|entry| entry.prefix == prefix);
+        let old = found.and_then(|at| self.entries.remove(at));
+        let shared = old.as_ref().map_or(0, |entry| {
+            let pairs = entry.chain.iter().zip(&chain);
+            pairs.take_while(|(a, b)| a == b).count() as u64 * BLOCK_TOKENS
+        });
+        match &old {
+            Some(entry) => self.used -= entry.tokens(),
+            None => changes.push(Change::Stored(prefix)),
+        }
+        let entry = Entry { prefix, chain };
+        self.used += entry.tokens();
+        self.entries.push_back(entry);
+        while self.used > self.capacity {
+            let Some(entry) = self.entries.pop_front() else {
+                break;
+            };
+            self.used -= entry.tokens();
+            changes.push(Change::Evicted(entry.prefix));
+        }
+        shared
+    }
+}
+
+/// Hash of each whole block together with all blocks before it.
+fn chain(prompt: &[u8]) -> Vec<u64> {
+    let mut last = 0;
+    let blocks = prompt.chunks_exact(BLOCK);
+    blocks
+        .map(|block| {
+            last = xxh3_64_with_seed(block, last);
+            last
+        })
+        .collect()
+}
+
+/// Cache events with delay and gaps.
+pub(crate) struct EventLog {
+    lag: Duration,
+    gap: u64,
+    seq: u64,
+    events: VecDeque<(Instant, Event)>,
+}
+
+/// Cache event as `GET /cache-events` answers it.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct Event {
+    seq: u64,
+    /// Hash as 16 hex digits: JSON readers may round numbers above 2^53.
+    #[serde(serialize_with = "hex")]
+    prefix: u64,
+    kind: &'static str,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn hex<S: serde::Serializer>(value: &u64, to: S) -> Result<S::Ok, S::Error> {
+    to.collect_str(&format_args!("{value:016x}"))
+}
+
+impl EventLog {
+    pub(crate) fn new(lag: Duration, gap: u64) -> Self {
+        Self {
+            lag,
+            gap,
+            seq: 0,
+            events: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn push(&mut self, now: Instant, change: Change) {
+        self.seq += 1;
+        if self.gap > 0 && self.seq.is_multiple_of(self.gap) {
+            return;
+        }
+        let (kind, prefix) = match change {
+            Change::Stored(prefix) => ("stored", prefix),
+            Change::Evicted(prefix) => ("evicted", prefix),
+        };
+        let event = Event {
+            seq: self.seq,
+            prefix,
+            kind,
+        };
+        self.events.push_back((now + self.lag, event));
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// Events after `seq` that are visible by now.
+    pub(crate) fn after(&self, seq: u64, now: Instant) -> Vec<Event> {
+        let visible = self.events.iter().take_while(|(at, _)| *at <= now);
+        visible
+            .map(|(_, event)| *event)
+            .filter(|event| event.seq > seq)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/engine/core.rs
@@ -0,0 +1,323 @@
+use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, LazyLock};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use parking_lot::Mutex;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+use super::cache::{EventLog, PrefixCache};
+use super::load::LoadHistory;
+use super::model::{End, EngineConfig, EngineStats, LoadReport, OrderRecord, RunRecord};
+use super::run::{Ask, Run};
+use crate::reply::Headers;
+
+/// Time origin and order numbers shared by all engines of this process.
+static ORIGIN: LazyLock<Instant> = LazyLock::new(Instant::now);
+static ORDER: AtomicU64 = AtomicU64::new(0);
+
+/// Faults that last until they are cleared.
+#[derive(Clone, Debug)]
+pub(crate) struct Faults {
+    pub(crate) slowdown: f64,
+    pub(crate) unavailable: bool,
+    pub(crate) body_hash: Option<u64>,
+    pub(crate) marker: Option<Vec<u8>>,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            slowdown: 1.0,
+            unavailable: false,
+            body_hash: None,
+            marker: None,
+        }
+    }
+}
+
+/// A run in the batch.
+pub(crate) struct Active {
+    pub(crate) run: Arc<Run>,
+    pub(crate) prefill_left: u64,
+    pub(crate) generated: u32,
+    /// Prompt tokens that the current step computes for it.
+    pub(crate) planned: u64,
+    /// Whether the current step generates a token for it.
+    pub(crate) decodes: bool,
+    admitted_cold: bool,
+    pub(crate) poison: bool,
+}
+
+pub(crate) struct State {
+    pub(crate) active: Vec<Active>,
+    runs: HashMap<String, Arc<Run>>,
+    done: VecDeque<Arc<Run>>,
+    cache: PrefixCache,
+    pub(crate) events: EventLog,
+    pub(crate) load: LoadHistory,
+    pub(crate) records: Vec<RunRecord>,
+    pub(crate) orders: Vec<OrderRecord>,
+    pub(crate) faults: Faults,
+    /// Highest fencing number obeyed since the start.
+    pub(crate) fencing: u64,
+    completed_since_cold: u64,
+}
+
+/// Why the engine ends its service at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fall {
+    Overload,
+    Poison,
+    Crash,
+}
+
+/// Result of an admission.
+pub(crate) enum Admitted {
+    Run(Arc<Run>),
+    /// The engine is down or went down by this request.
+    Down,
+}
+
+pub(crate) struct Core {
+    pub(crate) cfg: EngineConfig,
+    pub(crate) state: Mutex<State>,
+    pub(crate) stats: watch::Sender<EngineStats>,
+    pub(crate) stalled: watch::Sender<bool>,
+    pub(crate) wake: Notify,
+    /// Woken when the engine falls over by itself.
+    pub(crate) fallen: Notify,
+    /// Counts crashes, stops and restarts by the test, which end a recovery in progress.
+    pub(crate) interventions: AtomicU64,
+}
+
+impl Core {
+    pub(crate) fn new(cfg: EngineConfig) -> Self {
+        LazyLock::force(&ORIGIN);
+        let state = State {
+            active: Vec::new(),
+            runs: HashMap::new(),
+            done: VecDeque::new(),
+            cache: PrefixCache::new(cfg.cache_tokens),
+            events: EventLog::new(cfg.event_lag, cfg.event_gap),
+            load: LoadHistory::new(cfg.load_lag),
+            records: Vec::new(),
+            orders: Vec::new(),
+            faults: Faults::default(),
+            fencing: 0,
+            completed_since_cold: 0,
+        };
+        Self {
+            cfg,
+            state: Mutex::new(state),
+            stats: watch::Sender::default(),
+            stalled: watch::Sender::new(false),
+            wake: Notify::new(),
+            fallen: Notify::new(),
+            interventions: AtomicU64::new(0),
+        }
+    }
+
+    /// Forgets all that a process loses at its end, and is up.
+    pub(crate) fn begin(&self, cold: bool) {
+        let mut state = self.state.lock();
+        state.cache = PrefixCache::new(self.cfg.cache_tokens);
+        state.load = LoadHistory::new(self.cfg.load_lag);
+        state.runs.clear();
+        state.done.clear();
+        state.fencing = 0;
+        state.completed_since_cold = 0;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        let millis = unix.map_or(0, |unix| u64::try_from(unix.as_millis()).unwrap_or(0));
+        self.stats.send_modify(|stats| {
+            stats.start = millis.max(stats.start + 1);
+            stats.up = true;
+            stats.cold = cold;
+        });
+        self.report(&mut state);
+    }
+
+    /// Ends all runs. Returns whether the engine was up.
+    pub(crate) fn end(&self, fall: Option<Fall>) -> bool {
+        let mut state = self.state.lock();
+        self.end_locked(&mut state, fall)
+    }
+
+    pub(crate) fn end_locked(&self, state: &mut State, fall: Option<Fall>) -> bool {
+        if !self.stats.borrow().up {
+            return false;
+        }
+        for active in std::mem::take(&mut state.active) {
+            self.finish(state, &active, End::Reset);
+        }
+        self.stats.send_modify(|stats| {
+            stats.up = false;
+            stats.running = 0;
+            stats.tokens = 0;
+            stats.crashes += u64::from(fall.is_some());
+            stats.overloads += u64::from(fall == Some(Fall::Overload));
+            stats.poisoned += u64::from(fall == Some(Fall::Poison));
+        });
+        if matches!(fall, Some(Fall::Overload | Fall::Poison)) {
+            self.fallen.notify_one();
+        }
+        true
+    }
+
+    pub(crate) fn turn_cold(&self) {
+        let mut state = self.state.lock();
+        state.completed_since_cold = 0;
+        state.cache = PrefixCache::new(self.cfg.cache_tokens);
+        for active in &mut state.active {
+            active.admitted_cold = false;
+        }
+        self.stats.send_modify(|stats| stats.cold = true);
+        self.report(&mut state);
+    }
+
+    pub(crate) fn admit(&self, ask: Ask, path: &str, headers: Headers, body: &[u8]) -> Admitted {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let seen = *self.stats.borrow();
+        if !seen.up {
+            return Admitted::Down;
+        }
+        let mut changes = Vec::new();
+        let cached = state.cache.touch(body, &mut changes);
+        for change in changes {
+            state.events.push(now, change);
+        }
+        let cached = cached.min(ask.prompt_tokens);
+        let poison = is_poison(&state.faults, body, ask.body_hash);
+        let record = state.records.len();
+        let in_flight = state.active.len() + 1;
+        let workspace = headers.iter().find(|(name, _)| name.contains("workspace"));
+        let workspace = workspace.map(|(_, value)| value.clone());
+        state.records.push(RunRecord {
+            request_id: ask.request_id.clone(),
+            path: path.to_owned(),
+            headers: if self.cfg.record_headers {
+                headers
+            } else {
+                Headers::new()
+            },
+            workspace,
+            body_hash: ask.body_hash,
+            order: ORDER.fetch_add(1, Ordering::Relaxed),
+            started_at: now - *ORIGIN,
+            ended_at: None,
+            end: None,
+            prompt_tokens: ask.prompt_tokens,
+            cached_tokens: cached,
+            prefilled_tokens: 0,
+            max_tokens: ask.max_tokens,
+            generated: 0,
+            in_flight,
+            cold: seen.cold,
+            engine_start: seen.start,
+        });
+        let run = Arc::new(Run::new(ask, record));
+        state.active.push(Active {
+            run: Arc::clone(&run),
+            prefill_left: run.ask.prompt_tokens - cached,
+            generated: 0,
+            planned: 0,
+            decodes: false,
+            admitted_cold: seen.cold,
+            poison,
+        });
+        let id = run.ask.request_id.clone();
+        state.runs.insert(id, Arc::clone(&run));
+        let cold = state.active.iter().filter(|a| a.admitted_cold).count();
+        self.stats.send_modify(|stats| {
+            stats.runs += 1;
+            stats.cached_tokens += cached;
+            stats.running = state.active.len();
+            stats.peak_running = stats.peak_running.max(stats.running);
+            stats.peak_cold = stats.peak_cold.max(if stats.cold { cold } else { 0 });
+        });
+        if seen.cold && cold > self.cfg.cold_limit {
+            self.end_locked(&mut state, Some(Fall::Overload));
+            return Admitted::Down;
+        }
+        self.report(&mut state);
+        self.wake.notify_one();
+        Admitted::Run(run)
+    }
+
+    /// Finds a run of this start by its request id.
+    pub(crate) fn find(&self, request_id: &str) -> Option<Arc<Run>> {
+        self.state.lock().runs.get(request_id).cloned()
+    }
+
+    /// Cancels a run. Returns its state, `None` for an unknown id.
+    pub(crate) fn cancel(&self, request_id: &str) -> Option<End> {
+        let mut state = self.state.lock();
+        let run = state.runs.get(request_id).cloned()?;
+        let at = state.active.iter().position(|a| Arc::ptr_eq(&a.run, &run));
+        if let Some(at) = at {
+            let active = state.active.remove(at);
+            self.finish(&mut state, &active, End::Cancelled);
+            self.report(&mut state);
+        }
+        run.progress.borrow().end
+    }
+
+    /// Records the end of a run that is no longer in the batch.
+    pub(crate) fn finish(&self, state: &mut State, active: &Active, end: End) {
+        let record = &mut state.records[active.run.record];
+        record.end = Some(end);
+        record.ended_at = Some(Instant::now() - *ORIGIN);
+        active.run.progress.send_modify(|p| p.end = Some(end));
+        state.done.push_back(Arc::clone(&active.run));
+        if state.done.len() > self.cfg.keep_done
+            && let Some(old) = state.done.pop_front()
+        {
+            let id = &old.ask.request_id;
+            if state.runs.get(id).is_some_and(|run| Arc::ptr_eq(run, &old)) {
+                state.runs.remove(id);
+            }
+        }
+        let running = state.active.len();
+        if end == End::Complete {
+            state.completed_since_cold += 1;
+        }
+        let warm = state.completed_since_cold >= self.cfg.warm_after;
+        self.stats.send_modify(|stats| {
+            stats.running = running;
+            match end {
+                End::Complete => stats.completed += 1,
+                End::Cancelled => stats.cancelled += 1,
+                End::Reset => stats.reset += 1,
+            }
+            stats.cold &= !warm;
+        });
+    }
+
+    pub(crate) fn report(&self, state: &mut State) {
+        let tokens = state.active.iter().map(tokens).sum();
+        self.stats.send_modify(|stats| stats.tokens = tokens);
+        let seen = *self.stats.borrow();
+        state.load.push(
+            Instant::now(),
+            LoadReport {
+                start: seen.start,
+                running: seen.running,
+                tokens: seen.tokens,
+                cold: seen.cold,
+                age_ms: 0,
+            },
+        );
+    }
+}
+
+pub(crate) fn tokens(active: &Active) -> u64 {
+    active.run.ask.prompt_tokens + u64::from(active.generated)
+}
+
+fn is_poison(faults: &Faults, body: &[u8], body_hash: u64) -> bool {
+    let marker = faults.marker.as_deref().filter(|marker| !marker.is_empty());
+    faults.body_hash == Some(body_hash)
+        || marker.is_some_and(|marker| body.windows(marker.len()).any(|part| part == marker))
+}
--- /dev/null
+++ b/crates/testkit/src/engine/mod.rs
@@ -0,0 +1,216 @@
+mod api;
+mod cache;
+mod core;
+mod load;
+mod model;
+mod run;
+mod step;
+
+pub use self::model::{
+    End, EngineConfig, EngineStats, LoadReport, OrderKind, OrderRecord, RunRecord,
+};
+pub use self::run::answer_text;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use tokio_util::sync::CancellationToken;
+
+use self::core::{Core, Fall, Faults};
+use crate::host::Host;
+
+/// Stand-in for an engine with continuous batching.
+///
+/// It admits requests as they come. While it is cold and more than `cold_limit` runs that it
+/// admitted cold are in flight, it falls over: it resets all connections and restarts cold after a
+/// while. Runs admitted before it turned cold do not count, as no scheduler can take them back.
+///
+/// ```no_run
+/// # async fn example() -> std::io::Result<()> {
+/// use testkit::{Engine, EngineConfig};
+///
+/// let cfg = EngineConfig { time_scale: 0.1, ..EngineConfig::default() };
+/// let engine = Engine::start("127.0.0.1:0".parse().unwrap(), cfg).await?;
+/// engine.turn_cold();
+/// engine.wait_for(|stats| !stats.cold).await;
+/// assert_eq!(engine.stats().overloads, 0);
+/// # Ok(())
+/// # }
+/// ```
+pub struct Engine {
+    host: Arc<Host>,
+    core: Arc<Core>,
+    closed: CancellationToken,
+}
+
+impl Engine {
+    /// Starts to serve on `addr`.
+    ///
+    /// # Errors
+    /// The address can't be bound.
+    #[expect(clippy::unused_async, reason = "needs a running tokio runtime")]
+    pub async fn start(addr: SocketAddr, cfg: EngineConfig) -> io::Result<Self> {
+        let core = Arc::new(Core::new(cfg));
+        core.begin(core.cfg.start_cold);
+        let shared = Arc::clone(&core);
+        let host = Host::start(addr, move |req, conn| {
+            api::handle(Arc::clone(&shared), req, conn)
+        })?;
+        let closed = CancellationToken::new();
+        tokio::spawn(step::drive(Arc::clone(&core), closed.clone()));
+        tokio::spawn(recover(
+            Arc::clone(&core),
+            Arc::clone(&host),
+            closed.clone(),
+        ));
+        Ok(Self { host, core, closed })
+    }
+
+    /// Address it serves.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.host.addr()
+    }
+
+    /// Counters and state.
+    #[must_use]
+    pub fn stats(&self) -> EngineStats {
+        *self.core.stats.borrow()
+    }
+
+    /// Waits until the counters and state fulfil a condition and returns them.
+    pub async fn wait_for(&self, condition: impl FnMut(&EngineStats) -> bool) -> EngineStats {
+        let mut rx = self.core.stats.subscribe();
+        // The sender lives as long as `self`.
+        match rx.wait_for(condition).await {
+            Ok(stats) => *stats,
+            Err(_) => self.stats(),
+        }
+    }
+
+    /// All runs in the order of their start.
+    #[must_use]
+    pub fn records(&self) -> Vec<RunRecord> {
+        self.core.state.lock().records.clone()
+    }
+
+    /// Number of runs by request id.
+    #[must_use]
+    pub fn runs_by_id(&self) -> BTreeMap<String, u64> {
+        let mut runs = BTreeMap::new();
+        for record in &self.core.state.lock().records {
+            *runs.entry(record.request_id.clone()).or_default() += 1;
+        }
+        runs
+    }
+
+    /// All orders received.
+    #[must_use]
+    pub fn orders(&self) -> Vec<OrderRecord> {
+        self.core.state.lock().orders.clone()
+    }
+
+    /// Number of connections accepted so far.
+    #[must_use]
+    pub fn connections(&self) -> u64 {
+        self.host.accepted()
+    }
+
+    /// Makes the engine cold, with an empty prefix cache and without any sign but its load report.
+    pub fn turn_cold(&self) {
+        self.core.turn_cold();
+    }
+
+    /// While set, the engine accepts connections and is silent; runs stand still.
+    pub fn set_stalled(&self, stalled: bool) {
+        self.core.stalled.send_replace(stalled);
+    }
+
+    /// Multiplies the time of all steps.
+    pub fn set_slowdown(&self, factor: f64) {
+        self.core.state.lock().faults.slowdown = factor.max(0.0);
+    }
+
+    /// While set, new requests are answered by 503.
+    pub fn set_unavailable(&self, unavailable: bool) {
+        self.core.state.lock().faults.unavailable = unavailable;
+    }
+
+    /// Crashes, once the prompt is computed, on each request with this body hash (XXH3).
+    pub fn crash_on_body(&self, hash: Option<u64>) {
+        self.core.state.lock().faults.body_hash = hash;
+    }
+
+    /// Crashes, once the prompt is computed, on each request whose body contains this text.
+    pub fn crash_on_marker(&self, marker: Option<&str>) {
+        self.core.state.lock().faults.marker = marker.map(|text| text.as_bytes().to_vec());
+    }
+
+    /// Ends all lasting faults.
+    pub fn clear_faults(&self) {
+        self.core.state.lock().faults = Faults::default();
+        self.set_stalled(false);
+    }
+
+    /// Resets all connections, forgets all runs and refuses connections until
+    /// [`restart`](Self::restart).
+    pub async fn crash(&self) {
+        self.core.interventions.fetch_add(1, Ordering::Relaxed);
+        self.core.end(Some(Fall::Crash));
+        self.host.crash().await;
+    }
+
+    /// Refuses new connections, finishes answers for a short while, then ends all runs.
+    pub async fn stop(&self) {
+        self.core.interventions.fetch_add(1, Ordering::Relaxed);
+        self.host.stop().await;
+        self.core.end(None);
+    }
+
+    /// Serves again on the same port, cold. No effect while it serves.
+    ///
+    /// # Errors
+    /// The port can't be listened on.
+    pub fn restart(&self) -> io::Result<()> {
+        self.core.interventions.fetch_add(1, Ordering::Relaxed);
+        restart(&self.core, &self.host)
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.closed.cancel();
+        self.host.abort();
+    }
+}
+
+fn restart(core: &Core, host: &Arc<Host>) -> io::Result<()> {
+    if core.stats.borrow().up {
+        return Ok(());
+    }
+    core.begin(true);
+    host.restart()
+}
+
+/// Restarts the engine a while after each fall-over.
+async fn recover(core: Arc<Core>, host: Arc<Host>, closed: CancellationToken) {
+    let work = async {
+        loop {
+            core.fallen.notified().await;
+            let before = core.interventions.load(Ordering::Relaxed);
+            host.crash().await;
+            tokio::time::sleep(core.cfg.restart_after.mul_f64(core.cfg.time_scale)).await;
+            let after = core.interventions.load(Ordering::Relaxed);
+            if before == after && restart(&core, &host).is_err() {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = closed.cancelled() => {}
+        () = work => {}
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/engine/run.rs
@@ -0,0 +1,237 @@
+use std::cmp::Ordering;
+use std::fmt::Write;
+use std::io;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use axum::body::Body;
+use bytes::Bytes;
+use futures_util::stream;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use super::model::End;
+use crate::host::Conn;
+
+/// Most events put into one chunk of a stream.
+const EVENTS_PER_CHUNK: u32 = 64;
+
+/// Text that an engine generates as token `index` for a body with this hash.
+fn token(body_hash: u64, index: u32) -> String {
+    format!("{:08x}:{index} ", body_hash >> 32)
+}
+
+/// Text of an answer of `tokens` tokens to a request with this body.
+///
+/// Every token names the body's hash, so a test can tell whether an answer is to its own request.
+///
+/// ```
+/// let text = testkit::answer_text(br#"{"prompt":"hello"}"#, 2);
+/// assert_eq!(text.split_whitespace().count(), 2);
+/// ```
+#[must_use]
+pub fn answer_text(body: &[u8], tokens: u32) -> String {
+    let hash = xxhash_rust::xxh3::xxh3_64(body);
+    (0..tokens).map(|i| token(hash, i)).collect()
+}
+
+/// What a request asks for.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    pub(crate) request_id: String,
+    pub(crate) chat: bool,
+    pub(crate) stream: bool,
+    pub(crate) model: String,
+    pub(crate) max_tokens: u32,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) body_hash: u64,
+}
+
+/// State of a run that its readers wait on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Progress {
+    pub(crate) generated: u32,
+    pub(crate) end: Option<End>,
+}
+
+/// A run and the text of its answer. Any number of readers may follow it.
+pub(crate) struct Run {
+    pub(crate) ask: Ask,
+    /// Index of its record.
+    pub(crate) record: usize,
+    pub(crate) progress: watch::Sender<Progress>,
+    /// `data:` line of a token event, before and after the token's number.
+    head: String,
+    tail: String,
+    created: u64,
+}
+
+impl Run {
+    pub(crate) fn new(ask: Ask, record: usize) -> Self {
+        let created = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |since| since.as_secs());
+        let mut run = Self {
+            ask,
+            record,
+            progress: watch::Sender::default(),
+            head: String::new(),
+            tail: String::new(),
+            created,
+        };
+        let text = format!("{:08x}:", run.ask.body_hash >> 32);
+        let event = run.chunk(&text, None).to_string();
+        // The token's number goes right after the text, which occurs once in the event.
+        let at = event.find(&text).map_or(event.len(), |at| at + text.len());
+        event[..at].clone_into(&mut run.head);
+        run.tail = format!(" {}", &event[at..]);
+        run
+    }
+
+    fn id(&self) -> String {
+        let kind = if self.ask.chat { "chatcmpl" } else { "cmpl" };
+        format!("{kind}-{}", self.ask.request_id)
+    }
+
+    fn chunk(&self, text: &str, finish: Option<&str>) -> Value {
+        let (object, choice) = if self.ask.chat {
+            let delta = match finish {
+                None => json!({ "content": text }),
+                Some(_) => json!({}),
+            };
+            (
+                "chat.completion.chunk",
+                json!({ "index": 0, "delta": delta, "finish_reason": finish }),
+            )
+        } else {
+            (
+                "text_completion",
+                json!({ "index": 0, "text": text, "finish_reason": finish }),
+            )
+        };
+        json!({
+            "id": self.id(),
+            "object": object,
+            "created": self.created,
+            "model": self.ask.model,
+            "choices": [choice],
+        })
+    }
+
+    fn usage(&self) -> Value {
+        json!({
+            "prompt_tokens": self.ask.prompt_tokens,
+            "completion_tokens": self.ask.max_tokens,
+            "total_tokens": self.ask.prompt_tokens + u64::from(self.ask.max_tokens),
+        })
+    }
+
+    /// Whole answer of a complete run.
+    pub(crate) fn whole(&self) -> Value {
+        let text: String = (0..self.ask.max_tokens)
+            .map(|i| token(self.ask.body_hash, i))
+            .collect();
+        let (object, mut choice) = if self.ask.chat {
+            let message = json!({ "role": "assistant", "content": text });
+            ("chat.completion", json!({ "message": message }))
+        } else {
+            ("text_completion", json!({ "text": text }))
+        };
+        choice["index"] = json!(0);
+        choice["finish_reason"] = json!("length");
+        json!({
+            "id": self.id(),
+            "object": object,
+            "created": self.created,
+            "model": self.ask.model,
+            "choices": [choice],
+            "usage": self.usage(),
+        })
+    }
+
+    /// Number of events of the whole stream: the tokens, the usage and the end mark.
+    pub(crate) fn events(&self) -> u32 {
+        self.ask.max_tokens + 2
+    }
+
+    fn write_event(&self, buf: &mut String, index: u32) {
+        // Writing to a `String` never fails.
+        let _ = match index.cmp(&self.ask.max_tokens) {
+            Ordering::Less => {
+                let (head, tail) = (&self.head, &self.tail);
+                write!(buf, "id: {index}\ndata: {head}{index}{tail}\n\n")
+            }
+            Ordering::Equal => {
+                let mut last = self.chunk("", Some("length"));
+                last["usage"] = self.usage();
+                write!(buf, "id: {index}\ndata: {last}\n\n")
+            }
+            Ordering::Greater => write!(buf, "id: {index}\ndata: [DONE]\n\n"),
+        };
+    }
+
+    /// Waits for the end.
+    pub(crate) async fn ended(&self) -> Option<End> {
+        let mut rx = self.progress.subscribe();
+        let progress = rx.wait_for(|progress| progress.end.is_some()).await;
+        progress.ok().and_then(|progress| progress.end)
+    }
+}
+
+/// Body of an event stream from event `offset` on.
+pub(crate) fn body(run: Arc<Run>, offset: u32, conn: Conn) -> Body {
+    let rx = run.progress.subscribe();
+    let reader = Reader {
+        run,
+        rx,
+        offset,
+        conn,
+    };
+    Body::from_stream(stream::try_unfold(reader, next_chunk))
+}
+
+struct Reader {
+    run: Arc<Run>,
+    rx: watch::Receiver<Progress>,
+    offset: u32,
+    conn: Conn,
+}
+
+async fn next_chunk(mut reader: Reader) -> io::Result<Option<(Bytes, Reader)>> {
+    let Reader {
+        run,
+        rx,
+        offset,
+        conn,
+    } = &mut reader;
+    loop {
+        let progress = *rx.borrow_and_update();
+        let ready = match progress.end {
+            Some(End::Complete) => run.events(),
+            _ => progress.generated,
+        };
+        if *offset < ready {
+            let to = ready.min(*offset + EVENTS_PER_CHUNK);
+            let mut buf = String::new();
+            for index in *offset..to {
+                run.write_event(&mut buf, index);
+            }
+            *offset = to;
+            return Ok(Some((Bytes::from(buf), reader)));
+        }
+        match progress.end {
+            Some(End::Complete) => return Ok(None),
+            Some(End::Reset) => {
+                conn.reset();
+                return Err(io::Error::other("the engine went down"));
+            }
+            Some(End::Cancelled) => {
+                return Err(io::Error::other("the run ended before its last token"));
+            }
+            None => {}
+        }
+        if rx.changed().await.is_err() {
+            return Err(io::Error::other("the engine is gone"));
+        }
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,12 +4,17 @@
 //! fault controls. The binary `standin` runs each as a process of its own.
 
 pub mod client;
+mod engine;
 mod host;
 mod platform;
 mod port;
 mod reply;
 mod service;
 
+pub use engine::{
+    End, Engine, EngineConfig, EngineStats, LoadReport, OrderKind, OrderRecord, RunRecord,
+    answer_text,
+};
 pub use platform::{
     ConfigService, ListFault, Platform, SheetFault, VmEntry, VmList, VmListService, VmState,
 };
--- /dev/null
+++ b/crates/testkit/tests/engine.rs
@@ -0,0 +1,316 @@
+//! Behaviour of the stand-in engine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::json;
+use testkit::client::{Call, Client, ClientError};
+use testkit::{End, Engine, EngineConfig, answer_text};
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn quick() -> EngineConfig {
+    EngineConfig {
+        time_scale: 0.05,
+        start_cold: false,
+        load_lag: Duration::ZERO,
+        event_lag: Duration::ZERO,
+        event_gap: 0,
+        ..EngineConfig::default()
+    }
+}
+
+async fn start(cfg: EngineConfig) -> (Engine, Client) {
+    let engine = Engine::start(any(), cfg).await.unwrap();
+    let client = Client::new(engine.addr());
+    (engine, client)
+}
+
+fn body(tokens: u32, stream: bool) -> String {
+    json!({ "prompt": "hello", "max_tokens": tokens, "stream": stream }).to_string()
+}
+
+fn ask(id: &str, tokens: u32) -> Call {
+    Call::post("/v1/completions", body(tokens, true)).request_id(id)
+}
+
+#[tokio::test]
+async fn stream_and_json_carry_the_same_text() {
+    // Guards against answers whose text does not belong to the request's body.
+    let (_engine, client) = start(quick()).await;
+
+    let stream = client.call(ask("a-1", 5)).await.unwrap();
+    let call = Call::post("/v1/chat/completions", body(5, false)).request_id("a-2");
+    let whole = client.call(call).await.unwrap();
+
+    assert!(stream.is_done());
+    assert_eq!(stream.text(), answer_text(body(5, true).as_bytes(), 5));
+    assert_eq!(whole.text(), answer_text(body(5, false).as_bytes(), 5));
+    assert_eq!(whole.json()["usage"]["completion_tokens"], 5);
+    let ids: Vec<_> = stream
+        .events
+        .iter()
+        .map(|e| e.id.clone().unwrap())
+        .collect();
+    assert_eq!(ids, ["0", "1", "2", "3", "4", "5", "6"]);
+}
+
+#[tokio::test]
+async fn resume_continues_after_a_disconnect() {
+    // Guards against runs that end with the connection of their caller.
+    let (engine, client) = start(quick()).await;
+    let mut stream = client.open(ask("a-1", 40)).await.unwrap();
+    for _ in 0..3 {
+        stream.next().await.unwrap();
+    }
+    drop(stream);
+
+    let rest = client
+        .call(Call::get("/v1/streams/a-1?offset=3"))
+        .await
+        .unwrap();
+
+    assert!(rest.is_done());
+    assert_eq!(rest.events[0].id.as_deref(), Some("3"));
+    let text = answer_text(body(40, true).as_bytes(), 40);
+    assert!(text.ends_with(&rest.text()));
+    assert_eq!(engine.records().len(), 1);
+    assert_eq!(engine.records()[0].end, Some(End::Complete));
+}
+
+#[tokio::test]
+async fn cancel_ends_the_run_and_its_stream() {
+    // Guards against cancelled runs that hold their place in the batch.
+    let (engine, client) = start(quick()).await;
+    let mut stream = client.open(ask("a-1", 4000)).await.unwrap();
+    stream.next().await.unwrap();
+
+    let delete = Call::new(http::Method::DELETE, "/v1/streams/a-1");
+    let cancelled = client.call(delete).await.unwrap();
+    let rest = stream.finish().await;
+
+    assert_eq!(cancelled.json()["state"], "cancelled");
+    assert!(!rest.is_whole());
+    assert_eq!(engine.stats().running, 0);
+    assert_eq!(engine.records()[0].end, Some(End::Cancelled));
+    let state = client.call(Call::get("/v1/requests/a-1")).await.unwrap();
+    assert_eq!(state.json()["state"], "done");
+    let state = client.call(Call::get("/v1/requests/a-2")).await.unwrap();
+    assert_eq!(state.json()["state"], "unknown");
+}
+
+#[tokio::test]
+async fn cold_engine_falls_over_above_its_limit_and_restarts_cold() {
+    // Guards against a cold engine that bears any load, which would hide a broken ramp.
+    let cfg = EngineConfig {
+        start_cold: true,
+        cold_limit: 2,
+        warm_after: 2,
+        ..quick()
+    };
+    let (engine, client) = start(cfg).await;
+    let first = client.open(ask("a-1", 4000)).await.unwrap();
+    let second = client.open(ask("a-2", 4000)).await.unwrap();
+
+    let third = client.call(ask("a-3", 1)).await;
+
+    assert!(matches!(third, Err(ClientError::Reset(_))));
+    assert!(!first.finish().await.is_whole());
+    assert!(!second.finish().await.is_whole());
+    let stats = engine.wait_for(|stats| stats.up).await;
+    assert_eq!((stats.overloads, stats.peak_cold, stats.reset), (1, 3, 3));
+    assert!(stats.cold);
+
+    // The port opens shortly after the state says so.
+    while client.call(ask("a-4", 1)).await.is_err() {}
+    client.call(ask("a-5", 1)).await.unwrap();
+    let stats = engine.wait_for(|stats| !stats.cold).await;
+    assert_eq!(stats.overloads, 1);
+}
+
+#[tokio::test]
+async fn load_before_it_turned_cold_does_not_fell_it() {
+    // Guards against fall-overs that no scheduler could prevent.
+    let cfg = EngineConfig {
+        cold_limit: 1,
+        ..quick()
+    };
+    let (engine, client) = start(cfg).await;
+    let first = client.open(ask("a-1", 100)).await.unwrap();
+    let second = client.open(ask("a-2", 100)).await.unwrap();
+
+    engine.turn_cold();
+    let third = client.call(ask("a-3", 1)).await.unwrap();
+
+    assert!(third.is_done());
+    assert!(first.finish().await.is_done());
+    assert!(second.finish().await.is_done());
+    assert_eq!(engine.stats().overloads, 0);
+    assert_eq!(engine.stats().peak_cold, 1);
+}
+
+#[tokio::test]
+async fn crash_refuses_and_restart_forgets_runs() {
+    // Guards against a crash that only closes, and a restart that still knows old runs.
+    let (engine, client) = start(quick()).await;
+    let stream = client.open(ask("a-1", 4000)).await.unwrap();
+    let before = engine.stats().start;
+
+    engine.crash().await;
+
+    assert!(!stream.finish().await.is_whole());
+    let refused = client.call(ask("a-2", 1)).await;
+    assert!(matches!(refused, Err(ClientError::Connect(_))));
+    engine.restart().unwrap();
+    let state = client.call(Call::get("/v1/requests/a-1")).await.unwrap();
+    assert_eq!(state.json()["state"], "unknown");
+    let load = client.call(Call::get("/load")).await.unwrap();
+    assert!(load.json()["start"].as_u64().unwrap() > before);
+    assert_eq!(load.json()["cold"], true);
+}
+
+#[tokio::test]
+async fn marked_request_crashes_the_engine() {
+    // Guards against a poison fault that strikes other requests or never.
+    let (engine, client) = start(quick()).await;
+    engine.crash_on_marker(Some("poison"));
+
+    let good = client.call(ask("a-1", 1)).await.unwrap();
+    let bad = json!({ "prompt": "poison", "max_tokens": 1, "stream": true });
+    let bad = client
+        .call(Call::json("/v1/completions", &bad).request_id("a-2"))
+        .await;
+
+    assert!(good.is_done());
+    assert!(bad.is_err() || !bad.unwrap().is_done());
+    let stats = engine.wait_for(|stats| stats.up && stats.crashes > 0).await;
+    assert_eq!(stats.poisoned, 1);
+    assert_eq!(engine.records()[1].end, Some(End::Reset));
+}
+
+#[tokio::test]
+async fn stalled_engine_is_silent_and_resumes() {
+    // Guards against a stall that refuses or answers.
+    let (engine, client) = start(quick()).await;
+    engine.set_stalled(true);
+    let limit = Duration::from_millis(50);
+
+    let silent = client.call(ask("a-1", 1).timeout(limit)).await;
+    engine.set_stalled(false);
+    let answer = client.call(ask("a-2", 1)).await.unwrap();
+
+    assert!(matches!(silent, Err(ClientError::Timeout)));
+    assert!(answer.is_done());
+}
+
+#[tokio::test]
+async fn unavailable_engine_answers_503_without_a_run() {
+    // Guards against refused requests that are counted as runs.
+    let (engine, client) = start(quick()).await;
+    engine.set_unavailable(true);
+
+    let answer = client.call(ask("a-1", 1)).await.unwrap();
+
+    assert_eq!(answer.status, 503);
+    assert_eq!(engine.stats().runs, 0);
+}
+
+#[tokio::test]
+async fn repeated_prompt_needs_no_second_prefill() {
+    // Guards against a prefix cache that never hits or never ends.
+    let cfg = EngineConfig {
+        cache_tokens: 2_000,
+        ..quick()
+    };
+    let (engine, client) = start(cfg).await;
+    let long = |text: &str| {
+        let body = json!({ "prompt": text.repeat(500), "max_tokens": 1, "stream": true });
+        Call::json("/v1/completions", &body)
+    };
+
+    client.call(long("abcdefgh")).await.unwrap();
+    client.call(long("abcdefgh")).await.unwrap();
+    client.call(long("ijklmnop")).await.unwrap();
+    client.call(long("qrstuvwx")).await.unwrap();
+    client.call(long("abcdefgh")).await.unwrap();
+
+    let records = engine.records();
+    let cached: Vec<bool> = records.iter().map(|r| r.cached_tokens > 900).collect();
+    assert_eq!(cached, [false, true, false, false, false]);
+    let events = client
+        .call(Call::get("/cache-events?after=1"))
+        .await
+        .unwrap();
+    let kinds: Vec<_> = events.json()["events"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|event| event["kind"].as_str().unwrap().to_owned())
+        .collect();
+    // Two prompts fit, so the third evicts the first, and the first evicts the second.
+    assert_eq!(kinds, ["stored", "stored", "evicted", "stored", "evicted"]);
+}
+
+#[tokio::test]
+async fn old_fencing_number_is_rejected_only_when_checked() {
+    // Guards against a check that obeys an order from before a change of owner.
+    for (check, status) in [(true, 409), (false, 200)] {
+        let cfg = EngineConfig {
+            check_fencing: check,
+            ..quick()
+        };
+        let (engine, client) = start(cfg).await;
+        let order = |fencing: u64| {
+            let body = json!({ "fencing": fencing, "kind": "set_role", "name": "decode" });
+            Call::json("/orders", &body)
+        };
+
+        let new = client.call(order(7)).await.unwrap();
+        let old = client.call(order(6)).await.unwrap();
+
+        assert_eq!((new.status.as_u16(), old.status.as_u16()), (200, status));
+        assert_eq!(engine.orders()[1].accepted, !check);
+    }
+}
+
+#[tokio::test]
+async fn records_show_headers_and_order() {
+    // Guards against records that would hide a leaked key.
+    let (engine, client) = start(quick()).await;
+
+    client
+        .call(ask("a-1", 1).key("secret").header("x-workspace", "w1"))
+        .await
+        .unwrap();
+    client.call(ask("a-1", 1)).await.unwrap();
+
+    let records = engine.records();
+    let names = |at: usize| {
+        records[at]
+            .headers
+            .iter()
+            .any(|(name, _)| name == "authorization")
+    };
+    assert!(names(0) && !names(1));
+    assert_eq!(records[0].workspace.as_deref(), Some("w1"));
+    assert!(records[0].order < records[1].order);
+    assert_eq!(engine.runs_by_id()["a-1"], 2);
+}
+
+#[tokio::test]
+async fn load_report_shows_the_past() {
+    // Guards against reports that are fresher than the lag allows.
+    let cfg = EngineConfig {
+        load_lag: Duration::from_hours(1),
+        ..quick()
+    };
+    let (engine, client) = start(cfg).await;
+    let _stream = client.open(ask("a-1", 4000)).await.unwrap();
+    engine.wait_for(|stats| stats.generated_tokens > 0).await;
+
+    let load = client.call(Call::get("/load")).await.unwrap();
+
+    assert_eq!(load.json()["running"], 0);
+}
