Add the `standin` binary

Runs one stand-in as a process of its own, for measurements outside of a test process and for trials by hand.

--- /dev/null
+++ b/crates/testkit/src/bin/standin.rs
@@ -0,0 +1,175 @@
+//! Runs a stand-in as a process of its own. It prints its address and serves until it is ended.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Args, Parser, Subcommand};
+use testkit::{Engine, EngineConfig, PlainService, Platform, VmList};
+
+/// Stand-ins for the outside of a fleet.
+#[derive(Parser)]
+struct Cli {
+    #[command(subcommand)]
+    kind: Kind,
+}
+
+#[derive(Subcommand)]
+enum Kind {
+    /// An engine with continuous batching.
+    Engine(EngineArgs),
+    /// A plain service.
+    Service {
+        /// Address to serve.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+    },
+    /// The configuration service and the VM list.
+    Platform(PlatformArgs),
+}
+
+#[derive(Args)]
+struct EngineArgs {
+    /// Address to serve.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// Relative speed.
+    #[arg(long, default_value_t = 1.0)]
+    speed: f64,
+    /// Factor on all computed times.
+    #[arg(long, default_value_t = 1.0)]
+    time_scale: f64,
+    /// Requests in flight that a cold engine bears.
+    #[arg(long, default_value_t = 4)]
+    cold_limit: usize,
+    /// Completed requests after which a cold engine is warm.
+    #[arg(long, default_value_t = 8)]
+    warm_after: u64,
+    /// Start warm.
+    #[arg(long)]
+    warm: bool,
+    /// Tokens in flight above which steps slow down.
+    #[arg(long, default_value_t = 16_384)]
+    batch_tokens: u64,
+    /// Time of one step in microseconds.
+    #[arg(long, default_value_t = 20_000)]
+    step_us: u64,
+    /// Prompt tokens computed per second.
+    #[arg(long, default_value_t = 10_000.0)]
+    prefill_rate: f64,
+    /// Age of load reports in milliseconds.
+    #[arg(long, default_value_t = 500)]
+    load_lag_ms: u64,
+    /// Obey orders with old fencing numbers.
+    #[arg(long)]
+    ignore_fencing: bool,
+}
+
+#[derive(Args)]
+struct PlatformArgs {
+    /// Address of the configuration service.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// Address of the VM list.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    vm_listen: SocketAddr,
+    /// Sheet in CSV; read again when it changes.
+    #[arg(long)]
+    sheet: Option<PathBuf>,
+    /// VM list in JSON, as the service answers it; read again when it changes.
+    #[arg(long)]
+    vms: Option<PathBuf>,
+    /// Time until changes of the VM list are visible, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    list_lag_ms: u64,
+}
+
+#[tokio::main]
+async fn main() -> io::Result<()> {
+    match Cli::parse().kind {
+        Kind::Engine(args) => engine(args).await,
+        Kind::Service { listen } => {
+            let service = PlainService::start(listen).await?;
+            println!("service: {}", service.addr());
+            tokio::signal::ctrl_c().await
+        }
+        Kind::Platform(args) => platform(args).await,
+    }
+}
+
+async fn engine(args: EngineArgs) -> io::Result<()> {
+    let cfg = EngineConfig {
+        speed: args.speed,
+        time_scale: args.time_scale,
+        cold_limit: args.cold_limit,
+        warm_after: args.warm_after,
+        start_cold: !args.warm,
+        batch_tokens: args.batch_tokens,
+        step: Duration::from_micros(args.step_us),
+        prefill_rate: args.prefill_rate,
+        load_lag: Duration::from_millis(args.load_lag_ms),
+        check_fencing: !args.ignore_fencing,
+        record_headers: false,
+        ..EngineConfig::default()
+    };
+    let engine = Engine::start(args.listen, cfg).await?;
+    println!("engine: {}", engine.addr());
+    tokio::signal::ctrl_c().await
+}
+
+async fn platform(args: PlatformArgs) -> io::Result<()> {
+    let platform = Platform::start(args.listen, args.vm_listen).await?;
+    platform
+        .vms
+        .set_lag(Duration::from_millis(args.list_lag_ms));
+    println!("sheets: {}", platform.sheets.addr());
+    println!("vms: {}", platform.vms.addr());
+    let (mut sheet, mut vms) = (Vec::new(), Vec::new());
+    let mut tick = tokio::time::interval(Duration::from_millis(200));
+    loop {
+        tokio::select! {
+            _ = tick.tick() => {}
+            end = tokio::signal::ctrl_c() => return end,
+        }
+        if let Some(path) = &args.sheet
+            && changed(path, &mut sheet)?
+        {
+            match revision(&sheet) {
+                Some(revision) => platform.sheets.publish(revision, sheet.clone()),
+                None => eprintln!("platform: {}: no sheet row with a revision", path.display()),
+            }
+        }
+        if let Some(path) = &args.vms
+            && changed(path, &mut vms)?
+        {
+            match serde_json::from_slice::<VmList>(&vms) {
+                Ok(list) => platform.vms.change(|rows| *rows = list.vms),
+                Err(e) => eprintln!("platform: {}: {e}", path.display()),
+            }
+        }
+    }
+}
+
+/// Reads the file and returns whether its content differs from the last one.
+fn changed(path: &PathBuf, last: &mut Vec<u8>) -> io::Result<bool> {
+    let content = std::fs::read(path)?;
+    if content == *last {
+        return Ok(false);
+    }
+    *last = content;
+    Ok(true)
+}
+
+/// Revision in the `sheet` row of a CSV sheet.
+fn revision(csv: &[u8]) -> Option<u64> {
+    let mut reader = csv::ReaderBuilder::new().flexible(true).from_reader(csv);
+    let headers = reader.headers().ok()?.clone();
+    let column = |name: &str| headers.iter().position(|header| header == name);
+    let (kind, revision) = (column("kind")?, column("revision")?);
+    let row = reader
+        .records()
+        .filter_map(Result::ok)
+        .find(|row| row.get(kind) == Some("sheet"))?;
+    row.get(revision)?.trim().parse().ok()
+}
