Replace the placeholder shares by parts that move

The placeholder granted everything up to the burst, so nothing bounded a workspace over the fleet.

Shares now pools the held parts of a workspace and keeps level + refundable <= capacity; accrual clips the oldest refunds. Parts move with an (epoch, hops) that identifies each attempt. Reclaim starts parts that no listed VM claims.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -4,6 +4,19 @@
 
 #![forbid(unsafe_code)]
 
+mod balance;
+mod demand;
+mod model;
+mod moves;
+mod pool;
+mod reclaim;
+mod schedule;
 mod shares;
+mod workspace;
 
-pub use shares::{Limit, Name, PARTS, Reservation, Shares, Short};
+pub use model::{
+    CLAIM_AGE, Claim, Incarnation, LeaseState, Limit, MoveId, Name, PARTS, PartMove, Reason,
+    Refused, Reservation, Short, Status, Timing,
+};
+pub use reclaim::{Reclaim, Started, Wait};
+pub use shares::Shares;
--- /dev/null
+++ b/crates/limit/src/moves.rs
@@ -0,0 +1,241 @@
+//! Moves of parts between holders.
+//!
+//! Each attempt to move a part has its own (epoch, hops), and a later attempt of an epoch exists
+//! only after the earlier one was answered or its receiver moved the part on. A receiver therefore
+//! gives every copy of a message the same answer, whatever happened in between.
+
+use std::cmp::Ordering;
+use std::time::Duration;
+
+use crate::model::{Claim, Incarnation, MICROS, MICROS_PER_MILLI, MoveId, Name, PARTS, PartMove};
+use crate::shares::Shares;
+use crate::workspace::{Seen, Workspace, bit};
+
+/// A giver keeps the tokens that it needs for this time.
+const KEEP_MILLIS: u64 = 500;
+
+/// A giver with less than this fraction of the tokens asked for gives nothing: the part would
+/// move in vain.
+const MIN_FRACTION: u64 = 16;
+
+impl Shares {
+    /// Answers a peer that is `tokens` short with whole parts, which are in transit until the
+    /// answer of `receiver` arrives. The result is empty if this daemon needs its tokens itself.
+    pub fn give(
+        &mut self,
+        now: Duration,
+        ws: &Name,
+        tokens: u64,
+        receiver: Incarnation,
+    ) -> Vec<PartMove> {
+        if !self.movable(now) || receiver == self.incarnation {
+            return Vec::new();
+        }
+        let Some(w) = self.live(ws) else {
+            return Vec::new();
+        };
+        w.advance(now, true);
+        w.peers.asked(now, receiver, tokens);
+        let moves = match spare(w, now, tokens) {
+            Some((count, micros)) => w.send(ws, count, micros, receiver),
+            None => Vec::new(),
+        };
+        if !self.asked.contains(ws) {
+            self.asked.push(ws.clone());
+        }
+        moves
+    }
+
+    /// Gives everything, for a daemon that leaves. Workspaces with debt are kept, since a part
+    /// can't carry it.
+    pub fn give_all(&mut self, now: Duration, ws: &Name, receiver: Incarnation) -> Vec<PartMove> {
+        if !self.movable(now) || receiver == self.incarnation {
+            return Vec::new();
+        }
+        let Some(w) = self.live(ws) else {
+            return Vec::new();
+        };
+        w.advance(now, true);
+        if w.pool.debt() > 0 {
+            return Vec::new();
+        }
+        w.send(ws, w.held(), w.pool.level(), receiver)
+    }
+
+    /// Takes a part from a peer. The result is the `taken` of the answer; the giver keeps nothing
+    /// if it is true. Copies of a message get the answer of the first one, and attempts older than
+    /// one seen count as taken, since their giver must not take the part back.
+    ///
+    /// The caller passes only moves from incarnations that are in its VM list.
+    pub fn accept(&mut self, now: Duration, part: &PartMove) -> bool {
+        if part.receiver != self.incarnation || part.number >= PARTS {
+            return false;
+        }
+        let movable = self.movable(now);
+        let accruing = self.accruing(now);
+        let w = self.workspace_or_removed(now, &part.workspace);
+        let seen = w.seen(part.number);
+        match (part.epoch, part.hops).cmp(&(seen.epoch, seen.hops)) {
+            Ordering::Less => return true,
+            Ordering::Equal => return seen.taken,
+            Ordering::Greater => {}
+        }
+        w.advance(now, accruing);
+        if part.epoch == seen.epoch && w.transits.iter().any(|t| t.number == part.number) {
+            // The part comes back before the answer to its departure.
+            w.release(now, part.number);
+        }
+        w.drop_part(part.number);
+        let taken = movable && w.removed.is_none();
+        let seen = Seen {
+            epoch: part.epoch,
+            hops: part.hops,
+            taken,
+        };
+        w.see(part.number, seen);
+        if taken {
+            w.put(
+                part.number,
+                part.level_millis.saturating_mul(MICROS_PER_MILLI),
+            );
+        }
+        taken
+    }
+
+    /// The receiver `from` took the part. Returns whether the part was in transit to it.
+    pub fn acked(&mut self, now: Duration, from: Incarnation, id: &MoveId) -> bool {
+        let Some(w) = self.in_transit_to(now, from, id) else {
+            return false;
+        };
+        w.release(now, id.number);
+        true
+    }
+
+    /// The receiver `from` denied the part, which is held again with the level it had and what it
+    /// would have accrued. Returns whether the part was in transit to it.
+    pub fn denied(&mut self, now: Duration, from: Incarnation, id: &MoveId) -> bool {
+        let Some(w) = self.in_transit_to(now, from, id) else {
+            return false;
+        };
+        w.put_back(id.number);
+        true
+    }
+
+    /// Parts in transit, to be sent again when the link to their receiver was replaced.
+    pub fn in_transit(&self) -> impl Iterator<Item = PartMove> {
+        self.workspaces
+            .iter()
+            .flat_map(|(name, w)| w.transits.iter().map(|t| w.part_move(name, t)))
+    }
+
+    /// Gives up what was in transit to an incarnation that left the list or was replaced. It may
+    /// have moved the parts on, so they never come back; their successors find out.
+    pub fn gone(&mut self, incarnation: Incarnation) {
+        for w in self.workspaces.values_mut() {
+            w.transits.retain(|t| t.receiver != incarnation);
+            w.peers.forget(incarnation);
+        }
+    }
+
+    /// Parts of one workspace that this daemon claims.
+    pub fn claim(&mut self, now: Duration, ws: &Name) -> Claim {
+        let accruing = self.accruing(now);
+        let mut claim = Claim {
+            workspace: ws.clone(),
+            parts: Vec::new(),
+            tokens: 0,
+        };
+        if let Some(w) = self.live(ws) {
+            w.advance(now, accruing);
+            claim.parts = w.claimed(now);
+            claim.tokens = w.tokens();
+        }
+        claim
+    }
+
+    /// Parts of all workspaces that this daemon claims. Workspaces without any are left out.
+    pub fn claims(&mut self, now: Duration) -> Vec<Claim> {
+        let names: Vec<_> = self.workspaces.keys().cloned().collect();
+        names
+            .iter()
+            .map(|ws| self.claim(now, ws))
+            .filter(|claim| !claim.parts.is_empty())
+            .collect()
+    }
+
+    /// Notes what a peer claims. Parts that it has in a higher epoch are dropped here.
+    pub fn note_claim(&mut self, now: Duration, peer: Incarnation, claim: &Claim) {
+        self.note_peer(now, &claim.workspace, peer, claim.tokens);
+        let accruing = self.accruing(now);
+        let Some(w) = self.live(&claim.workspace) else {
+            return;
+        };
+        for &(number, epoch) in &claim.parts {
+            if number < PARTS && epoch > w.seen(number).epoch {
+                w.advance(now, accruing);
+                w.drop_part(number);
+                let seen = Seen {
+                    epoch,
+                    hops: 0,
+                    taken: true,
+                };
+                w.see(number, seen);
+            }
+        }
+    }
+
+    /// Mask of the claimed parts.
+    pub(crate) fn claimed_mask(&mut self, now: Duration, ws: &Name) -> u32 {
+        let parts = self.claim(now, ws).parts;
+        parts.iter().fold(0, |mask, &(n, _)| mask | bit(n))
+    }
+
+    /// Highest epoch seen of a part.
+    pub(crate) fn epoch(&self, ws: &Name, number: u16) -> u64 {
+        self.workspaces.get(ws).map_or(0, |w| w.seen(number).epoch)
+    }
+
+    fn in_transit_to(
+        &mut self,
+        now: Duration,
+        from: Incarnation,
+        id: &MoveId,
+    ) -> Option<&mut Workspace> {
+        let accruing = self.accruing(now);
+        let w = self.live(&id.workspace).filter(|_| id.number < PARTS)?;
+        let seen = w.seen(id.number);
+        let known = (seen.epoch, seen.hops) == (id.epoch, id.hops)
+            && w.transits
+                .iter()
+                .any(|t| t.number == id.number && t.receiver == from);
+        if !known {
+            return None;
+        }
+        w.advance(now, accruing);
+        Some(w)
+    }
+}
+
+/// Count of parts and millionths of a token to give to a peer that is `tokens` short.
+fn spare(w: &mut Workspace, now: Duration, tokens: u64) -> Option<(u32, u64)> {
+    let held = w.held();
+    if held == 0 || w.pool.debt() > 0 {
+        return None;
+    }
+    let demand = w.demand.per_second(now);
+    let rate = w.limit().per_second(1).max(1);
+    let capacity = w.limit().capacity(1).max(1);
+    let needed = u32::try_from(demand / rate).map_or(held - 1, |n| n.min(held - 1));
+    let wanted = tokens.saturating_mul(MICROS);
+    let level = w.pool.level();
+    let keep = demand.saturating_mul(KEEP_MILLIS) / 1_000;
+    let micros = level.saturating_sub(keep).min(wanted);
+    if micros == 0 || micros < wanted / MIN_FRACTION {
+        return None;
+    }
+    let count = u32::try_from(micros.div_ceil(capacity)).map_or(held, |n| n.min(held));
+    let count = count.min(held - needed);
+    // What the remaining parts can't hold goes along.
+    let surplus = level.saturating_sub(w.limit().capacity(held - count));
+    Some((count, micros.max(surplus)))
+}
--- /dev/null
+++ b/crates/limit/src/pool.rs
@@ -0,0 +1,181 @@
+//! Level, accrual and refunds of the held parts of one workspace.
+//!
+//! The parts that one daemon holds are one pool, so that a reservation costs the same over one part
+//! and over many. With `n` parts, level + refundable <= `n` capacities; the sum over all pools and
+//! parts in transit is then at most the burst, and grows by accrual alone.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::model::{Limit, PARTS};
+
+/// Nanoseconds times tokens per second times parts that make a millionth of a token.
+const DIVISOR: u128 = 1_000 * PARTS as u128;
+
+/// Millionths of a token that `parts` parts accrue, and the remainder for the next call.
+pub(crate) fn accrued(limit: Limit, parts: u32, span: Duration, rest: u128) -> (u64, u128) {
+    let sum = u128::from(limit.rate)
+        .saturating_mul(u128::from(parts))
+        .saturating_mul(span.as_nanos())
+        .saturating_add(rest);
+    (
+        u64::try_from(sum / DIVISOR).unwrap_or(u64::MAX),
+        sum % DIVISOR,
+    )
+}
+
+/// Amounts are in millionths of a token.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    level: u64,
+    /// Used beyond reservations while the level was zero; accrual pays it first.
+    debt: u64,
+    /// Remainder of accrual, so that frequent calls lose nothing.
+    rest: u128,
+    refunds: Refunds,
+}
+
+impl Pool {
+    /// Numbers of reservations start at `first`.
+    pub(crate) fn new(first: u64) -> Self {
+        Self {
+            refunds: Refunds {
+                first,
+                ..Refunds::default()
+            },
+            ..Self::default()
+        }
+    }
+
+    pub(crate) fn level(&self) -> u64 {
+        self.level
+    }
+
+    pub(crate) fn debt(&self) -> u64 {
+        self.debt
+    }
+
+    pub(crate) fn refundable(&self) -> u64 {
+        self.refunds.total
+    }
+
+    /// Accrues over `span` for `parts` parts.
+    pub(crate) fn accrue(&mut self, limit: Limit, parts: u32, span: Duration) {
+        if parts == 0 {
+            return;
+        }
+        let (gain, rest) = accrued(limit, parts, span, self.rest);
+        self.rest = rest;
+        self.add(gain);
+        self.fit(limit.capacity(parts));
+    }
+
+    /// Adds tokens; pays debt first. The caller makes them fit.
+    pub(crate) fn add(&mut self, micros: u64) {
+        let paid = micros.min(self.debt);
+        self.debt -= paid;
+        self.level = self.level.saturating_add(micros - paid);
+    }
+
+    /// Removes tokens that leave with a part.
+    pub(crate) fn remove(&mut self, micros: u64) {
+        self.level = self.level.saturating_sub(micros);
+    }
+
+    /// Restores level + refundable <= capacity. The oldest refunds go first: their tokens were
+    /// most likely used, and the level is of use now.
+    pub(crate) fn fit(&mut self, capacity: u64) {
+        self.level = self.level.min(capacity);
+        let sum = self.level.saturating_add(self.refunds.total);
+        if sum >= capacity {
+            // The remainder would be accrual above the capacity.
+            self.rest = 0;
+            self.refunds.clip(sum - capacity);
+        }
+    }
+
+    /// Takes tokens that can be refunded under the returned number, or nothing.
+    pub(crate) fn take(&mut self, micros: u64) -> Option<u64> {
+        self.level = self.level.checked_sub(micros)?;
+        Some(self.refunds.push(micros))
+    }
+
+    /// Returns `unused` of the tokens taken under `seq`, as far as they weren't clipped.
+    pub(crate) fn refund(&mut self, seq: u64, unused: u64) -> u64 {
+        let refund = self.refunds.remove(seq).min(unused);
+        self.add(refund);
+        refund
+    }
+
+    /// Charges tokens beyond a reservation.
+    pub(crate) fn charge(&mut self, micros: u64) {
+        let paid = micros.min(self.level);
+        self.level -= paid;
+        self.debt = self.debt.saturating_add(micros - paid);
+    }
+
+    /// Drops level and refunds, but not the debt.
+    pub(crate) fn clear(&mut self) {
+        self.level = 0;
+        self.refunds.clear();
+    }
+}
+
+/// Refundable amounts of the unsettled reservations, oldest first.
+#[derive(Debug, Default)]
+struct Refunds {
+    /// Number of the front entry.
+    first: u64,
+    /// Settled entries stay as zeros until they reach the front.
+    amounts: VecDeque<u64>,
+    total: u64,
+}
+
+impl Refunds {
+    fn push(&mut self, amount: u64) -> u64 {
+        self.amounts.push_back(amount);
+        self.total += amount;
+        self.first + self.amounts.len() as u64 - 1
+    }
+
+    fn remove(&mut self, seq: u64) -> u64 {
+        let index = seq
+            .checked_sub(self.first)
+            .and_then(|i| usize::try_from(i).ok());
+        let Some(entry) = index.and_then(|i| self.amounts.get_mut(i)) else {
+            return 0;
+        };
+        let amount = std::mem::take(entry);
+        self.total -= amount;
+        self.trim();
+        amount
+    }
+
+    fn clip(&mut self, excess: u64) {
+        let mut left = excess.min(self.total);
+        self.total -= left;
+        while left > 0 {
+            let front = self
+                .amounts
+                .front_mut()
+                .expect("the total is the sum of the entries");
+            let cut = left.min(*front);
+            *front -= cut;
+            left -= cut;
+            self.trim();
+        }
+    }
+
+    fn trim(&mut self) {
+        while self.amounts.front() == Some(&0) {
+            self.amounts.pop_front();
+            self.first += 1;
+        }
+    }
+
+    fn clear(&mut self) {
+        self.first += self.amounts.len() as u64;
+        self.amounts.clear();
+        self.total = 0;
+    }
+}
--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -1,73 +1,300 @@
-//! The parts that one daemon holds.
+//! The parts that one daemon holds, of all workspaces.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::time::Duration;
 
-/// A shared immutable name.
-pub type Name = Arc<str>;
+use crate::model::{
+    Incarnation, LeaseState, Limit, MICROS, Name, PARTS, Reason, Reservation, Short, Status, Timing,
+};
+use crate::workspace::{Seen, Workspace};
 
-/// Number of parts of each workspace's bucket.
-pub const PARTS: u16 = 32;
+/// Time for which a removed workspace is remembered. Much longer than any message is delayed.
+const REMOVED_AGE: Duration = Duration::from_hours(1);
 
-/// Fleet-wide limit of a workspace.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limit {
-    /// Tokens per second.
-    pub rate: u64,
-    /// Largest number of tokens that may be spent at once.
-    pub burst: u64,
-}
-
-/// Tokens taken for one request, to be settled when it ends.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Reservation {
-    workspace: Name,
-    tokens: u64,
-}
-
-/// The held parts have fewer tokens than asked for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Short {
-    /// Tokens that are missing.
-    pub missing: u64,
-}
+/// Numbers of reservations that one workspace can use before they meet those of the next.
+const SEQ_SPACE: u64 = 1 << 40;
 
 /// The parts that this daemon holds, of all workspaces.
-#[derive(Debug, Default)]
+///
+/// ```
+/// use std::time::Duration;
+/// use limit::{Limit, Name, PARTS, Shares, Timing};
+///
+/// let timing = Timing {
+///     propagation: Duration::from_secs(5),
+///     hold_down: Duration::from_secs(20),
+/// };
+/// let mut shares = Shares::new(1, timing);
+/// let ws = Name::from("salon-7");
+/// shares.configure(Duration::ZERO, [(ws.clone(), Limit { rate: 100, burst: 1_000 })]);
+/// for number in 0..PARTS {
+///     shares.start_part(Duration::ZERO, &ws, number, 1);
+/// }
+///
+/// let now = Duration::from_secs(5);
+/// let reservation = shares.reserve(now, &ws, 400).unwrap();
+/// assert_eq!(shares.reserve(now, &ws, 400).unwrap_err().missing, 300);
+/// shares.settle(now, reservation, 50);
+/// assert!(shares.reserve(now, &ws, 400).is_ok());
+/// ```
+#[derive(Debug)]
 pub struct Shares {
-    limits: HashMap<Name, Limit>,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) workspaces: HashMap<Name, Workspace>,
+    /// Workspaces that peers asked for a moment ago.
+    pub(crate) asked: Vec<Name>,
+    /// Grows when a workspace is added.
+    pub(crate) version: u64,
+    timing: Timing,
+    lease: LeaseState,
+    lease_end: Duration,
+    listed_throughout: bool,
+    suspended: bool,
+    created: u64,
 }
 
 impl Shares {
-    /// Puts the limits of a new sheet in force.
+    /// Creates the shares of a daemon that holds no part yet; its lease counts as held.
+    #[must_use]
+    pub fn new(incarnation: Incarnation, timing: Timing) -> Self {
+        Self {
+            incarnation,
+            workspaces: HashMap::new(),
+            asked: Vec::new(),
+            version: 0,
+            timing,
+            lease: LeaseState::Held,
+            lease_end: Duration::MAX,
+            listed_throughout: false,
+            suspended: false,
+            created: 0,
+        }
+    }
+
+    /// Puts the limits of a new sheet in force: decreases at once, increases after the propagation
+    /// time. Parts of workspaces that aren't named are dropped.
     pub fn configure(&mut self, now: Duration, limits: impl IntoIterator<Item = (Name, Limit)>) {
-        let _ = now;
-        self.limits = limits.into_iter().collect();
+        let limits: HashMap<_, _> = limits.into_iter().collect();
+        let accruing = self.accruing(now);
+        let increase = now + self.timing.propagation;
+        for (name, w) in &mut self.workspaces {
+            if w.removed.is_none() && !limits.contains_key(name) {
+                w.clear();
+                w.removed = Some(now);
+            }
+        }
+        self.workspaces.retain(|_, w| {
+            w.removed
+                .is_none_or(|at| now.saturating_sub(at) < REMOVED_AGE)
+        });
+        for (name, limit) in limits {
+            let w = self.workspace_or_removed(now, &name);
+            w.advance(now, accruing);
+            if w.removed.take().is_some() {
+                w.schedule = crate::schedule::Schedule::new(limit);
+                self.version += 1;
+            } else {
+                w.schedule.set(limit, increase);
+                w.fit();
+            }
+        }
+    }
+
+    /// Adds an empty part. Returns whether it was added; it isn't if the workspace is unknown or
+    /// the epoch isn't higher than one seen.
+    pub fn start_part(&mut self, now: Duration, ws: &Name, number: u16, epoch: u64) -> bool {
+        let accruing = self.accruing(now);
+        let Some(w) = self.live(ws) else {
+            return false;
+        };
+        if number >= PARTS || epoch <= w.seen(number).epoch {
+            return false;
+        }
+        w.advance(now, accruing);
+        w.drop_part(number);
+        let seen = Seen {
+            epoch,
+            hops: 0,
+            taken: true,
+        };
+        w.see(number, seen);
+        w.put(number, 0);
+        true
     }
 
-    /// Takes tokens for one request.
+    /// Takes tokens for one request, prompt plus maximum output.
     ///
     /// # Errors
-    /// Returns what is missing if the held parts have too few tokens.
-    pub fn reserve(
-        &mut self,
-        now: Duration,
-        workspace: &Name,
-        tokens: u64,
-    ) -> Result<Reservation, Short> {
-        let _ = now;
-        match self.limits.get(workspace) {
-            Some(limit) if tokens <= limit.burst => Ok(Reservation {
-                workspace: workspace.clone(),
-                tokens,
-            }),
-            _ => Err(Short { missing: tokens }),
+    /// Returns what is missing and why.
+    pub fn reserve(&mut self, now: Duration, ws: &Name, tokens: u64) -> Result<Reservation, Short> {
+        let lease = self.lease(now);
+        let suspended = self.suspended;
+        let Some(w) = self.live(ws) else {
+            return Err(Short {
+                missing: tokens,
+                reason: Reason::Unknown,
+            });
+        };
+        w.advance(now, lease == LeaseState::Held);
+        let reason = if suspended {
+            Reason::Suspended
+        } else if lease == LeaseState::Expired {
+            Reason::Lease
+        } else if tokens > w.limit().burst {
+            Reason::TooLarge
+        } else {
+            let micros = tokens.saturating_mul(MICROS);
+            if let Some(seq) = w.pool.take(micros) {
+                w.demand.add(now, micros);
+                return Ok(Reservation {
+                    workspace: ws.clone(),
+                    tokens,
+                    seq,
+                });
+            }
+            Reason::Level
+        };
+        w.refused[reason as usize] += 1;
+        let missing = match reason {
+            Reason::Level => tokens
+                .saturating_mul(MICROS)
+                .saturating_add(w.pool.debt())
+                .saturating_sub(w.pool.level())
+                .div_ceil(MICROS),
+            _ => tokens,
+        };
+        Err(Short { missing, reason })
+    }
+
+    /// Ends a reservation of which `used` tokens were used. Unused ones come back as far as
+    /// accrual hasn't replaced them; more than reserved is paid by later accrual.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "a reservation is settled once"
+    )]
+    pub fn settle(&mut self, now: Duration, reservation: Reservation, used: u64) {
+        let accruing = self.accruing(now);
+        let Some(w) = self.live(&reservation.workspace) else {
+            return;
+        };
+        w.advance(now, accruing);
+        let unused = reservation.tokens.saturating_sub(used);
+        let over = used.saturating_sub(reservation.tokens);
+        w.pool
+            .refund(reservation.seq, unused.saturating_mul(MICROS));
+        w.demand.sub(now, unused.saturating_mul(MICROS));
+        if over > 0 {
+            w.pool.charge(over.saturating_mul(MICROS));
+            w.demand.add(now, over.saturating_mul(MICROS));
+        }
+    }
+
+    /// Sets the state of the daemon's lease.
+    ///
+    /// Parts are dropped when a lease that had expired is held again: other daemons may have
+    /// started them anew. See [`Self::keep_expired`] for the exception.
+    pub fn set_lease(&mut self, now: Duration, state: LeaseState) {
+        let was = self.lease(now);
+        if was == state {
+            return;
+        }
+        self.advance_all(now);
+        if was == LeaseState::Expired && !std::mem::take(&mut self.listed_throughout) {
+            self.discard();
+        }
+        self.lease = state;
+    }
+
+    /// Sets a time from which the lease counts as expired without a further call. A process that
+    /// was paused thus spends nothing before it notices the pause.
+    pub fn set_lease_end(&mut self, now: Duration, end: Duration) {
+        if now >= self.lease_end {
+            self.set_lease(now, LeaseState::Expired);
+            self.lease = LeaseState::Expired;
         }
+        self.lease_end = end;
     }
 
-    /// Returns the tokens of a reservation that were not used.
-    pub fn settle(&mut self, now: Duration, reservation: &Reservation, used: u64) {
-        let _ = (now, used, &reservation.workspace, reservation.tokens);
+    /// Keeps the parts at the next end of an expired lease. To be called only if the list read
+    /// then has the generation of the last one from before, so that no other daemon can have seen
+    /// a list without this one.
+    pub fn keep_expired(&mut self) {
+        self.listed_throughout = true;
+    }
+
+    /// Stops spending and moves, after a pause of the process.
+    pub fn suspend(&mut self) {
+        self.suspended = true;
+    }
+
+    /// Allows spending again, once the VM list and the lease are fresh.
+    pub fn resume(&mut self) {
+        self.suspended = false;
+    }
+
+    /// Drops all parts. Unless they are claimed elsewhere, their successors start them anew.
+    pub fn discard(&mut self) {
+        for w in self.workspaces.values_mut() {
+            w.clear();
+        }
+    }
+
+    /// State of each workspace of the sheet, in no particular order.
+    pub fn status(&mut self, now: Duration) -> impl Iterator<Item = Status> {
+        self.advance_all(now);
+        self.workspaces
+            .iter()
+            .filter(|(_, w)| w.removed.is_none())
+            .map(|(name, w)| Status {
+                workspace: name.clone(),
+                limit: w.limit(),
+                held: w.held(),
+                in_transit: u32::try_from(w.transits.len()).unwrap_or(u32::MAX),
+                tokens: w.tokens(),
+                refundable: w.pool.refundable() / MICROS,
+                debt: w.pool.debt().div_ceil(MICROS),
+                refused: w.refused,
+            })
+    }
+
+    pub(crate) fn lease(&self, now: Duration) -> LeaseState {
+        if now >= self.lease_end {
+            LeaseState::Expired
+        } else {
+            self.lease
+        }
+    }
+
+    pub(crate) fn accruing(&self, now: Duration) -> bool {
+        self.lease(now) == LeaseState::Held
+    }
+
+    /// Parts move and start only with a lease beyond doubt.
+    pub(crate) fn movable(&self, now: Duration) -> bool {
+        self.accruing(now) && !self.suspended
+    }
+
+    pub(crate) fn live(&mut self, ws: &Name) -> Option<&mut Workspace> {
+        self.workspaces.get_mut(ws).filter(|w| w.removed.is_none())
+    }
+
+    /// The workspace; a new one counts as removed until it is configured.
+    pub(crate) fn workspace_or_removed(&mut self, now: Duration, ws: &Name) -> &mut Workspace {
+        if !self.workspaces.contains_key(ws) {
+            self.created += 1;
+            let mut w = Workspace::new(now, Limit::default(), self.created * SEQ_SPACE);
+            w.removed = Some(now);
+            self.workspaces.insert(ws.clone(), w);
+        }
+        self.workspaces
+            .get_mut(ws)
+            .expect("inserted above if absent")
+    }
+
+    fn advance_all(&mut self, now: Duration) {
+        let accruing = self.accruing(now);
+        for w in self.workspaces.values_mut() {
+            w.advance(now, accruing);
+        }
     }
 }
--- /dev/null
+++ b/crates/limit/src/workspace.rs
@@ -0,0 +1,231 @@
+//! The parts of one workspace at this daemon.
+
+use std::time::Duration;
+
+use crate::demand::{Demand, Peers};
+use crate::model::{
+    CLAIM_MEMORY, Incarnation, Limit, MICROS, MICROS_PER_MILLI, Name, PARTS, PartMove, Refused,
+};
+use crate::pool::{Pool, accrued};
+use crate::schedule::Schedule;
+
+/// Highest attempt to move a part that this daemon knows of.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Seen {
+    pub(crate) epoch: u64,
+    pub(crate) hops: u64,
+    /// The answer if the attempt was addressed to this daemon.
+    pub(crate) taken: bool,
+}
+
+/// A part that is neither here nor known to be at its receiver.
+#[derive(Debug)]
+pub(crate) struct Transit {
+    pub(crate) number: u16,
+    pub(crate) receiver: Incarnation,
+    level_millis: u64,
+    /// What the part would have accrued here since; counts only if the receiver denies it.
+    accrued: u64,
+}
+
+/// A part that was given away; claimed until `until`.
+#[derive(Debug)]
+struct Given {
+    number: u16,
+    epoch: u64,
+    until: Duration,
+}
+
+#[derive(Debug)]
+pub(crate) struct Workspace {
+    pub(crate) schedule: Schedule,
+    pub(crate) pool: Pool,
+    pub(crate) transits: Vec<Transit>,
+    pub(crate) demand: Demand,
+    pub(crate) peers: Peers,
+    pub(crate) refused: Refused,
+    /// When the workspace left the sheet. What was seen of its parts is kept for a while, so that
+    /// a delayed move isn't taken twice.
+    pub(crate) removed: Option<Duration>,
+    pub(crate) balanced: Duration,
+    seen: [Seen; PARTS as usize],
+    given: Vec<Given>,
+    /// Bit `i` is set if part `i` is held.
+    held: u32,
+    last: Duration,
+}
+
+impl Workspace {
+    pub(crate) fn new(now: Duration, limit: Limit, first_seq: u64) -> Self {
+        Self {
+            schedule: Schedule::new(limit),
+            pool: Pool::new(first_seq),
+            transits: Vec::new(),
+            demand: Demand::default(),
+            peers: Peers::default(),
+            refused: Refused::default(),
+            removed: None,
+            balanced: Duration::ZERO,
+            seen: [Seen::default(); PARTS as usize],
+            given: Vec::new(),
+            held: 0,
+            last: now,
+        }
+    }
+
+    pub(crate) fn limit(&self) -> Limit {
+        self.schedule.current()
+    }
+
+    pub(crate) fn held(&self) -> u32 {
+        self.held.count_ones()
+    }
+
+    pub(crate) fn holds(&self, number: u16) -> bool {
+        self.held & bit(number) != 0
+    }
+
+    pub(crate) fn seen(&self, number: u16) -> Seen {
+        self.seen[usize::from(number)]
+    }
+
+    pub(crate) fn see(&mut self, number: u16, seen: Seen) {
+        self.seen[usize::from(number)] = seen;
+    }
+
+    /// Brings levels and limit to `now`.
+    pub(crate) fn advance(&mut self, now: Duration, accruing: bool) {
+        while let Some((at, limit)) = self.schedule.next_due(now) {
+            self.accrue(at, accruing);
+            self.schedule.apply(limit);
+        }
+        self.accrue(now, accruing);
+    }
+
+    fn accrue(&mut self, now: Duration, accruing: bool) {
+        let span = now.saturating_sub(self.last);
+        self.last = self.last.max(now);
+        if !accruing || span.is_zero() {
+            return;
+        }
+        let limit = self.limit();
+        self.pool.accrue(limit, self.held(), span);
+        for transit in &mut self.transits {
+            let (gain, _) = accrued(limit, 1, span, 0);
+            transit.accrued = transit.accrued.saturating_add(gain);
+        }
+    }
+
+    /// Restores the invariant after the limit or the held parts changed.
+    pub(crate) fn fit(&mut self) {
+        self.pool.fit(self.limit().capacity(self.held()));
+    }
+
+    /// Adds a part with `micros` in it.
+    pub(crate) fn put(&mut self, number: u16, micros: u64) {
+        self.held |= bit(number);
+        self.pool.add(micros.min(self.limit().capacity(1)));
+        self.fit();
+    }
+
+    /// Forgets a part that another holder has, with its share of the level.
+    pub(crate) fn drop_part(&mut self, number: u16) {
+        self.transits.retain(|t| t.number != number);
+        if self.holds(number) {
+            let share = self.pool.level().div_ceil(u64::from(self.held()));
+            self.pool.remove(share);
+            self.held &= !bit(number);
+            self.fit();
+        }
+    }
+
+    /// Forgets all parts.
+    pub(crate) fn clear(&mut self) {
+        self.held = 0;
+        self.transits.clear();
+        self.given.clear();
+        self.pool.clear();
+    }
+
+    /// Removes the transit of a part that is at its receiver, but claims the part for a while.
+    pub(crate) fn release(&mut self, now: Duration, number: u16) {
+        self.transits.retain(|t| t.number != number);
+        self.given.retain(|g| g.until > now && g.number != number);
+        self.given.push(Given {
+            number,
+            epoch: self.seen(number).epoch,
+            until: now + CLAIM_MEMORY,
+        });
+    }
+
+    /// Takes a part back that its receiver denied.
+    pub(crate) fn put_back(&mut self, number: u16) {
+        let Some(i) = self.transits.iter().position(|t| t.number == number) else {
+            return;
+        };
+        let transit = self.transits.swap_remove(i);
+        let level = transit.level_millis.saturating_mul(MICROS_PER_MILLI);
+        self.put(number, level.saturating_add(transit.accrued));
+    }
+
+    /// Puts `count` parts with `micros` in all of them in transit.
+    pub(crate) fn send(
+        &mut self,
+        name: &Name,
+        count: u32,
+        micros: u64,
+        receiver: Incarnation,
+    ) -> Vec<PartMove> {
+        let capacity = self.limit().capacity(1);
+        let mut left = micros.min(self.pool.level());
+        let mut moves = Vec::new();
+        for _ in 0..count.min(self.held()) {
+            let number = u16::try_from(self.held.ilog2()).expect("a mask has 32 bits");
+            let level_millis = left.min(capacity) / MICROS_PER_MILLI;
+            left -= level_millis * MICROS_PER_MILLI;
+            self.pool.remove(level_millis * MICROS_PER_MILLI);
+            self.held &= !bit(number);
+            self.seen[usize::from(number)].hops += 1;
+            self.transits.push(Transit {
+                number,
+                receiver,
+                level_millis,
+                accrued: 0,
+            });
+            moves.push(self.part_move(name, self.transits.last().expect("pushed above")));
+        }
+        self.fit();
+        moves
+    }
+
+    pub(crate) fn part_move(&self, name: &Name, transit: &Transit) -> PartMove {
+        let seen = self.seen(transit.number);
+        PartMove {
+            workspace: name.clone(),
+            number: transit.number,
+            epoch: seen.epoch,
+            hops: seen.hops,
+            level_millis: transit.level_millis,
+            receiver: transit.receiver,
+        }
+    }
+
+    /// Numbers and epochs of the parts that are held, in transit or given away a moment ago.
+    pub(crate) fn claimed(&self, now: Duration) -> Vec<(u16, u64)> {
+        let given = self.given.iter().filter(|g| g.until > now);
+        (0..PARTS)
+            .filter(|&n| self.holds(n) || self.transits.iter().any(|t| t.number == n))
+            .map(|n| (n, self.seen(n).epoch))
+            .chain(given.map(|g| (g.number, g.epoch)))
+            .collect()
+    }
+
+    /// Whole tokens that can be spent.
+    pub(crate) fn tokens(&self) -> u64 {
+        self.pool.level() / MICROS
+    }
+}
+
+pub(crate) fn bit(number: u16) -> u32 {
+    1 << number
+}
