Connect the share holder role to peers

Cause: a workspace's tokens must be counted over the whole fleet. Change: parts move on demand, by balance and on reconnection; unclaimed parts are started after the hold-down; messages for several parts and for all claims of a daemon.

--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -15,6 +15,7 @@
 use super::table::Record;
 use crate::node::Node;
 use crate::outcome::{Failure, Outcome, Refusal};
+use crate::shares;
 
 /// Runs a new request to its outcome. It goes on when its caller leaves, for a grace time.
 pub(super) async fn run(node: Arc<Node>, job: Job, record: Arc<Record>) {
@@ -45,11 +46,11 @@
     let Some(workspace) = job.workspace() else {
         return permitted(node, job, answer).await.outcome;
     };
-    let Some(reservation) = node.reserve(workspace, job.cost).await else {
+    let Some(reservation) = shares::reserve(node, workspace, job.cost).await else {
         return Outcome::Refused(Refusal::Rate);
     };
     let ended = permitted(node, job, answer).await;
-    node.settle(&reservation, ended.used);
+    node.settle(reservation, ended.used);
     ended.outcome
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod owners;
 mod peer;
 mod serve;
+mod shares;
 mod target;
 
 pub use serve::{Daemon, StartError};
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use limit::{Limit, Reservation, Shares};
+use limit::Reservation;
 use member::{Incarnation, VmList, VmState};
 use sched::{Descriptor, PermitId, RunReport, TargetSpec};
 use serde::Serialize;
@@ -18,6 +18,7 @@
 use crate::owner::{self, Msg, Source, run_end};
 use crate::owners::Owners;
 use crate::peer::{LinkEvent, Peer, Peers};
+use crate::shares::{Holder, take_moves};
 
 /// An address for callers, as `/v1/entries` shows it.
 #[derive(Clone, Debug, Serialize)]
@@ -49,6 +50,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) peers: Peers,
     pub(crate) owner: owner::Handle,
+    pub(crate) holder: Holder,
     clock: Box<dyn Clock>,
     sheet: watch::Sender<Arc<Sheet>>,
     list: Mutex<VmList>,
@@ -57,7 +59,6 @@
     seen: Mutex<HashMap<Name, Seen>>,
     owners: Mutex<Owners>,
     owned: Mutex<HashMap<Name, TargetSpec>>,
-    shares: Mutex<Shares>,
     table: Mutex<Table>,
     phase: watch::Sender<Phase>,
     pauses: AtomicU64,
@@ -76,11 +77,14 @@
     ) -> Self {
         let limits = &settings.limits;
         let table = Table::new(incarnation, limits.max_outcomes, limits.max_outcome_age);
+        let single = is_single(&settings);
+        let holder = Holder::new(clock.now(), incarnation, &settings, single);
         Node {
             settings,
             incarnation,
             peers: Peers::default(),
             owner,
+            holder,
             clock,
             sheet: watch::Sender::new(Arc::new(Sheet::default())),
             list: Mutex::default(),
@@ -88,7 +92,6 @@
             seen: Mutex::default(),
             owners: Mutex::default(),
             owned: Mutex::default(),
-            shares: Mutex::default(),
             table: Mutex::new(table),
             phase: watch::Sender::new(Phase::Starting),
             pauses: AtomicU64::new(0),
@@ -150,7 +153,7 @@
     }
 
     pub(crate) fn is_single(&self) -> bool {
-        self.settings.peer.is_none() || self.settings.vm_list.is_none()
+        is_single(&self.settings)
     }
 
     /// Puts a sheet in force if it is newer. Returns whether it was taken.
@@ -180,14 +183,7 @@
         });
         if taken {
             log::info!("config: sheet revision {revision} is in force");
-            let limits = newer.workspaces.iter().map(|(name, workspace)| {
-                let limit = Limit {
-                    rate: workspace.rate,
-                    burst: workspace.burst,
-                };
-                (name.clone(), limit)
-            });
-            lock(&self.shares).configure(self.now(), limits);
+            self.holder.configure(self.now(), &newer);
             self.sync();
             self.changes.send_modify(|count| *count += 1);
         }
@@ -240,6 +236,9 @@
             }
         }
         lock(&self.owners).set(pools);
+        if !self.is_single() {
+            self.sync_listed();
+        }
         self.sync_owned(owned);
         let ready = sheet.revision > 0 && (self.is_single() || !list.vms.is_empty());
         self.phase.send_if_modified(|phase| {
@@ -251,6 +250,30 @@
         });
     }
 
+    /// Applies the list and the known incarnations to the share holder role.
+    fn sync_listed(&self) {
+        let list = lock(&self.list).clone();
+        let seen = lock(&self.seen).clone();
+        let live: Vec<Name> = list
+            .vms
+            .iter()
+            .filter(|vm| vm.state == VmState::Live)
+            .map(|vm| vm.name.clone())
+            .collect();
+        let others = list
+            .vms
+            .iter()
+            .filter(|vm| vm.name != self.settings.vm)
+            .map(|vm| {
+                let incarnation = seen.get(&vm.name).map(|seen| seen.incarnation);
+                (vm.name.clone(), incarnation)
+            });
+        let sheet = self.sheet();
+        let own = &self.settings.vm;
+        self.holder
+            .set_listed(self.now(), own, &live, others, &sheet);
+    }
+
     fn sync_owned(&self, owned: HashMap<Name, (Name, TargetSpec)>) {
         let mut current = lock(&self.owned);
         let gone: Vec<Name> = current
@@ -307,15 +330,8 @@
         lock(&self.owners).pick(self.now(), pool, tier, tried, cost)
     }
 
-    /// Reserves tokens for a request.
-    pub(crate) async fn reserve(&self, workspace: &Name, tokens: u64) -> Option<Reservation> {
-        let now = self.now();
-        lock(&self.shares).reserve(now, workspace, tokens).ok()
-    }
-
-    pub(crate) fn settle(&self, reservation: &Reservation, used: u64) {
-        let now = self.now();
-        lock(&self.shares).settle(now, reservation, used);
+    pub(crate) fn settle(&self, reservation: Reservation, used: u64) {
+        self.holder.settle(self.now(), reservation, used);
     }
 
     /// Hands an offer to the owner role of this daemon.
@@ -380,6 +396,11 @@
                     ready: false,
                 };
                 let before = lock(&self.seen).insert(vm.clone(), seen);
+                let moves = self.holder.in_transit_to(incarnation);
+                if !moves.moves.is_empty() {
+                    self.peers.send(vm, Body::PartMoves(moves));
+                }
+                self.sync_listed();
                 if let Some(before) = before
                     && before.incarnation != incarnation
                 {
@@ -443,6 +464,8 @@
                     self.on_list(list, Duration::from_micros(push.age_us));
                 }
             }
+            Body::PartMoves(moves) => take_moves(self, &peer.vm, peer.incarnation, &moves),
+            Body::PartAck(ack) => self.holder.on_ack(self.now(), peer.incarnation, &ack),
             Body::Suspect(suspect) => self.owner.send(Msg::Suspect {
                 fingerprint: suspect.fingerprint,
                 crashed: suspect.targets.into_iter().map(Name::from).collect(),
@@ -456,6 +479,8 @@
     pub(crate) async fn on_request(self: &Arc<Self>, peer: &Peer, body: Body) -> Option<Body> {
         match body {
             Body::Offer(offer) => self.offer(offer, peer.incarnation).await.ok(),
+            Body::PartAsk(ask) => Some(Body::PartMoves(self.holder.on_ask(self.now(), peer, &ask))),
+            Body::PartQuery(_) => Some(Body::PartClaims(self.holder.claims(self.now()))),
             Body::OutcomeAsk(ask) => {
                 let (outcome, reason) = self.outcome(&ask.id).unwrap_or_default();
                 Some(Body::OutcomeReply(OutcomeReply { outcome, reason }))
@@ -466,7 +491,10 @@
 
     /// Takes a reply that nobody waits for any more.
     pub(crate) fn on_orphan(self: &Arc<Self>, vm: &Name, body: &Body) {
-        return_permit(self, vm, body);
+        match (body, self.peers.incarnation(vm)) {
+            (Body::PartMoves(moves), Some(giver)) => take_moves(self, vm, giver, moves),
+            _ => return_permit(self, vm, body),
+        }
     }
 
     fn push_sheet(&self, peer: &Peer, revision: u64) {
@@ -570,6 +598,11 @@
     }
 }
 
+/// Whether the settings name no fleet.
+fn is_single(settings: &Settings) -> bool {
+    settings.peer.is_none() || settings.vm_list.is_none()
+}
+
 fn list_push(list: &VmList, age: Duration) -> ListPush {
     ListPush {
         generation: list.generation,
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -20,7 +20,7 @@
 use crate::clock::BootClock;
 use crate::entry::{self, random_incarnation};
 use crate::node::Node;
-use crate::{admin, feed, owner, peer};
+use crate::{admin, feed, owner, peer, shares};
 
 /// Why the daemon does not start.
 #[derive(Debug)]
@@ -112,6 +112,7 @@
         }
         tokio::spawn(watch_pauses(Arc::clone(&node)));
         tokio::spawn(send_digests(Arc::clone(&node)));
+        tokio::spawn(shares::run(Arc::clone(&node)));
         let (stop, stop_rx) = oneshot::channel();
         let (stopped_tx, stopped) = oneshot::channel();
         let limits = Http::of(&node);
--- /dev/null
+++ b/crates/daemon/src/shares.rs
@@ -0,0 +1,448 @@
+//! The share holder role: parts of workspaces' buckets and their moves between daemons.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime};
+
+use limit::{
+    CLAIM_AGE, Claim, LeaseState, Limit, MoveId, PARTS, Reason, Reclaim, Reservation, Shares,
+    Timing,
+};
+use member::Incarnation;
+use metrics::counter;
+use sheet::{Name, Settings, Sheet};
+use tokio::time::{MissedTickBehavior, interval};
+use wire::{Body, PartAck, PartAsk, PartClaim, PartClaims, PartMove, PartMoves, PartQuery};
+
+use crate::node::Node;
+use crate::peer::Peer;
+
+/// Peers that are asked for tokens before a request is refused.
+const MAX_ASKED: usize = 8;
+
+/// Daemons that may hold parts of one workspace without having asked for them; all daemons of a
+/// small fleet. A bound keeps the questions about a workspace's parts few in a large one.
+const MAX_HOLDERS: usize = 16;
+
+/// Time after which a move without an answer is sent again.
+const RESEND: Duration = Duration::from_secs(2);
+
+/// Time between two looks at balance and reclaim.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Parts that this daemon holds, and the ones it is the successor of.
+#[derive(Debug)]
+pub(crate) struct Holder {
+    state: Mutex<State>,
+    /// A single daemon holds all parts from its start.
+    single: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    shares: Shares,
+    reclaim: Reclaim,
+}
+
+impl Holder {
+    pub(crate) fn new(
+        now: Duration,
+        incarnation: Incarnation,
+        settings: &Settings,
+        single: bool,
+    ) -> Self {
+        let timing = Timing {
+            propagation: settings.timing.propagation,
+            hold_down: settings.timing.hold_down() + CLAIM_AGE,
+        };
+        Holder {
+            state: Mutex::new(State {
+                shares: Shares::new(incarnation.0, timing),
+                reclaim: Reclaim::new(now, timing),
+            }),
+            single,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Puts the limits of a sheet in force.
+    pub(crate) fn configure(&self, now: Duration, sheet: &Sheet) {
+        let limits = sheet.workspaces.iter().map(|(name, workspace)| {
+            let limit = Limit {
+                rate: workspace.rate,
+                burst: workspace.burst,
+            };
+            (name.clone(), limit)
+        });
+        let mut state = self.lock();
+        state.shares.configure(now, limits);
+        if self.single {
+            let epoch = wall_seconds();
+            for workspace in sheet.workspaces.keys() {
+                for number in 0..PARTS {
+                    // False for parts that are held already.
+                    state.shares.start_part(now, workspace, number, epoch);
+                }
+            }
+        }
+    }
+
+    /// Applies a VM list: who may hold parts, and which parts this daemon succeeds to.
+    pub(crate) fn set_listed(
+        &self,
+        now: Duration,
+        own: &Name,
+        live: &[Name],
+        listed: impl IntoIterator<Item = (Name, Option<Incarnation>)>,
+        sheet: &Sheet,
+    ) {
+        let mut state = self.lock();
+        let listed = listed
+            .into_iter()
+            .map(|(vm, incarnation)| (vm, incarnation.map(|incarnation| incarnation.0)));
+        for gone in state.reclaim.set_listed(now, listed) {
+            state.shares.gone(gone);
+        }
+        for workspace in sheet.workspaces.keys() {
+            let parts = succession(own, live, workspace);
+            state.reclaim.set_successor(now, workspace, parts);
+        }
+    }
+
+    pub(crate) fn set_lease(&self, now: Duration, lease: LeaseState) {
+        self.lock().shares.set_lease(now, lease);
+    }
+
+    pub(crate) fn suspend(&self) {
+        self.lock().shares.suspend();
+    }
+
+    pub(crate) fn resume(&self) {
+        self.lock().shares.resume();
+    }
+
+    pub(crate) fn settle(&self, now: Duration, reservation: Reservation, used: u64) {
+        self.lock().shares.settle(now, reservation, used);
+    }
+
+    /// State of each workspace for the status document.
+    pub(crate) fn status(&self, now: Duration) -> Vec<limit::Status> {
+        self.lock().shares.status(now).collect()
+    }
+
+    /// All claims, in answer to a query.
+    pub(crate) fn claims(&self, now: Duration) -> PartClaims {
+        let claims = self.lock().shares.claims(now);
+        PartClaims {
+            claims: claims.iter().map(claim_message).collect(),
+        }
+    }
+
+    /// Answers a peer that is short of tokens.
+    pub(crate) fn on_ask(&self, now: Duration, peer: &Peer, ask: &PartAsk) -> PartMoves {
+        let workspace = Name::from(ask.workspace.as_str());
+        let mut state = self.lock();
+        let moves = state
+            .shares
+            .give(now, &workspace, ask.tokens, peer.incarnation.0);
+        PartMoves {
+            moves: moves.iter().map(move_message).collect(),
+            left: state.shares.claim(now, &workspace).tokens,
+        }
+    }
+
+    /// Takes parts and returns the answers for their giver.
+    pub(crate) fn on_moves(
+        &self,
+        now: Duration,
+        giver: Incarnation,
+        moves: &PartMoves,
+    ) -> Vec<PartAck> {
+        let mut state = self.lock();
+        let mut answers = Vec::new();
+        for message in &moves.moves {
+            let Ok(number) = u16::try_from(message.number) else {
+                continue;
+            };
+            let part = limit::PartMove {
+                workspace: message.workspace.as_str().into(),
+                number,
+                epoch: message.epoch,
+                hops: message.hops,
+                level_millis: message.level_millis,
+                receiver: message.receiver,
+            };
+            state
+                .shares
+                .note_peer(now, &part.workspace, giver.0, moves.left);
+            answers.push(PartAck {
+                workspace: message.workspace.clone(),
+                number: message.number,
+                epoch: message.epoch,
+                hops: message.hops,
+                taken: state.shares.accept(now, &part),
+            });
+        }
+        answers
+    }
+
+    /// Takes the answer to a move.
+    pub(crate) fn on_ack(&self, now: Duration, from: Incarnation, ack: &PartAck) {
+        let Ok(number) = u16::try_from(ack.number) else {
+            return;
+        };
+        let id = MoveId {
+            workspace: ack.workspace.as_str().into(),
+            number,
+            epoch: ack.epoch,
+            hops: ack.hops,
+        };
+        let mut state = self.lock();
+        if ack.taken {
+            state.shares.acked(now, from.0, &id);
+        } else {
+            state.shares.denied(now, from.0, &id);
+        }
+    }
+
+    /// Parts in transit to an incarnation, to be sent again on a new link.
+    pub(crate) fn in_transit_to(&self, incarnation: Incarnation) -> PartMoves {
+        let state = self.lock();
+        let moves = state.shares.in_transit();
+        PartMoves {
+            moves: moves
+                .filter(|part| part.receiver == incarnation.0)
+                .map(|part| move_message(&part))
+                .collect(),
+            left: 0,
+        }
+    }
+
+    /// Gives all parts to a receiver, for a daemon that leaves.
+    pub(crate) fn give_all(&self, now: Duration, receiver: Incarnation) -> PartMoves {
+        let mut state = self.lock();
+        let names: Vec<Name> = state.shares.status(now).map(|s| s.workspace).collect();
+        let moves = names
+            .iter()
+            .flat_map(|name| state.shares.give_all(now, name, receiver.0))
+            .map(|part| move_message(&part))
+            .collect();
+        PartMoves { moves, left: 0 }
+    }
+
+    /// Parts that are held or in transit, over all workspaces.
+    pub(crate) fn parts(&self, now: Duration) -> u32 {
+        let mut state = self.lock();
+        state
+            .shares
+            .status(now)
+            .map(|s| s.held + s.in_transit)
+            .sum()
+    }
+
+    fn try_reserve(
+        &self,
+        now: Duration,
+        workspace: &Name,
+        tokens: u64,
+    ) -> Result<Reservation, limit::Short> {
+        self.lock().shares.reserve(now, workspace, tokens)
+    }
+
+    fn richest(&self, now: Duration, workspace: &Name) -> Vec<Incarnation> {
+        let richest = self.lock().shares.richest(now, workspace);
+        richest.into_iter().map(Incarnation).collect()
+    }
+}
+
+/// Reserves tokens for a request, with parts of other holders if the own ones are short.
+pub(crate) async fn reserve(
+    node: &Arc<Node>,
+    workspace: &Name,
+    tokens: u64,
+) -> Option<Reservation> {
+    let mut short = match node.holder.try_reserve(node.now(), workspace, tokens) {
+        Ok(reservation) => return Some(reservation),
+        Err(short) => short,
+    };
+    if short.reason == Reason::Level {
+        for vm in holders_to_ask(node, workspace) {
+            let ask = PartAsk {
+                workspace: workspace.to_string(),
+                tokens: short.missing,
+            };
+            let wait = node.settings.timing.silent;
+            let Some(giver) = node.peers.incarnation(&vm) else {
+                continue;
+            };
+            if let Ok(Body::PartMoves(moves)) = node.peers.call(&vm, Body::PartAsk(ask), wait).await
+            {
+                take_moves(node, &vm, giver, &moves);
+            }
+            match node.holder.try_reserve(node.now(), workspace, tokens) {
+                Ok(reservation) => return Some(reservation),
+                Err(still) => short = still,
+            }
+        }
+    }
+    counter!("primrosechute_rate_refused_total", "reason" => short.reason.as_str()).increment(1);
+    None
+}
+
+/// Peers to ask for tokens: those that had most, then the others.
+fn holders_to_ask(node: &Arc<Node>, workspace: &Name) -> Vec<Name> {
+    let richest = node.holder.richest(node.now(), workspace);
+    let mut vms: Vec<Name> = richest
+        .into_iter()
+        .filter_map(|incarnation| node.peers.find(incarnation))
+        .collect();
+    let linked = node.peers.linked();
+    for vm in member::ranked(workspace, linked.iter().map(|vm| &**vm)) {
+        if !vms.iter().any(|known| &**known == vm) {
+            vms.push(Name::from(vm));
+        }
+    }
+    vms.truncate(MAX_ASKED);
+    vms
+}
+
+/// Takes parts that a peer sent and answers it.
+pub(crate) fn take_moves(node: &Arc<Node>, vm: &Name, giver: Incarnation, moves: &PartMoves) {
+    for ack in node.holder.on_moves(node.now(), giver, moves) {
+        node.peers.send(vm, Body::PartAck(ack));
+    }
+}
+
+/// Balances parts with peers and starts parts that no daemon holds, again and again.
+pub(crate) async fn run(node: Arc<Node>) {
+    let mut tick = interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut resent = node.now();
+    loop {
+        tick.tick().await;
+        if node.now().saturating_sub(resent) > RESEND {
+            resent = node.now();
+            resend(&node);
+        }
+        balance(&node);
+        query(&node);
+        start_unclaimed(&node);
+    }
+}
+
+/// Sends moves again whose answer has not come. Copies are harmless.
+fn resend(node: &Arc<Node>) {
+    let moves: Vec<_> = node.holder.lock().shares.in_transit().collect();
+    send_moves(node, moves);
+}
+
+fn balance(node: &Arc<Node>) {
+    let moves = node.holder.lock().shares.balance(node.now());
+    send_moves(node, moves);
+}
+
+fn send_moves(node: &Arc<Node>, moves: Vec<limit::PartMove>) {
+    let mut by_receiver: HashMap<u64, PartMoves> = HashMap::new();
+    for part in moves {
+        let message = by_receiver.entry(part.receiver).or_default();
+        message.moves.push(move_message(&part));
+    }
+    for (receiver, message) in by_receiver {
+        if let Some(vm) = node.peers.find(Incarnation(receiver)) {
+            node.peers.send(&vm, Body::PartMoves(message));
+        }
+    }
+}
+
+/// Asks peers for their claims where a part may have to be started.
+fn query(node: &Arc<Node>) {
+    let asked = node.now();
+    let peers = node.holder.lock().reclaim.ask(asked);
+    for incarnation in peers {
+        let Some(vm) = node.peers.find(Incarnation(incarnation)) else {
+            continue;
+        };
+        let node = Arc::clone(node);
+        tokio::spawn(async move {
+            let wait = node.settings.timing.silent;
+            let query = Body::PartQuery(PartQuery {});
+            if let Ok(Body::PartClaims(answer)) = node.peers.call(&vm, query, wait).await {
+                let claims: Vec<Claim> = answer.claims.iter().map(claim_of).collect();
+                let now = node.now();
+                let mut state = node.holder.lock();
+                for claim in &claims {
+                    state.shares.note_claim(now, incarnation, claim);
+                }
+                state.reclaim.answered(asked, incarnation, &claims);
+            }
+        });
+    }
+}
+
+fn start_unclaimed(node: &Arc<Node>) {
+    let mut guard = node.holder.lock();
+    let state = &mut *guard;
+    let started = state
+        .reclaim
+        .poll(node.now(), &mut state.shares, wall_seconds());
+    drop(guard);
+    if !started.is_empty() {
+        log::info!("share: started {} unclaimed parts, empty", started.len());
+        counter!("primrosechute_parts_started_total")
+            .increment(u64::try_from(started.len()).unwrap_or_default());
+    }
+}
+
+/// Parts of a workspace of which `own` is the successor, one bit a part.
+fn succession(own: &Name, live: &[Name], workspace: &Name) -> u32 {
+    let mut holders = member::ranked(workspace, live.iter().map(|vm| &**vm));
+    holders.truncate(MAX_HOLDERS);
+    (0..PARTS)
+        .filter(|number| {
+            let key = format!("{workspace}#{number}");
+            member::first(&key, holders.iter().copied()) == Some(&**own)
+        })
+        .fold(0, |parts, number| parts | 1 << number)
+}
+
+/// Lower bound for epochs, which grows over restarts of the whole fleet.
+fn wall_seconds() -> u64 {
+    SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .map_or(0, |since| since.as_secs())
+}
+
+fn move_message(part: &limit::PartMove) -> PartMove {
+    PartMove {
+        workspace: part.workspace.to_string(),
+        number: u32::from(part.number),
+        epoch: part.epoch,
+        level_millis: part.level_millis,
+        receiver: part.receiver,
+        hops: part.hops,
+    }
+}
+
+fn claim_message(claim: &Claim) -> PartClaim {
+    PartClaim {
+        workspace: claim.workspace.to_string(),
+        numbers: claim.parts.iter().map(|(n, _)| u32::from(*n)).collect(),
+        epochs: claim.parts.iter().map(|(_, epoch)| *epoch).collect(),
+        tokens: claim.tokens,
+    }
+}
+
+fn claim_of(message: &PartClaim) -> Claim {
+    let numbers = message
+        .numbers
+        .iter()
+        .map(|n| u16::try_from(*n).unwrap_or(u16::MAX));
+    Claim {
+        workspace: message.workspace.as_str().into(),
+        parts: numbers.zip(message.epochs.iter().copied()).collect(),
+        tokens: message.tokens,
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,5 +12,6 @@
 pub use message::{
     Body, Digest, Frame, Grant, Handover, HandoverAsk, HandoverRun, Heartbeat, Hello, ListPush,
     Offer, OfferReply, OutcomeAsk, OutcomeReply, PROTOCOL_VERSION, PartAck, PartAsk, PartClaim,
-    PartMove, PartQuery, Release, Shed, SheetPush, Suspect, TargetPhase, Verdict, VmRow, Withdraw,
+    PartClaims, PartMove, PartMoves, PartQuery, Release, Shed, SheetPush, Suspect, TargetPhase,
+    Verdict, VmRow, Withdraw,
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -57,7 +57,7 @@
     PartQuery(PartQuery),
     /// Answers a query.
     #[prost(message, tag = "13")]
-    PartClaim(PartClaim),
+    PartClaims(PartClaims),
     /// Asks the old owner of a target for its state.
     #[prost(message, tag = "14")]
     HandoverAsk(HandoverAsk),
@@ -329,15 +329,19 @@
     pub taken: bool,
 }
 
-/// Asks which parts of a workspace the receiver holds.
+/// Asks which parts of all workspaces the receiver holds.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct PartQuery {
-    /// Workspace; empty for all.
-    #[prost(string, tag = "1")]
-    pub workspace: String,
+pub struct PartQuery {}
+
+/// All parts that a daemon holds or has in transit.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PartClaims {
+    /// Claims by workspace.
+    #[prost(message, repeated, tag = "1")]
+    pub claims: Vec<PartClaim>,
 }
 
-/// Parts that a daemon holds or has in transit.
+/// Parts of one workspace that a daemon holds or has in transit.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct PartClaim {
     /// Workspace.
