--- /dev/null
+++ b/crates/sheet/src/cell.rs
@@ -0,0 +1,174 @@
+//! From the text of a cell to a value.
+
+use std::borrow::Cow;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::SheetFault;
+use crate::units::{Reason, parse_duration, parse_size};
+
+/// Largest number of tokens in a cell. Products with a time in nanoseconds fit `u128`, and sums
+/// over all workspaces fit `u64`.
+pub(crate) const MAX_TOKENS: u64 = 1_000_000_000_000;
+
+/// Largest number of requests in a cell.
+pub(crate) const MAX_REQUESTS: u64 = 1_000_000;
+
+/// Largest revision; leaves room for signed counters in other systems.
+pub(crate) const MAX_REVISION: u64 = i64::MAX as u64;
+
+/// Largest request body in bytes.
+pub(crate) const MAX_BODY: u64 = 1 << 30;
+
+/// Smallest and largest speed. A decimal point that is read as a thousands separator gives a
+/// speed above the largest one.
+pub(crate) const SPEEDS: std::ops::RangeInclusive<f64> = 0.01..=100.0;
+
+/// How numbers are written in a sheet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Decimal {
+    /// `1000.5`, in sheets with commas between cells.
+    Point,
+    /// `1000,5` or `1.000,5`, in sheets with semicolons between cells.
+    Comma,
+}
+
+type Parsed<T> = Result<T, SheetFault>;
+
+fn bad(text: &str, reason: impl Into<String>) -> SheetFault {
+    SheetFault::BadValue {
+        text: text.to_owned(),
+        reason: reason.into(),
+    }
+}
+
+/// Parses a whole number from 1 to `max`.
+pub(crate) fn whole(text: &str, decimal: Decimal, max: u64) -> Parsed<u64> {
+    let plain = plain(text, decimal)?;
+    let (digits, fraction) = plain.split_once('.').unwrap_or((&plain, "0"));
+    let is_digits = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+    if !is_digits(digits) || fraction.is_empty() || fraction.bytes().any(|b| b != b'0') {
+        return Err(bad(text, "not a whole number; write digits only"));
+    }
+    match digits.parse() {
+        Ok(0) => Err(SheetFault::Zero),
+        Ok(number) if number <= max => Ok(number),
+        _ => Err(bad(text, format!("above {max}; write a smaller number"))),
+    }
+}
+
+/// Parses a relative speed.
+pub(crate) fn speed(text: &str, decimal: Decimal) -> Parsed<f64> {
+    const BAD: Reason = "not a number; write for example 1 or 2.5";
+    let plain = plain(text, decimal)?;
+    if plain.bytes().any(|b| !b.is_ascii_digit() && b != b'.') {
+        return Err(bad(text, BAD));
+    }
+    match plain.parse::<f64>() {
+        Ok(0.0) => Err(SheetFault::Zero),
+        Ok(speed) if SPEEDS.contains(&speed) => Ok(speed),
+        Ok(_) => {
+            let (min, max) = (SPEEDS.start(), SPEEDS.end());
+            Err(bad(text, format!("not from {min} to {max}; correct it")))
+        }
+        Err(_) => Err(bad(text, BAD)),
+    }
+}
+
+/// Parses a duration of whole milliseconds.
+pub(crate) fn deadline(text: &str, decimal: Decimal) -> Parsed<Duration> {
+    let duration = parse_duration(&plain(text, decimal)?).map_err(|e| bad(text, e))?;
+    if duration.is_zero() {
+        return Err(SheetFault::Zero);
+    }
+    if duration.subsec_nanos() % 1_000_000 != 0 {
+        return Err(bad(text, "finer than 1ms; write whole milliseconds"));
+    }
+    Ok(duration)
+}
+
+/// Parses the size of a request body.
+pub(crate) fn body_size(text: &str, decimal: Decimal) -> Parsed<u64> {
+    match parse_size(&plain(text, decimal)?) {
+        Ok(0) => Err(SheetFault::Zero),
+        Ok(size) if size <= MAX_BODY => Ok(size),
+        Ok(_) => Err(bad(text, "above 1GiB; write a smaller size")),
+        Err(reason) => Err(bad(text, reason)),
+    }
+}
+
+/// Parses an address. Host names are refused, since no daemon resolves names.
+pub(crate) fn address(text: &str) -> Parsed<SocketAddr> {
+    let address = text.parse::<SocketAddr>().ok();
+    let usable =
+        address.filter(|a| a.port() != 0 && !a.ip().is_unspecified() && !a.ip().is_multicast());
+    usable.ok_or_else(|| SheetFault::BadAddress(text.to_owned()))
+}
+
+/// Parses a SHA-256 in hex digits.
+pub(crate) fn sha256(text: &str) -> Parsed<[u8; 32]> {
+    let mut hash = [0; 32];
+    match hex::decode_to_slice(text, &mut hash) {
+        Ok(()) => Ok(hash),
+        Err(_) => Err(SheetFault::BadHash),
+    }
+}
+
+/// Parses one of several words, in any case.
+pub(crate) fn choice<T: Copy>(text: &str, choices: &[(&str, T)]) -> Parsed<T> {
+    let found = choices
+        .iter()
+        .find(|(word, _)| word.eq_ignore_ascii_case(text));
+    found.map(|&(_, value)| value).ok_or_else(|| {
+        let words: Vec<_> = choices.iter().map(|&(word, _)| word).collect();
+        SheetFault::BadChoice {
+            text: text.to_owned(),
+            choices: words.join(", "),
+        }
+    })
+}
+
+/// Rewrites the number at the start of a text with a decimal point and without separators.
+fn plain(text: &str, decimal: Decimal) -> Parsed<Cow<'_, str>> {
+    let end = text.find(|c: char| !c.is_ascii_digit() && c != '.' && c != ',');
+    let (number, unit) = text.split_at(end.unwrap_or(text.len()));
+    match decimal {
+        Decimal::Point if number.contains(',') => Err(bad(
+            text,
+            "written with a comma; in sheets with commas between cells write a decimal point and \
+             no thousands separator",
+        )),
+        Decimal::Comma if number.contains(['.', ',']) => {
+            let (whole, fraction) = match number.split_once(',') {
+                Some((whole, fraction)) => (whole, Some(fraction)),
+                None => (number, None),
+            };
+            let misplaced = fraction.is_some_and(|fraction| fraction.contains(['.', ',']));
+            if misplaced || !is_grouped(whole) {
+                return Err(bad(
+                    text,
+                    "not a number with a decimal comma; in sheets with semicolons between cells \
+                     write for example 1,5 or 1.000,5",
+                ));
+            }
+            let mut out = whole.replace('.', "");
+            if let Some(fraction) = fraction {
+                out.push('.');
+                out.push_str(fraction);
+            }
+            out.push_str(unit);
+            Ok(Cow::Owned(out))
+        }
+        _ => Ok(Cow::Borrowed(text)),
+    }
+}
+
+/// Whether points, if any, stand between groups of three digits.
+fn is_grouped(whole: &str) -> bool {
+    match whole.split_once('.') {
+        None => true,
+        Some((first, rest)) => {
+            (1..=3).contains(&first.len()) && rest.split('.').all(|group| group.len() == 3)
+        }
+    }
+}
--- a/crates/sheet/src/error.rs
+++ b/crates/sheet/src/error.rs
@@ -2,7 +2,25 @@
 
 use std::fmt;
 
+use crate::column::{Column, Kind};
+use crate::parse::{MAX_ROWS, MAX_TIERS};
+use crate::table::MAX_SHEET_BYTES;
+
+/// Most errors that are reported one by one.
+pub const MAX_ERRORS: usize = 50;
+
+/// Longest piece of a cell that an error repeats, in characters.
+const MAX_QUOTED: usize = 40;
+
 /// One error of a sheet, with its place.
+///
+/// ```
+/// let errors = sheet::Sheet::parse(b"kind,name,state\nzone,a,open\n").unwrap_err();
+/// assert_eq!(
+///     errors[1].to_string(),
+///     "row 2, column state: \"open\" is not one of in, out; use one of these"
+/// );
+/// ```
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SheetError {
     /// Row as a spreadsheet numbers it, the header being row 1; 0 for the sheet as a whole.
@@ -13,20 +31,274 @@
     pub fault: SheetFault,
 }
 
-/// What is wrong in a sheet.
+/// What is wrong in a sheet. Names of kinds and columns are those of the sheet format.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SheetFault {
-    /// The sheet is larger than [`MAX_SHEET_BYTES`](crate::MAX_SHEET_BYTES).
+    /// The sheet has this many bytes, more than [`MAX_SHEET_BYTES`](crate::MAX_SHEET_BYTES).
     TooLarge(usize),
+    /// The canonical form of the sheet has this many bytes, more than the limit.
+    CanonicalTooLarge(usize),
+    /// The sheet has more rows than [`MAX_ROWS`](crate::MAX_ROWS).
+    TooManyRows,
+    /// The sheet has more tiers than [`MAX_TIERS`](crate::MAX_TIERS).
+    TooManyTiers,
+    /// The text is not UTF-8.
+    NotUtf8,
+    /// The CSV reader gave this error.
+    Csv(String),
+    /// There is no header row.
+    NoHeader,
+    /// The header lacks a column that all kinds need.
+    NoColumn,
+    /// The header has a column that the format does not know.
+    UnknownColumn,
+    /// The header names a column twice.
+    RepeatedColumn,
+    /// A cell has no column name above it.
+    NoHeaderAbove(String),
+    /// A cell contains a line break.
+    LineBreak,
+    /// The kind is unknown.
+    UnknownKind(String),
+    /// A cell that this kind needs is empty.
+    Empty(&'static str),
+    /// A cell that this kind does not use has a value.
+    NotUsed(&'static str),
+    /// There is no `sheet` row.
+    NoSheetRow,
+    /// There is another `sheet` row.
+    SecondSheetRow(usize),
+    /// The title is too long or has control characters.
+    BadTitle,
+    /// The text is not a name.
+    BadName(String),
+    /// The text is not a path prefix.
+    BadPath(String),
+    /// The daemon itself answers this path.
+    ReservedPath(String),
+    /// The name is used by an earlier row of this kind.
+    RepeatedName {
+        /// Kind of the two rows.
+        kind: &'static str,
+        /// The name.
+        name: String,
+        /// The earlier row.
+        row: usize,
+    },
+    /// No row of this kind has the name.
+    Undefined {
+        /// Kind of the missing row.
+        kind: &'static str,
+        /// The name.
+        name: String,
+    },
+    /// The text is none of the allowed words.
+    BadChoice {
+        /// The text.
+        text: String,
+        /// The allowed words.
+        choices: String,
+    },
+    /// The text is not a valid number, duration or size.
+    BadValue {
+        /// The text.
+        text: String,
+        /// What is wrong and what to write.
+        reason: String,
+    },
+    /// The value is zero.
+    Zero,
+    /// The text is not an IP number with a port.
+    BadAddress(String),
+    /// The address is used by an earlier target.
+    RepeatedAddress {
+        /// The address.
+        address: String,
+        /// The earlier row.
+        row: usize,
+    },
+    /// The key hash is not 64 hex digits. The text is not kept, since it may be a key.
+    BadHash,
+    /// The key hash is used by an earlier key.
+    RepeatedHash(usize),
+    /// This many more errors were found and left out.
+    More(usize),
 }
 
 impl fmt::Display for SheetError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "row {}, column {}: ", self.row, self.column)?;
-        match &self.fault {
-            SheetFault::TooLarge(bytes) => write!(f, "{bytes} bytes"),
+        match (self.row, self.column.as_str()) {
+            (0, _) => f.write_str("sheet: ")?,
+            (row, "") => write!(f, "row {row}: ")?,
+            (row, column) => write!(f, "row {row}, column {}: ", shorten(column))?,
         }
+        self.fault.fmt(f)
     }
 }
 
 impl std::error::Error for SheetError {}
+
+impl fmt::Display for SheetFault {
+    #[expect(clippy::too_many_lines, reason = "one arm for each fault")]
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge(bytes) => write!(
+                f,
+                "has {bytes} bytes, more than {MAX_SHEET_BYTES}; remove rows or split the site"
+            ),
+            Self::CanonicalTooLarge(bytes) => write!(
+                f,
+                "has {bytes} bytes in canonical form, more than {MAX_SHEET_BYTES}; remove rows or \
+                 split the site"
+            ),
+            Self::TooManyRows => write!(
+                f,
+                "has more than {MAX_ROWS} rows; remove rows or split the site"
+            ),
+            Self::TooManyTiers => {
+                write!(
+                    f,
+                    "is beyond the limit of {MAX_TIERS} tiers; remove the row"
+                )
+            }
+            Self::NotUtf8 => f.write_str("is not UTF-8 text; save the sheet as CSV in UTF-8"),
+            Self::Csv(reason) => write!(f, "is not CSV ({reason}); export the sheet again"),
+            Self::NoHeader => {
+                f.write_str("has no rows; write a header row with the column names first")
+            }
+            Self::NoColumn => f.write_str("is missing in the header; add it"),
+            Self::UnknownColumn => {
+                f.write_str("is not a known column; remove it or use one of ")?;
+                write_names(f, Column::ALL.iter().map(|column| column.name()))
+            }
+            Self::RepeatedColumn => f.write_str("is in the header twice; remove one"),
+            Self::NoHeaderAbove(text) => write!(
+                f,
+                "{:?} is in a column without a header; clear the cell or name the column",
+                shorten(text)
+            ),
+            Self::LineBreak => f.write_str(
+                "contains a line break; remove it, or close the quote that was left open",
+            ),
+            Self::UnknownKind(text) => {
+                write!(f, "{:?} is not a kind; use one of ", shorten(text))?;
+                write_names(f, Kind::ALL.iter().map(|kind| kind.name()))
+            }
+            Self::Empty(kind) => write!(f, "is empty; a {kind} row needs a value"),
+            Self::NotUsed(kind) => write!(f, "is not used by a {kind} row; clear the cell"),
+            Self::NoSheetRow => {
+                f.write_str("has no row of kind sheet; add one with the title and the revision")
+            }
+            Self::SecondSheetRow(row) => {
+                write!(
+                    f,
+                    "is a second row of kind sheet after row {row}; remove one"
+                )
+            }
+            Self::BadTitle => {
+                f.write_str("is not a title; use up to 200 characters without control characters")
+            }
+            Self::BadName(text) => write!(
+                f,
+                "{:?} is not a name; use up to 64 ASCII letters, digits, \"-\", \"_\" and \".\"",
+                shorten(text)
+            ),
+            Self::BadPath(text) => write!(
+                f,
+                "{:?} is not a path prefix; write for example /v1/completions, without a slash at \
+                 the end, escapes or a query",
+                shorten(text)
+            ),
+            Self::ReservedPath(text) => write!(
+                f,
+                "{:?} is answered by the daemon itself; use another path",
+                shorten(text)
+            ),
+            Self::RepeatedName { kind, name, row } => write!(
+                f,
+                "{kind} {:?} is already in row {row}; rename or remove one",
+                shorten(name)
+            ),
+            Self::Undefined { kind, name } => write!(
+                f,
+                "no {kind} is named {:?}; correct the name or add a {kind} row",
+                shorten(name)
+            ),
+            Self::BadChoice { text, choices } => write!(
+                f,
+                "{:?} is not one of {choices}; use one of these",
+                shorten(text)
+            ),
+            Self::BadValue { text, reason } => write!(f, "{:?} is {reason}", shorten(text)),
+            Self::Zero => f.write_str("is zero; write a value above 0"),
+            Self::BadAddress(text) => write!(
+                f,
+                "{:?} is not an IP number with a port; write for example 10.0.0.7:8000",
+                shorten(text)
+            ),
+            Self::RepeatedAddress { address, row } => write!(
+                f,
+                "{address} is already the address in row {row}; correct one of them"
+            ),
+            Self::BadHash => f.write_str(
+                "is not 64 hex digits; write the SHA-256 of the key and never the key itself",
+            ),
+            Self::RepeatedHash(row) => {
+                write!(f, "is the hash of the key in row {row}; issue another key")
+            }
+            Self::More(count) => write!(f, "has {count} more errors; correct these first"),
+        }
+    }
+}
+
+/// Errors found so far.
+#[derive(Default)]
+pub(crate) struct Errors {
+    list: Vec<SheetError>,
+    more: usize,
+}
+
+impl Errors {
+    pub(crate) fn push(&mut self, row: usize, column: &str, fault: SheetFault) {
+        if self.list.len() == MAX_ERRORS {
+            self.more += 1;
+            return;
+        }
+        self.list.push(SheetError {
+            row,
+            column: column.to_owned(),
+            fault,
+        });
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    pub(crate) fn into_sorted(mut self) -> Vec<SheetError> {
+        // Errors of a row stay in the order of its columns.
+        self.list.sort_by_key(|e| e.row);
+        if self.more > 0 {
+            self.list.push(SheetError {
+                row: 0,
+                column: String::new(),
+                fault: SheetFault::More(self.more),
+            });
+        }
+        self.list
+    }
+}
+
+fn write_names(
+    f: &mut fmt::Formatter<'_>,
+    names: impl Iterator<Item = &'static str>,
+) -> fmt::Result {
+    f.write_str(&names.collect::<Vec<_>>().join(", "))
+}
+
+fn shorten(text: &str) -> String {
+    match text.char_indices().nth(MAX_QUOTED) {
+        Some((end, _)) => format!("{}...", &text[..end]),
+        None => text.to_owned(),
+    }
+}
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -4,23 +4,29 @@
 
 #![forbid(unsafe_code)]
 
+mod canon;
+mod cell;
+mod column;
 mod diff;
 mod error;
 mod lookup;
 mod model;
+mod name;
 mod parse;
 mod read;
 mod settings;
 mod settings_error;
+mod table;
 mod units;
 
 pub use diff::{KindDiff, SheetDiff};
-pub use error::{SheetError, SheetFault};
+pub use error::{MAX_ERRORS, SheetError, SheetFault};
 pub use lookup::key_hash;
 pub use model::{
     Access, ContentHash, Key, KeyState, Name, Pool, PoolKind, Route, Sheet, Target, TargetState,
     Tier, Workspace, Zone, ZoneState,
 };
-pub use parse::MAX_SHEET_BYTES;
+pub use parse::{MAX_ROWS, MAX_TIERS};
 pub use settings::{Limits, Log, LogFormat, LogLevel, Settings, SheetSource, Timing};
 pub use settings_error::{SettingsError, SettingsFault};
+pub use table::MAX_SHEET_BYTES;
--- a/crates/sheet/src/parse.rs
+++ b/crates/sheet/src/parse.rs
@@ -1,27 +1,364 @@
 //! From rows to a checked sheet.
 
-use crate::{Sheet, SheetError, SheetFault};
+use std::collections::HashMap;
+use std::net::SocketAddr;
 
-/// Largest sheet in bytes, the largest value of the configuration service.
-pub const MAX_SHEET_BYTES: usize = 1_000_000;
+use crate::cell::{self, Decimal, MAX_REQUESTS, MAX_REVISION, MAX_TOKENS};
+use crate::column::{Column, Kind};
+use crate::error::Errors;
+use crate::table::{MAX_SHEET_BYTES, Row, Table};
+use crate::{
+    Access, Key, KeyState, Name, Pool, PoolKind, Route, Sheet, SheetError, SheetFault, Target,
+    TargetState, Tier, Workspace, Zone, ZoneState, name,
+};
+
+/// Most rows of a sheet: room for 12,000 targets, 2,700 workspaces and a key for each.
+pub const MAX_ROWS: usize = 20_000;
+
+/// Most tiers of a sheet.
+pub const MAX_TIERS: usize = 8;
+
+const YES_NO: [(&str, bool); 2] = [("yes", true), ("no", false)];
 
 impl Sheet {
-    /// Parses and checks a sheet. All errors are returned, up to a bound.
+    /// Parses and checks a sheet: CSV with commas or semicolons, optionally with a byte-order mark.
     ///
     /// # Errors
     ///
-    /// The errors in the order of the rows.
+    /// All errors in the order of the rows, at most [`MAX_ERRORS`](crate::MAX_ERRORS) and a count of the others.
+    ///
+    /// ```
+    /// let csv = "kind;name;rate;burst;revision\n\
+    ///            sheet;Riga;;;3\n\
+    ///            workspace;salon-chain;1.500;10.000;\n";
+    /// let sheet = sheet::Sheet::parse(csv.as_bytes()).unwrap();
+    /// assert_eq!(sheet.revision, 3);
+    /// assert_eq!(sheet.workspaces["salon-chain"].rate, 1500);
+    /// ```
     pub fn parse(input: &[u8]) -> Result<Sheet, Vec<SheetError>> {
-        Err(vec![SheetError {
-            row: 0,
-            column: String::new(),
-            fault: SheetFault::TooLarge(input.len()),
-        }])
+        let mut errors = Errors::default();
+        let table = Table::read(input, &mut errors);
+        if let Some(table) = table.filter(|_| errors.is_empty()) {
+            let mut builder = Builder::new(&table, errors);
+            builder.read_names();
+            builder.read_rows();
+            errors = builder.errors;
+            if errors.is_empty() {
+                let mut sheet = builder.sheet;
+                sheet.sort_routes();
+                let size = sheet.to_csv().len();
+                if size <= MAX_SHEET_BYTES {
+                    sheet.hash = sheet.content_hash();
+                    return Ok(sheet);
+                }
+                errors.push(0, "", SheetFault::CanonicalTooLarge(size));
+            }
+        }
+        Err(errors.into_sorted())
+    }
+
+    fn sort_routes(&mut self) {
+        self.routes.sort_by(|a, b| {
+            let by_length = b.path.len().cmp(&a.path.len());
+            by_length.then_with(|| a.path.cmp(&b.path))
+        });
+    }
+}
+
+/// State of one parse.
+struct Builder<'a> {
+    table: &'a Table,
+    decimal: Decimal,
+    sheet: Sheet,
+    errors: Errors,
+    /// Rows whose kind is known.
+    rows: Vec<(Kind, &'a Row)>,
+    /// First row of each name, also of names with errors, so that one error isn't reported again
+    /// at each reference.
+    names: HashMap<(Kind, &'a str), usize>,
+    /// Ranks of the tiers.
+    ranks: HashMap<&'a str, u8>,
+    addresses: HashMap<SocketAddr, usize>,
+    hashes: HashMap<[u8; 32], usize>,
+}
+
+impl<'a> Builder<'a> {
+    fn new(table: &'a Table, errors: Errors) -> Self {
+        Self {
+            table,
+            decimal: table.decimal,
+            sheet: Sheet::default(),
+            errors,
+            rows: Vec::new(),
+            names: HashMap::new(),
+            ranks: HashMap::new(),
+            addresses: HashMap::new(),
+            hashes: HashMap::new(),
+        }
+    }
+
+    /// Finds the kinds and names of all rows, since rows may refer to later ones.
+    fn read_names(&mut self) {
+        let mut sheet_row = None;
+        for row in &self.table.rows {
+            let text = self.table.cell(row, Column::Kind);
+            let Some(kind) = Kind::from_cell(text) else {
+                let fault = SheetFault::UnknownKind(text.to_owned());
+                self.errors.push(row.number, Column::Kind.name(), fault);
+                continue;
+            };
+            if kind == Kind::Sheet {
+                if let Some(first) = sheet_row {
+                    let fault = SheetFault::SecondSheetRow(first);
+                    self.errors.push(row.number, "", fault);
+                    continue;
+                }
+                sheet_row = Some(row.number);
+            }
+            self.rows.push((kind, row));
+            let name = self.table.cell(row, Column::Name);
+            if name.is_empty() {
+                continue;
+            }
+            if let Some(&first) = self.names.get(&(kind, name)) {
+                let fault = SheetFault::RepeatedName {
+                    kind: kind.name(),
+                    name: name.to_owned(),
+                    row: first,
+                };
+                self.errors.push(row.number, Column::Name.name(), fault);
+                continue;
+            }
+            self.names.insert((kind, name), row.number);
+            if kind == Kind::Tier {
+                self.add_rank(name, row.number);
+            }
+        }
+        if sheet_row.is_none() {
+            self.errors.push(0, "", SheetFault::NoSheetRow);
+        }
+    }
+
+    fn add_rank(&mut self, name: &'a str, row: usize) {
+        if self.ranks.len() == MAX_TIERS {
+            self.errors.push(row, "", SheetFault::TooManyTiers);
+        }
+        let rank = u8::try_from(self.ranks.len()).unwrap_or(u8::MAX);
+        self.ranks.insert(name, rank);
+    }
+
+    fn read_rows(&mut self) {
+        for (kind, row) in std::mem::take(&mut self.rows) {
+            if !self.check_cells(kind, row) {
+                continue;
+            }
+            // `None` means that an error was recorded.
+            let _: Option<()> = match kind {
+                Kind::Sheet => self.sheet_row(row),
+                Kind::Zone => self.zone(row),
+                Kind::Tier => self.tier(row),
+                Kind::Workspace => self.workspace(row),
+                Kind::Key => self.key(row),
+                Kind::Pool => self.pool(row),
+                Kind::Target => self.target(row),
+                Kind::Route => self.route(row),
+            };
+        }
+    }
+
+    /// Checks that the kind's cells are filled, the others empty, and no cell spans lines.
+    fn check_cells(&mut self, kind: Kind, row: &Row) -> bool {
+        for column in Column::ALL {
+            let text = self.table.cell(row, column);
+            let fault = match (kind.uses(column), text.is_empty()) {
+                _ if text.contains(['\n', '\r']) => {
+                    // An open quote swallows rows; errors in their cells would mislead.
+                    self.errors
+                        .push(row.number, column.name(), SheetFault::LineBreak);
+                    return false;
+                }
+                (true, true) => SheetFault::Empty(kind.name()),
+                (false, false) => SheetFault::NotUsed(kind.name()),
+                _ => continue,
+            };
+            self.errors.push(row.number, column.name(), fault);
+        }
+        true
+    }
+
+    /// Parses a cell; `None` if it is empty or has an error.
+    fn read<T>(
+        &mut self,
+        row: &'a Row,
+        column: Column,
+        parse: impl FnOnce(&'a str) -> Result<T, SheetFault>,
+    ) -> Option<T> {
+        let text = self.table.cell(row, column);
+        if text.is_empty() {
+            return None;
+        }
+        match parse(text) {
+            Ok(value) => Some(value),
+            Err(fault) => {
+                self.errors.push(row.number, column.name(), fault);
+                None
+            }
+        }
+    }
+
+    fn whole(&mut self, row: &'a Row, column: Column, max: u64) -> Option<u64> {
+        let decimal = self.decimal;
+        self.read(row, column, |text| cell::whole(text, decimal, max))
+    }
+
+    fn choice<T: Copy>(&mut self, row: &'a Row, column: Column, words: &[(&str, T)]) -> Option<T> {
+        self.read(row, column, |text| cell::choice(text, words))
+    }
+
+    fn name(&mut self, row: &'a Row) -> Option<Name> {
+        self.read(row, Column::Name, name::name)
+    }
+
+    /// Parses a cell that names a row of another kind.
+    fn reference(&mut self, row: &'a Row, column: Column, kind: Kind) -> Option<&'a str> {
+        let text = self.read(row, column, Ok)?;
+        if self.names.contains_key(&(kind, text)) {
+            return Some(text);
+        }
+        let fault = SheetFault::Undefined {
+            kind: kind.name(),
+            name: text.to_owned(),
+        };
+        self.errors.push(row.number, column.name(), fault);
+        None
+    }
+
+    fn rank(&mut self, row: &'a Row) -> Option<u8> {
+        let tier = self.reference(row, Column::Tier, Kind::Tier)?;
+        self.ranks.get(tier).copied()
+    }
+
+    fn sheet_row(&mut self, row: &'a Row) -> Option<()> {
+        let title = self.read(row, Column::Name, name::title);
+        let revision = self.whole(row, Column::Revision, MAX_REVISION);
+        self.sheet.title = title?;
+        self.sheet.revision = revision?;
+        Some(())
+    }
+
+    fn zone(&mut self, row: &'a Row) -> Option<()> {
+        let words = [("in", ZoneState::In), ("out", ZoneState::Out)];
+        let name = self.name(row);
+        let state = self.choice(row, Column::State, &words);
+        self.sheet.zones.insert(name?, Zone { state: state? });
+        Some(())
+    }
+
+    fn tier(&mut self, row: &'a Row) -> Option<()> {
+        let name = self.name(row)?;
+        self.sheet.tiers.push(Tier { name });
+        Some(())
+    }
+
+    fn workspace(&mut self, row: &'a Row) -> Option<()> {
+        let name = self.name(row);
+        let rate = self.whole(row, Column::Rate, MAX_TOKENS);
+        let burst = self.whole(row, Column::Burst, MAX_TOKENS);
+        let workspace = Workspace {
+            rate: rate?,
+            burst: burst?,
+        };
+        self.sheet.workspaces.insert(name?, workspace);
+        Some(())
+    }
+
+    fn key(&mut self, row: &'a Row) -> Option<()> {
+        let words = [
+            ("active", KeyState::Active),
+            ("withdrawn", KeyState::Withdrawn),
+        ];
+        let name = self.name(row);
+        let workspace = self.reference(row, Column::Workspace, Kind::Workspace);
+        let highest_tier = self.rank(row);
+        let state = self.choice(row, Column::State, &words);
+        let hash = self.read(row, Column::Sha256, cell::sha256)?;
+        if let Some(first) = self.hashes.insert(hash, row.number) {
+            let fault = SheetFault::RepeatedHash(first);
+            self.errors.push(row.number, Column::Sha256.name(), fault);
+        }
+        let key = Key {
+            name: name?,
+            workspace: workspace?.into(),
+            highest_tier: highest_tier?,
+            state: state?,
+        };
+        self.sheet.keys.insert(hash, key);
+        Some(())
+    }
+
+    fn pool(&mut self, row: &'a Row) -> Option<()> {
+        let words = [("engine", PoolKind::Engine), ("service", PoolKind::Service)];
+        let name = self.name(row);
+        let kind = self.choice(row, Column::State, &words);
+        self.sheet.pools.insert(name?, Pool { kind: kind? });
+        Some(())
+    }
+
+    fn target(&mut self, row: &'a Row) -> Option<()> {
+        let words = [("in", TargetState::In), ("leaving", TargetState::Leaving)];
+        let decimal = self.decimal;
+        let name = self.name(row);
+        let pool = self.reference(row, Column::Pool, Kind::Pool);
+        let zone = self.reference(row, Column::Zone, Kind::Zone);
+        let address = self.read(row, Column::Address, cell::address);
+        let state = self.choice(row, Column::State, &words);
+        let capacity = self.whole(row, Column::Capacity, MAX_TOKENS);
+        let cold_limit = self.whole(row, Column::ColdLimit, MAX_REQUESTS);
+        let speed = self.read(row, Column::Speed, |text| cell::speed(text, decimal));
+        let fencing = self.choice(row, Column::Fencing, &YES_NO);
+        let address = address?;
+        if let Some(first) = self.addresses.insert(address, row.number) {
+            let fault = SheetFault::RepeatedAddress {
+                address: address.to_string(),
+                row: first,
+            };
+            self.errors.push(row.number, Column::Address.name(), fault);
+        }
+        let target = Target {
+            pool: pool?.into(),
+            zone: zone?.into(),
+            address,
+            state: state?,
+            capacity: capacity?,
+            cold_limit: u32::try_from(cold_limit?).ok()?,
+            speed: speed?,
+            fencing: fencing?,
+        };
+        self.sheet.targets.insert(name?, target);
+        Some(())
     }
 
-    /// The canonical form, which parses back to an equal sheet.
-    #[must_use]
-    pub fn to_csv(&self) -> String {
-        String::new()
+    fn route(&mut self, row: &'a Row) -> Option<()> {
+        let words = [("open", Access::Open), ("keyed", Access::Keyed)];
+        let decimal = self.decimal;
+        let path = self.read(row, Column::Name, name::path);
+        let pool = self.reference(row, Column::Pool, Kind::Pool);
+        let tier = self.rank(row);
+        let access = self.choice(row, Column::Access, &words);
+        let idempotent = self.choice(row, Column::Idempotent, &YES_NO);
+        let max_body = self.read(row, Column::MaxBody, |text| cell::body_size(text, decimal));
+        let max_tokens = self.whole(row, Column::MaxTokens, MAX_TOKENS);
+        let deadline = self.read(row, Column::Deadline, |text| cell::deadline(text, decimal));
+        self.sheet.routes.push(Route {
+            path: path?,
+            pool: pool?.into(),
+            access: access?,
+            idempotent: idempotent?,
+            max_body: max_body?,
+            max_tokens: max_tokens?,
+            deadline: deadline?,
+            tier: tier?,
+        });
+        Some(())
     }
 }
