member: add the view, ownership, fencing and relay rules

The daemon needs the membership API. View keeps the list, the peers and the lease; Ownership turns lists and answers into actions; Fence orders owners of a target; relay_role bounds the readers of the platform.

The state machine test with faults is not written yet.

--- /dev/null
+++ b/crates/member/src/config.rs
@@ -0,0 +1,69 @@
+//! Times that the membership rules use.
+
+use std::time::Duration;
+
+/// Times of the membership rules; equal in all daemons of a fleet.
+///
+/// ```
+/// let cfg = member::Config::default();
+/// assert!(cfg.check().is_ok());
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// By how much a list may be older than its age says: the lag of the platform (10 s) plus the
+    /// time that a message may spend in transit and in buffers.
+    pub lag: Duration,
+    /// Time for which a list that contains this VM confirms the lease.
+    pub lease: Duration,
+    /// Wait of a new owner whose predecessor can't be reached.
+    pub hold_down: Duration,
+    /// A peer that wasn't heard for this time is not reached; its links are closed. No message
+    /// spends more than this time in transit and in buffers.
+    pub silence: Duration,
+    /// Wait after proof that the old owner's process is gone.
+    pub grace: Duration,
+    /// First interval between two questions to an old owner; it doubles up to eight times this.
+    pub ask_every: Duration,
+    /// The daemon runs without a fleet: the lease is always held and targets start at once.
+    pub standalone: bool,
+}
+
+/// The times contradict each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigError {
+    /// `hold_down` must exceed twice the sum of `lag` and `lease`.
+    HoldDownTooShort,
+    /// `lease` must exceed `silence`.
+    LeaseTooShort,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            lag: Duration::from_secs(12),
+            lease: Duration::from_secs(6),
+            hold_down: Duration::from_secs(38),
+            silence: Duration::from_secs(2),
+            grace: Duration::from_secs(1),
+            ask_every: Duration::from_millis(500),
+            standalone: false,
+        }
+    }
+}
+
+impl Config {
+    /// Checks the relations that the safety argument of [`Ownership`](crate::Ownership) needs.
+    ///
+    /// # Errors
+    ///
+    /// The first relation that doesn't hold.
+    pub fn check(&self) -> Result<(), ConfigError> {
+        if self.hold_down <= 2 * (self.lag + self.lease) {
+            return Err(ConfigError::HoldDownTooShort);
+        }
+        if self.lease <= self.silence {
+            return Err(ConfigError::LeaseTooShort);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/member/src/fence.rs
@@ -0,0 +1,44 @@
+//! Fencing numbers of orders to engines.
+
+use std::fmt;
+
+/// Fencing number of an order, compared by revision, then generation, then order.
+///
+/// It grows over successive owners of a target: a later owner took the target by a list of a
+/// higher generation, and two processes of one VM have growing `order`. The revision of a sheet
+/// reaches every daemon faster (5 s) than a hold-down ends; after a hand-over the new owner gives
+/// its first order after it holds at least the old owner's revision, which heartbeats show.
+///
+/// ```
+/// use member::Fence;
+/// let old = Fence { revision: 7, generation: 3, order: 9 };
+/// let new = Fence { revision: 7, generation: 4, order: 1 };
+/// assert!(new.number() > old.number());
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fence {
+    /// Revision of the sheet.
+    pub revision: u64,
+    /// Generation of the last list by which the owner owns the target.
+    pub generation: u64,
+    /// Place of the owner's process among the processes of its VM, such as the second of its
+    /// start.
+    pub order: u32,
+}
+
+impl Fence {
+    /// The number sent to the engine: 48 bits of revision, 48 of generation and 32 of order.
+    #[must_use]
+    pub fn number(self) -> u128 {
+        const MASK: u64 = (1 << 48) - 1;
+        u128::from(self.revision.min(MASK)) << 80
+            | u128::from(self.generation.min(MASK)) << 32
+            | u128::from(self.order)
+    }
+}
+
+impl fmt::Display for Fence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.number())
+    }
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -4,8 +4,28 @@
 
 #![forbid(unsafe_code)]
 
+mod claims;
+mod config;
+mod fence;
 mod hash;
+mod links;
 mod list;
+mod ownership;
+mod peer;
+mod relay;
+mod target;
+mod view;
 
+pub use config::{Config, ConfigError};
+pub use fence::Fence;
 pub use hash::{first, ranked, weight};
+pub use links::{FULL_MESH, OTHER_ZONE_LINKS, OWN_ZONE_LINKS};
 pub use list::{BadIncarnation, Incarnation, Name, Vm, VmList, VmState};
+pub use ownership::{Answer, Grants, Ownership};
+pub use peer::{Beat, Entry, Greeting, Lease};
+pub use relay::{
+    RELAY_SILENCE, RELAYS_PER_ZONE, RelayRole, STAND_IN_SLOT, STAND_INS_PER_ZONE, is_relay,
+    relay_role,
+};
+pub use target::{Action, Source, State};
+pub use view::View;
--- /dev/null
+++ b/crates/member/src/links.rs
@@ -0,0 +1,46 @@
+//! Which peers a daemon links to.
+
+use crate::hash::ranked;
+use crate::list::{Name, VmList};
+use crate::relay::relays;
+
+/// Fleets of up to this number of VMs are fully linked.
+pub const FULL_MESH: usize = 32;
+/// Links to VMs of the own zone in larger fleets, besides those to the zone's relays.
+pub const OWN_ZONE_LINKS: usize = 14;
+/// Links to VMs of each other zone in larger fleets.
+pub const OTHER_ZONE_LINKS: usize = 1;
+
+/// Peers that `vm` opens links to.
+///
+/// A link costs two heartbeats a second in each direction, some 140 B/s with TCP/IP headers. With
+/// 1,300 VMs in 24 zones the bound is 39 opened and on average 39 accepted links, 11 KB/s of the
+/// 18 KB/s that control traffic may take; a full mesh would take 180 KB/s.
+/// Rendezvous hashing by the own name spreads the links evenly and changes few of them when the
+/// list changes.
+pub(crate) fn peers(list: &VmList, vm: &str) -> Vec<Name> {
+    let others = || list.vms.iter().filter(|row| &*row.name != vm);
+    if list.vms.len() <= FULL_MESH {
+        return others().map(|row| row.name.clone()).collect();
+    }
+    let own_zone = list.vms.iter().find(|row| &*row.name == vm);
+    let own_zone = own_zone.map_or("", |row| &*row.zone);
+    let mut zones: Vec<&str> = others().map(|row| &*row.zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    let mut picked = Vec::new();
+    for zone in zones {
+        let rows = others().filter(|row| &*row.zone == zone);
+        let ranks = ranked(vm, rows.map(|row| &*row.name));
+        if zone == own_zone {
+            let relays = relays(list, zone);
+            picked.extend(relays.into_iter().filter(|name| *name != vm));
+            picked.extend(ranks.into_iter().take(OWN_ZONE_LINKS));
+        } else {
+            picked.extend(ranks.into_iter().take(OTHER_ZONE_LINKS));
+        }
+    }
+    picked.sort_unstable();
+    picked.dedup();
+    picked.into_iter().map(Name::from).collect()
+}
--- /dev/null
+++ b/crates/member/src/ownership.rs
@@ -0,0 +1,375 @@
+//! Which targets this daemon grants to.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::fence::Fence;
+use crate::list::{Incarnation, Name};
+use crate::peer::Lease;
+use crate::target::{Action, Cx, Gift, State, Target};
+use crate::view::View;
+
+/// What a daemon may grant to a target now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Grants {
+    /// Nothing.
+    None,
+    /// Work for a warm target, without growth of its limit.
+    Warm,
+    /// Any work, also while the target is cold.
+    Full,
+}
+
+/// Answer to a question for a hand-over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// This daemon stopped granting to the target for the asker: send its state, `given: true`.
+    Given,
+    /// This daemon owns the target by a fresher list: `given: false`, phase not `Unknown`.
+    StillMine,
+    /// This process never owned the target, knows no earlier owner and won't take the target by
+    /// a list as old as the asker's: `given: false`, phase `Unknown`.
+    NeverOwned,
+    /// This process doesn't hold the target and won't take it by a list as old as the asker's:
+    /// `given: true`, phase `Unknown`.
+    Clear,
+    /// Nothing that may shorten the asker's wait: send no reply. This process doesn't hold the
+    /// target now, or its list is fresher and names a third VM.
+    Wait,
+}
+
+/// Ownership of targets.
+///
+/// The owner of a target by a list is the first-ranked live VM of the target's zone. When a list
+/// makes this daemon the owner, it asks the VMs that may hold the target, and starts
+/// - with the state of the target, when the holder answers that it stopped;
+/// - fresh, when all other listed VMs answer that they never owned it;
+/// - as if the target were full, when each VM that may hold it by the lists read answers that it
+///   doesn't, when the only one of them refuses connections since the wait began
+///   ([`Config::grace`](crate::Config::grace)), or after the hold-down.
+///
+/// An owner that a newer list replaces goes on until it is asked, or until just before a successor
+/// that doesn't reach it could have waited the hold-down. An owner without lease grants only warm
+/// work, and nothing once the lease expired. After a gap in the lease in which lists were missed,
+/// it asks again before it goes on.
+///
+/// # Safety argument
+///
+/// At any time at most one daemon has [`Grants::Full`] for a target. A second one may hold the
+/// target with [`Grants::Warm`] between the hold-down of its successor and the expiry of its own
+/// lease; the successor started as if the target were full. This needs:
+///
+/// 1. A list read at some time shows the platform's state no more than `lag` before, transit and
+///    buffers included, ages aren't understated otherwise, and generations never go back.
+/// 2. `hold_down > 2 * (lag + lease)`, see [`Config::check`](crate::Config::check). One `lag +
+///    lease` passes until the old owner's lease ends; the second one covers an owner that waits
+///    on a list between the two lists of a hand-over.
+/// 3. Clocks count suspended time and run at the same rate, up to the margin in `hold_down`.
+/// 4. [`View::on_pause`] is called first after a pause, [`Ownership::update`] right after
+///    [`View::on_list`] returned true, and [`Ownership::grants`] before each grant.
+/// 5. All daemons assign a target the same zone; a target that moves gets a new name.
+/// 6. A VM runs one daemon at a time. A refused connection at its address means that none runs.
+/// 7. A process that handed a target over answers its peers for `lag + lease` afterwards; a
+///    shutdown lingers for that time. Otherwise its closed port would look to an owner by an
+///    intermediate list as if the target were free.
+/// 8. Within `lag + lease` after a VM left the list, at least one process that read an earlier
+///    list goes on, is listed, and is among those asked. Otherwise nobody asked remembers the
+///    VM, and a start as [`Source::Fresh`](crate::Source) would be wrong.
+/// 9. If the platform gives lists to some VMs only, at least one VM of each older list that is
+///    still in use reads the newer one or reaches a VM that did. Otherwise the older VMs may
+///    hold their leases by reaching each other.
+#[derive(Clone, Debug, Default)]
+pub struct Ownership {
+    targets: BTreeMap<Name, Target>,
+    generation: u64,
+    basis: Duration,
+}
+
+impl Ownership {
+    /// Takes a new list or a new set of targets into account, then does what
+    /// [`tick`](Self::tick) does. To be called with all targets of the sheet, in any order.
+    pub fn update(
+        &mut self,
+        now: Duration,
+        view: &View,
+        targets: impl IntoIterator<Item = (Name, Name)>,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if view.list().is_none() {
+            return actions;
+        }
+        if view.generation() == self.generation {
+            self.basis = view.basis();
+        }
+        let cx = self.cx(now, view);
+        for (name, zone) in targets {
+            let target = self
+                .targets
+                .entry(name.clone())
+                .or_insert_with(|| Target::new(now, zone.clone()));
+            target.seen = now;
+            if target.zone != zone {
+                // Another zone's rule applied until now, so the lists read don't show the owners.
+                target.zone = zone;
+                target.generation = 0;
+            }
+            if target.generation != view.generation() {
+                target.relist(&cx, &name, &mut actions);
+            }
+        }
+        let hold_down = view.config().hold_down;
+        self.targets.retain(|name, target| {
+            if target.seen < now && target.generation != 0 {
+                if target.is_mine() {
+                    target.give_up(name, None, &mut actions);
+                }
+                target.stop();
+                target.generation = 0;
+                target.owner = None;
+            }
+            now < target.seen + hold_down
+        });
+        self.generation = view.generation();
+        actions.extend(self.tick(now, view));
+        actions
+    }
+
+    /// Applies the passing of time and link events. To be called several times a second.
+    pub fn tick(&mut self, now: Duration, view: &View) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if view.list().is_some() && view.generation() == self.generation {
+            self.basis = view.basis();
+            let cx = self.cx(now, view);
+            for (name, target) in &mut self.targets {
+                target.tick(&cx, name, &mut actions);
+            }
+        }
+        actions
+    }
+
+    /// Takes the reply to a question of `generation`: `given` if the old owner stopped granting.
+    pub fn on_handover(
+        &mut self,
+        now: Duration,
+        view: &View,
+        target: &str,
+        given: bool,
+        generation: u64,
+    ) -> Vec<Action> {
+        self.on_reply(now, view, target, generation, |target| {
+            if let Some(wait) = &mut target.wait {
+                wait.handed |= given;
+            }
+        })
+    }
+
+    /// Takes the reply of a process that never owned the target.
+    pub fn on_never_owned(
+        &mut self,
+        now: Duration,
+        view: &View,
+        target: &str,
+        from: &Name,
+        generation: u64,
+    ) -> Vec<Action> {
+        self.on_reply(now, view, target, generation, |target| {
+            if let Some(wait) = &mut target.wait {
+                wait.never_owned.insert(from.clone());
+                if wait.sole.as_ref() == Some(from) {
+                    target.claims.remove(from);
+                }
+            }
+        })
+    }
+
+    /// Takes the reply of a process that doesn't hold the target.
+    pub fn on_clear(
+        &mut self,
+        now: Duration,
+        view: &View,
+        target: &str,
+        from: &Name,
+        generation: u64,
+    ) -> Vec<Action> {
+        self.on_reply(now, view, target, generation, |target| {
+            target.claims.remove(from);
+        })
+    }
+
+    /// Decides about a question of `from`, whose link began with `incarnation`. After
+    /// [`Answer::Given`], and whenever [`grants`](Self::grants) shows it, the daemon stops
+    /// granting before it sends the reply.
+    pub fn on_ask(
+        &mut self,
+        now: Duration,
+        view: &View,
+        target: &Name,
+        (from, incarnation): (&Name, Incarnation),
+        generation: u64,
+    ) -> Answer {
+        let cx = self.cx(now, view);
+        let own_generation = self.generation;
+        let target = self
+            .targets
+            .entry(target.clone())
+            .or_insert_with(|| Target::new(now, Name::from("")));
+        let mine = target.owner.as_deref() == Some(view.name());
+        if own_generation > generation && target.owner.as_ref() != Some(from) {
+            return if mine {
+                Answer::StillMine
+            } else {
+                Answer::Wait
+            };
+        }
+        target.answer(&cx, (from, incarnation), generation)
+    }
+
+    /// State of a target.
+    #[must_use]
+    pub fn state(&self, target: &str) -> &State {
+        self.targets
+            .get(target)
+            .map_or(&State::Other, |target| &target.state)
+    }
+
+    /// What may be granted to a target now. To be asked before each grant.
+    #[must_use]
+    pub fn grants(&self, now: Duration, view: &View, target: &str) -> Grants {
+        let Some(target) = self.targets.get(target) else {
+            return Grants::None;
+        };
+        let kept = |until| View::shift(now) < until;
+        let valid = target.is_mine()
+            && view.is_fresh()
+            && view.generation() == self.generation
+            && target.keep_until.is_none_or(kept);
+        match view.lease(now) {
+            Lease::Held if valid => Grants::Full,
+            Lease::InDoubt if valid => Grants::Warm,
+            _ => Grants::None,
+        }
+    }
+
+    /// Fencing number of an order to a target that this daemon holds.
+    #[must_use]
+    pub fn fence(&self, target: &str, revision: u64, order: u32) -> Option<Fence> {
+        let target = self.targets.get(target).filter(|target| target.is_mine())?;
+        Some(Fence {
+            revision,
+            generation: target.own_generation,
+            order,
+        })
+    }
+
+    /// Targets with their states.
+    pub fn targets(&self) -> impl Iterator<Item = (&Name, &State)> {
+        self.targets
+            .iter()
+            .map(|(name, target)| (name, &target.state))
+    }
+
+    fn cx<'a>(&self, now: Duration, view: &'a View) -> Cx<'a> {
+        Cx {
+            now,
+            view,
+            lease: view.lease(now),
+            basis: self.basis,
+        }
+    }
+
+    /// Applies a reply if it answers the present question: an older one may have been given
+    /// before the target moved on.
+    fn on_reply(
+        &mut self,
+        now: Duration,
+        view: &View,
+        name: &str,
+        generation: u64,
+        apply: impl FnOnce(&mut Target),
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let cx = self.cx(now, view);
+        let current = view.generation() == self.generation;
+        if let Some((name, _)) = self.targets.get_key_value(name)
+            && let name = name.clone()
+            && let Some(target) = self.targets.get_mut(&name)
+            && target
+                .wait
+                .as_ref()
+                .is_some_and(|wait| wait.generation == generation)
+        {
+            apply(target);
+            if current {
+                target.tick(&cx, &name, &mut actions);
+            }
+        }
+        actions
+    }
+}
+
+impl Target {
+    fn answer(
+        &mut self,
+        cx: &Cx<'_>,
+        (from, incarnation): (&Name, Incarnation),
+        generation: u64,
+    ) -> Answer {
+        let hold_down = cx.view.config().hold_down;
+        let recent = |at: Duration| cx.now < at + hold_down;
+        let other = self
+            .asked_by
+            .replace((from.clone(), cx.now))
+            .is_some_and(|(vm, at)| vm != *from && recent(at));
+        self.bar = self.bar.max(generation);
+        self.claims.add(from.clone(), cx.now + hold_down);
+        if self.is_mine() {
+            let sure = self.is_sure(cx, from, generation);
+            self.stop();
+            self.given = Some(Gift {
+                to: from.clone(),
+                incarnation,
+                generation,
+                at: cx.now,
+                sure,
+            });
+            return if sure { Answer::Given } else { Answer::Wait };
+        }
+        if self.generation <= self.bar {
+            self.stop();
+        }
+        if let Some(gift) = self.given.as_ref().filter(|gift| recent(gift.at)) {
+            // The reply may have been lost. Another process of that VM may not hold it.
+            let again = gift.sure
+                && gift.to == *from
+                && gift.incarnation == incarnation
+                && gift.generation == generation;
+            return if again { Answer::Given } else { Answer::Wait };
+        }
+        if self.held || !recent(self.created) {
+            return Answer::Clear;
+        }
+        let unowned = !other && !cx.view.departures(cx.now) && !cx.view.restarted(from);
+        if unowned {
+            Answer::NeverOwned
+        } else {
+            Answer::Wait
+        }
+    }
+
+    /// Whether no third daemon can take the target without a hand-over after it is given to
+    /// `from`.
+    ///
+    /// A third one would own it by a list between this daemon's and the asker's. That list is no
+    /// older than `safe_until - hold_down`, so the third one starts no earlier than `safe_until`;
+    /// it stops before lag plus lease from now, since the asker has read the newer list already.
+    /// Without such a list no third one exists.
+    fn is_sure(&self, cx: &Cx<'_>, from: &Name, generation: u64) -> bool {
+        let cfg = cx.view.config();
+        let now = View::shift(cx.now);
+        let until = self.safe_until(cx);
+        let direct = self.keep_until.is_some()
+            && self.successor.as_ref() == Some(from)
+            && self.generation >= generation;
+        now < until && (direct || now + cfg.lag + cfg.lease < until)
+    }
+}
--- /dev/null
+++ b/crates/member/src/view.rs
@@ -0,0 +1,401 @@
+//! What this daemon knows about the fleet.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use crate::config::Config;
+use crate::hash::first;
+use crate::links::peers;
+use crate::list::{Incarnation, Name, Vm, VmList, VmState};
+use crate::peer::{Beat, Entry, Greeting, Lease};
+
+/// Added to all times kept here, so that the age of a list may exceed `now`.
+const ORIGIN: Duration = Duration::from_hours(365 * 24);
+
+#[derive(Clone, Debug, Default)]
+struct Peer {
+    incarnation: Option<Incarnation>,
+    restarted: bool,
+    heard: Option<Duration>,
+    refused: Option<Duration>,
+    ready: bool,
+}
+
+/// The last VM list, what was heard of each VM, and the lease.
+#[derive(Clone, Debug)]
+pub struct View {
+    cfg: Config,
+    name: Name,
+    incarnation: Incarnation,
+    list: Option<VmList>,
+    rows: HashMap<Name, usize>,
+    live: BTreeMap<Name, Vec<Name>>,
+    links: Vec<Name>,
+    known: HashMap<Name, Peer>,
+    departed: HashMap<Name, (Vm, Duration)>,
+    /// When the platform had confirmed the list, shifted by [`ORIGIN`].
+    read: Duration,
+    /// When all peers were last reached and none had a fresher list, shifted likewise.
+    met: Duration,
+    /// Highest generation that a peer named.
+    newest: u64,
+    unlisted: Option<Duration>,
+    ready: bool,
+    stale: Option<Duration>,
+    pause: (Duration, Duration),
+}
+
+impl View {
+    /// A view that knows nothing but its own VM's name and its own incarnation.
+    #[must_use]
+    pub fn new(cfg: Config, name: Name, incarnation: Incarnation) -> Self {
+        Self {
+            cfg,
+            name,
+            incarnation,
+            list: None,
+            rows: HashMap::new(),
+            live: BTreeMap::new(),
+            links: Vec::new(),
+            known: HashMap::new(),
+            departed: HashMap::new(),
+            read: Duration::ZERO,
+            met: Duration::ZERO,
+            newest: 0,
+            unlisted: None,
+            ready: false,
+            stale: None,
+            pause: Default::default(),
+        }
+    }
+
+    /// Takes a list read from the platform or relayed by a peer. `age` is the time since the
+    /// request to the platform was sent, added up over all relays. Returns whether the list was
+    /// fresher; then [`Ownership::update`](crate::Ownership::update) must follow before anything
+    /// else is decided.
+    pub fn on_list(&mut self, now: Duration, list: VmList, age: Duration) -> bool {
+        let read = self.read_at(now, age);
+        let generation = self.generation();
+        if self.list.is_some() && list.generation <= generation {
+            if list.generation == generation {
+                self.confirm(read);
+            }
+            return false;
+        }
+        self.replace(now, list);
+        self.read = read;
+        self.met = Duration::ZERO;
+        self.confirm(read);
+        true
+    }
+
+    /// Takes the first message of a link; `from` is the IP address of its other end.
+    pub fn on_hello(
+        &mut self,
+        now: Duration,
+        vm: &Name,
+        incarnation: Incarnation,
+        from: IpAddr,
+    ) -> Greeting {
+        let listed = self.address(vm).is_some_and(|address| address.ip() == from);
+        let peer = self.known.entry(vm.clone()).or_default();
+        peer.heard = Some(now);
+        peer.refused = None;
+        match peer.incarnation.replace(incarnation) {
+            Some(old) if old != incarnation => {
+                peer.restarted = true;
+                peer.ready = false;
+                if listed {
+                    Greeting::Restarted { old }
+                } else {
+                    Greeting::Replaced { old }
+                }
+            }
+            _ => Greeting::Known,
+        }
+    }
+
+    /// Takes a heartbeat. A peer with the same list confirms it with its own age.
+    pub fn on_heartbeat(&mut self, now: Duration, vm: &Name, beat: Beat) {
+        let peer = self.known.entry(vm.clone()).or_default();
+        if now >= self.pause.0 {
+            peer.heard = Some(now);
+        }
+        peer.refused = None;
+        peer.ready = beat.ready;
+        self.newest = self.newest.max(beat.generation);
+        if self.list.is_some() && beat.generation == self.generation() {
+            let read = self.read_at(now, beat.age);
+            self.confirm(read);
+        }
+        if self.reaches_all(now) {
+            self.met = now + ORIGIN;
+        }
+        if let Some(since) = self.stale
+            && !self.links.is_empty()
+            && self
+                .links
+                .iter()
+                .all(|name| self.heard(name).is_some_and(|at| at > since))
+        {
+            self.stale = None;
+        }
+    }
+
+    /// The listed (or last listed) address of `vm` refuses connections: the process is gone while
+    /// its VM answers.
+    pub fn on_refused(&mut self, now: Duration, vm: &Name) {
+        if self.address(vm).is_some() {
+            let peer = self.known.entry(vm.clone()).or_default();
+            peer.heard = None;
+            peer.ready = false;
+            peer.refused = Some(now);
+        }
+    }
+
+    /// The link to `vm` was silent and is closed; nothing is known about the process.
+    pub fn on_silent(&mut self, _now: Duration, vm: &Name) {
+        if let Some(peer) = self.known.get_mut(vm) {
+            peer.heard = None;
+        }
+    }
+
+    /// The process was paused for `length` until `now`. To be called before any message that
+    /// waited in a buffer is taken: messages of the next [`Config::silence`] may have waited since
+    /// the pause began; their ages count for `length` more, and heartbeats don't show that their
+    /// sender is reached.
+    pub fn on_pause(&mut self, now: Duration, length: Duration) {
+        self.stale = Some(now);
+        self.pause = (now + self.cfg.silence, length);
+    }
+
+    /// Whether the view was refreshed since the last pause. If not, permits and shares are void.
+    #[must_use]
+    pub fn is_fresh(&self) -> bool {
+        self.stale.is_none()
+    }
+
+    /// Sets whether this daemon takes calls.
+    pub fn set_ready(&mut self, ready: bool) {
+        self.ready = ready;
+    }
+
+    /// Whether this daemon may rely on its list.
+    #[must_use]
+    pub fn lease(&self, now: Duration) -> Lease {
+        if self.cfg.standalone {
+            return Lease::Held;
+        }
+        if self.list.is_none() {
+            return Lease::Expired;
+        }
+        let shifted = now + ORIGIN;
+        let end = match self.unlisted {
+            Some(since) => since + ORIGIN,
+            None if shifted <= self.read + self.cfg.lease || self.reaches_all(now) => {
+                return Lease::Held;
+            }
+            None => self.basis() + self.cfg.lease,
+        };
+        if shifted <= end + self.cfg.hold_down {
+            Lease::InDoubt
+        } else {
+            Lease::Expired
+        }
+    }
+
+    /// Whether the list marks this VM as leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.row(&self.name)
+            .is_some_and(|row| row.state == VmState::Leaving)
+    }
+
+    /// Peers to be linked.
+    #[must_use]
+    pub fn peers(&self) -> &[Name] {
+        &self.links
+    }
+
+    /// Peer address of a listed VM, or of one that left the list within the hold-down.
+    #[must_use]
+    pub fn address(&self, vm: &str) -> Option<SocketAddr> {
+        let departed = || Some(&self.departed.get(vm)?.0);
+        Some(self.row(vm).or_else(departed)?.peer)
+    }
+
+    /// Daemons that callers may use: listed as live, ready and heard, with this one if it is.
+    pub fn entries(&self, now: Duration) -> impl Iterator<Item = Entry> {
+        let rows = self.list.iter().flat_map(|list| &list.vms);
+        rows.filter(|row| row.state == VmState::Live)
+            .filter_map(move |row| {
+                let incarnation = if row.name == self.name {
+                    self.ready.then_some(self.incarnation)
+                } else {
+                    let peer = self.known.get(&row.name)?;
+                    peer.incarnation
+                        .filter(|_| peer.ready && self.reaches(now, &row.name))
+                }?;
+                Some(Entry {
+                    vm: row.name.clone(),
+                    zone: row.zone.clone(),
+                    address: row.entry,
+                    incarnation,
+                })
+            })
+    }
+
+    /// Name of the own VM.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Own incarnation.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Times in use.
+    #[must_use]
+    pub fn config(&self) -> &Config {
+        &self.cfg
+    }
+
+    /// The list, to be pushed to peers that have an older one.
+    #[must_use]
+    pub fn list(&self) -> Option<&VmList> {
+        self.list.as_ref()
+    }
+
+    /// Generation of the list, 0 without one.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.list.as_ref().map_or(0, |list| list.generation)
+    }
+
+    /// Age of the list, to be sent in heartbeats and list pushes.
+    #[must_use]
+    pub fn list_age(&self, now: Duration) -> Duration {
+        (now + ORIGIN).saturating_sub(self.read)
+    }
+
+    /// Zone of the own VM, if it is listed.
+    #[must_use]
+    pub fn zone(&self) -> Option<&str> {
+        Some(&self.row(&self.name)?.zone)
+    }
+
+    /// Incarnation of the last hello of `vm`.
+    #[must_use]
+    pub fn incarnation_of(&self, vm: &str) -> Option<Incarnation> {
+        self.known.get(vm)?.incarnation
+    }
+
+    /// When `vm` was last heard, unless its link ended since.
+    #[must_use]
+    pub fn heard(&self, vm: &str) -> Option<Duration> {
+        self.known.get(vm)?.heard
+    }
+
+    /// Owner of a target by the list.
+    #[must_use]
+    pub fn owner(&self, target: &str, zone: &str) -> Option<&str> {
+        match self.live.get(zone) {
+            Some(vms) => first(target, vms.iter().map(|vm| &**vm)),
+            None => first(target, self.live.values().flatten().map(|vm| &**vm)),
+        }
+    }
+}
+
+impl View {
+    pub(crate) fn row(&self, vm: &str) -> Option<&Vm> {
+        let list = self.list.as_ref()?;
+        self.rows.get(vm).map(|&i| &list.vms[i])
+    }
+
+    /// Latest time, on the scale of [`View::shift`], at which the list was known to be the
+    /// freshest within the lag.
+    pub(crate) fn basis(&self) -> Duration {
+        self.read.max(self.met)
+    }
+
+    pub(crate) fn shift(now: Duration) -> Duration {
+        now + ORIGIN
+    }
+
+    pub(crate) fn refused(&self, vm: &str) -> Option<Duration> {
+        self.known.get(vm)?.refused
+    }
+
+    /// Whether this process saw more than one incarnation of `vm`.
+    pub(crate) fn restarted(&self, vm: &str) -> bool {
+        self.known.get(vm).is_some_and(|peer| peer.restarted)
+    }
+
+    /// Whether a VM left the list within the hold-down.
+    pub(crate) fn departures(&self, now: Duration) -> bool {
+        let hold_down = self.cfg.hold_down;
+        self.departed
+            .values()
+            .any(|(_, left)| now < *left + hold_down)
+    }
+
+    fn reaches(&self, now: Duration, vm: &str) -> bool {
+        self.heard(vm)
+            .is_some_and(|at| now.saturating_sub(at) <= self.cfg.silence)
+    }
+
+    /// The rule that keeps the lease while the platform gives no list. It never holds without
+    /// peers, since a lone daemon can't tell an outage from its own isolation.
+    fn reaches_all(&self, now: Duration) -> bool {
+        self.unlisted.is_none()
+            && self.newest <= self.generation()
+            && !self.links.is_empty()
+            && self.links.iter().all(|vm| self.reaches(now, vm))
+    }
+
+    fn read_at(&self, now: Duration, age: Duration) -> Duration {
+        let (until, length) = self.pause;
+        let age = if now < until { age + length } else { age };
+        (now + ORIGIN).saturating_sub(age)
+    }
+
+    fn confirm(&mut self, read: Duration) {
+        self.read = self.read.max(read);
+        if self.stale.is_some_and(|since| read > since + ORIGIN) {
+            self.stale = None;
+        }
+    }
+
+    fn replace(&mut self, now: Duration, list: VmList) {
+        let hold_down = self.cfg.hold_down;
+        self.departed.retain(|_, (_, left)| now < *left + hold_down);
+        for row in self.list.take().into_iter().flat_map(|old| old.vms) {
+            self.departed.insert(row.name.clone(), (row, now));
+        }
+        self.rows.clear();
+        self.live.clear();
+        for (i, row) in list.vms.iter().enumerate() {
+            self.departed.remove(&row.name);
+            self.rows.insert(row.name.clone(), i);
+            if row.state == VmState::Live {
+                let vms = self.live.entry(row.zone.clone()).or_default();
+                vms.push(row.name.clone());
+            }
+        }
+        let (rows, departed) = (&self.rows, &self.departed);
+        self.known.retain(|vm, peer| {
+            let recent = |at: Duration| now < at + hold_down;
+            rows.contains_key(vm) || departed.contains_key(vm) || peer.heard.is_some_and(recent)
+        });
+        self.links = peers(&list, &self.name);
+        self.unlisted = match (self.rows.contains_key(&self.name), self.unlisted) {
+            (true, _) => None,
+            (false, since) => Some(since.unwrap_or(now)),
+        };
+        self.list = Some(list);
+    }
+}
