Connect membership and ownership to the daemon

Cause: owners of targets have to follow the VM list with leases, hold-downs and hand-overs. Change: view and ownership drive links, owned targets, lease state, readiness, relays of the platform's reads and the entry list; a leaving mark drains the daemon.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+use crate::fleet::lease_label;
 use crate::node::Node;
 use crate::owner::Msg;
 
@@ -42,9 +43,22 @@
     admin.metrics.render()
 }
 
+fn share(status: &limit::Status) -> serde_json::Value {
+    serde_json::json!({
+        "workspace": status.workspace,
+        "parts": status.held,
+        "parts_in_transit": status.in_transit,
+        "tokens": status.tokens,
+        "rate": status.limit.rate,
+        "burst": status.limit.burst,
+    })
+}
+
 async fn status(State(admin): State<Admin>) -> Response {
     let node = &admin.node;
     let sheet = node.sheet();
+    let now = node.now();
+    let shares: Vec<_> = node.holder.status(now).iter().map(share).collect();
     let digests = node.owner.ask(Msg::Digests).await.unwrap_or_default();
     let pools: Vec<_> = digests
         .iter()
@@ -63,7 +77,9 @@
         "incarnation": node.incarnation.to_string(),
         "phase": format!("{:?}", node.phase()).to_lowercase(),
         "sheet": { "revision": sheet.revision, "hash": hex::encode(sheet.hash.0) },
-        "list_generation": node.list_generation(),
+        "list_generation": node.fleet.view(member::View::generation),
+        "lease": node.fleet.view(|view| lease_label(view.lease(now))),
+        "shares": shares,
         "linked": node.peers.linked(),
         "owned": node.owner.ask(Msg::Status).await.unwrap_or_default(),
         "pools": pools,
--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -179,6 +179,10 @@
     };
     loop {
         tokio::select! {
+            () = daemon.leaving() => {
+                log::info!("config: the VM list marks this VM as leaving");
+                break;
+            }
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = hangup.recv() => match daemon.reload() {
--- a/crates/daemon/src/feed/list.rs
+++ b/crates/daemon/src/feed/list.rs
@@ -33,7 +33,7 @@
     Leaving,
 }
 
-/// Reads the list again and again. Failed reads are reported once per change.
+/// Reads the list again and again, while this daemon is a relay. Failed reads are reported once per change.
 pub(crate) async fn poll(node: Arc<Node>, address: SocketAddr) {
     let timing = &node.settings.timing;
     let mut tick = interval(timing.list_poll);
@@ -41,6 +41,10 @@
     let mut reachable = true;
     loop {
         tick.tick().await;
+        if !node.fleet.reads_platform(node.now()) {
+            continue;
+        }
+        let asked = node.now();
         let list = read(address, timing.silent).await;
         if list.is_some() != reachable {
             reachable = list.is_some();
@@ -51,7 +55,7 @@
             }
         }
         if let Some(list) = list {
-            node.on_list(list, Duration::ZERO);
+            node.on_list(list, node.now().saturating_sub(asked));
         }
     }
 }
--- a/crates/daemon/src/feed/load.rs
+++ b/crates/daemon/src/feed/load.rs
@@ -27,7 +27,7 @@
     loop {
         tick.tick().await;
         let sheet = node.sheet();
-        for name in node.owned() {
+        for name in node.fleet.owned() {
             if let Some(target) = sheet.targets.get(&name) {
                 tokio::spawn(read(Arc::clone(&node), name, target.address));
             }
--- a/crates/daemon/src/feed/sheet.rs
+++ b/crates/daemon/src/feed/sheet.rs
@@ -37,6 +37,11 @@
     // The first read does not wait, so that a starting daemon takes the newest sheet at once.
     let mut path = "/v1/values/sheet".to_string();
     loop {
+        if node.sheet().revision > 0 && !node.fleet.reads_platform(node.now()) {
+            // Relays tell this daemon of new revisions.
+            tokio::time::sleep(timing.heartbeat).await;
+            continue;
+        }
         let answer = get(address, &path, timing.watch_wait + timing.silent).await;
         let ok = answer
             .as_ref()
--- /dev/null
+++ b/crates/daemon/src/fleet.rs
@@ -0,0 +1,478 @@
+//! The view of the fleet and the ownership of targets: what the membership rules decide is carried
+//! out here.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use limit::LeaseState;
+use member::{
+    Action, Answer, Beat, Config, Grants, Greeting, Incarnation, Lease, Ownership, RelayRole, View,
+    VmList,
+};
+use sched::{InFlight, PermitId, TargetPhase, TargetSpec};
+use sheet::{Name, Settings, Sheet};
+use tokio::time::{MissedTickBehavior, interval};
+use wire::{Body, HandoverAsk, HandoverRun};
+
+use crate::node::Node;
+use crate::owner::{Msg, Source, micros};
+use crate::peer::Peer;
+
+/// Wait after proof that an old owner's process is gone.
+const GRACE: Duration = Duration::from_secs(1);
+/// First time between two questions for a hand-over.
+const ASK_EVERY: Duration = Duration::from_millis(500);
+/// Time between two looks at lease and ownership.
+const TICK: Duration = Duration::from_millis(100);
+
+/// View and ownership under one lock, since ownership decides by the view.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    view: View,
+    ownership: Ownership,
+    /// States that old owners sent, until the target starts.
+    handed: HashMap<Name, sched::Handover>,
+    /// Targets that this daemon grants to, as the scheduler knows them.
+    owned: HashMap<Name, (Name, TargetSpec)>,
+    /// VMs outside the regular links that are asked for hand-overs.
+    asked: HashMap<Name, Duration>,
+    lease: Lease,
+}
+
+impl Fleet {
+    pub(crate) fn new(settings: &Settings, incarnation: Incarnation, single: bool) -> Self {
+        let timing = &settings.timing;
+        let cfg = Config {
+            lag: timing.list_lag + timing.silent,
+            lease: timing.lease,
+            hold_down: timing.hold_down(),
+            silence: timing.silent,
+            grace: GRACE,
+            ask_every: ASK_EVERY,
+            standalone: single,
+        };
+        let view = View::new(cfg, settings.vm.clone(), incarnation);
+        Fleet {
+            state: Mutex::new(State {
+                view,
+                ownership: Ownership::default(),
+                handed: HashMap::new(),
+                owned: HashMap::new(),
+                asked: HashMap::new(),
+                lease: Lease::Held,
+            }),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads from the view.
+    pub(crate) fn view<T>(&self, f: impl FnOnce(&View) -> T) -> T {
+        f(&self.lock().view)
+    }
+
+    /// Takes a VM list. Returns whether it was fresher.
+    pub(crate) fn on_list(&self, now: Duration, list: VmList, age: Duration) -> bool {
+        self.lock().view.on_list(now, list, age)
+    }
+
+    pub(crate) fn on_hello(
+        &self,
+        now: Duration,
+        vm: &Name,
+        incarnation: Incarnation,
+        from: std::net::IpAddr,
+    ) -> Greeting {
+        self.lock().view.on_hello(now, vm, incarnation, from)
+    }
+
+    pub(crate) fn on_heartbeat(&self, now: Duration, vm: &Name, beat: Beat) {
+        self.lock().view.on_heartbeat(now, vm, beat);
+    }
+
+    /// Notes a refused connection. Returns the incarnation that is gone, if it was known.
+    pub(crate) fn on_refused(&self, now: Duration, vm: &Name) -> Option<Incarnation> {
+        let mut state = self.lock();
+        state.view.on_refused(now, vm);
+        state.view.incarnation_of(vm)
+    }
+
+    pub(crate) fn on_silent(&self, now: Duration, vm: &Name) {
+        self.lock().view.on_silent(now, vm);
+    }
+
+    pub(crate) fn on_pause(&self, now: Duration, length: Duration) {
+        self.lock().view.on_pause(now, length);
+    }
+
+    pub(crate) fn set_ready(&self, ready: bool) {
+        self.lock().view.set_ready(ready);
+    }
+
+    /// Whether this daemon reads from the platform or leaves that to its zone's relays.
+    pub(crate) fn reads_platform(&self, now: Duration) -> bool {
+        member::relay_role(now, &self.lock().view) != RelayRole::Follower
+    }
+
+    /// What may be granted to a target now.
+    pub(crate) fn grants(&self, now: Duration, target: &str) -> Grants {
+        let state = self.lock();
+        if state.view.config().standalone {
+            return Grants::Full;
+        }
+        state.ownership.grants(now, &state.view, target)
+    }
+
+    /// Names of the targets that this daemon grants to.
+    pub(crate) fn owned(&self) -> Vec<Name> {
+        self.lock().owned.keys().cloned().collect()
+    }
+
+    /// Owners of the targets of each pool by the list.
+    pub(crate) fn owners(&self, sheet: &Sheet) -> HashMap<Name, Vec<Name>> {
+        let state = self.lock();
+        let mut pools: HashMap<Name, Vec<Name>> = HashMap::new();
+        for (name, target) in &sheet.targets {
+            if !sheet.takes_new_work(name) {
+                continue;
+            }
+            let owner = if state.view.config().standalone {
+                Some(state.view.name())
+            } else {
+                state.view.owner(name, &target.zone)
+            };
+            let vms = pools.entry(target.pool.clone()).or_default();
+            if let Some(owner) = owner
+                && !vms.iter().any(|vm| **vm == *owner)
+            {
+                vms.push(Name::from(owner));
+            }
+        }
+        pools
+    }
+
+    /// Peers to be linked, with those that are asked for hand-overs.
+    pub(crate) fn links(&self, now: Duration) -> Vec<(Name, std::net::SocketAddr)> {
+        let mut state = self.lock();
+        let hold_down = state.view.config().hold_down;
+        state.asked.retain(|_, at| now < *at + hold_down);
+        let mut names: Vec<Name> = state.view.peers().to_vec();
+        names.extend(state.asked.keys().cloned());
+        names.sort_unstable();
+        names.dedup();
+        names
+            .into_iter()
+            .filter_map(|name| Some((name.clone(), state.view.address(&name)?)))
+            .collect()
+    }
+}
+
+/// Takes a new sheet or list into account.
+pub(crate) fn update(node: &Arc<Node>) {
+    let sheet = node.sheet();
+    let targets: Vec<_> = sheet
+        .targets
+        .iter()
+        .map(|(name, target)| (name.clone(), target.zone.clone()))
+        .collect();
+    let now = node.now();
+    let mut state = node.fleet.lock();
+    if state.view.config().standalone {
+        for name in sheet.targets.keys() {
+            start(node, &mut state, &sheet, name, member::Source::Fresh);
+        }
+    } else {
+        let State {
+            view, ownership, ..
+        } = &mut *state;
+        let actions = ownership.update(now, view, targets);
+        carry_out(node, &mut state, &sheet, actions);
+    }
+    respecify(node, &mut state, &sheet);
+}
+
+/// Looks at lease and ownership again and again.
+pub(crate) async fn run(node: Arc<Node>) {
+    let mut tick = interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        let sheet = node.sheet();
+        let now = node.now();
+        let mut state = node.fleet.lock();
+        if state.view.config().standalone {
+            if state.view.is_fresh() {
+                node.holder.resume();
+            }
+            continue;
+        }
+        let actions = {
+            let State {
+                view, ownership, ..
+            } = &mut *state;
+            ownership.tick(now, view)
+        };
+        carry_out(&node, &mut state, &sheet, actions);
+        let lease = state.view.lease(now);
+        if lease != state.lease {
+            state.lease = lease;
+            log::info!("owner: the lease is {}", lease_label(lease));
+            node.owner.send(Msg::InDoubt(lease != Lease::Held));
+        }
+        let (fresh, leaving) = (state.view.is_fresh(), state.view.is_leaving());
+        drop(state);
+        node.holder.set_lease(now, share_lease(lease));
+        if fresh {
+            node.holder.resume();
+        }
+        if leaving {
+            node.leave();
+        }
+        node.sync_links();
+        node.update_readiness();
+    }
+}
+
+pub(crate) fn lease_label(lease: Lease) -> &'static str {
+    match lease {
+        Lease::Held => "held",
+        Lease::InDoubt => "in doubt",
+        Lease::Expired => "expired",
+    }
+}
+
+fn share_lease(lease: Lease) -> LeaseState {
+    match lease {
+        Lease::Held => LeaseState::Held,
+        Lease::InDoubt => LeaseState::InDoubt,
+        Lease::Expired => LeaseState::Expired,
+    }
+}
+
+/// Answers a question for a hand-over. No answer is sent where it could shorten the asker's wait
+/// wrongly.
+pub(crate) async fn on_ask(node: &Arc<Node>, peer: &Peer, ask: &HandoverAsk) -> Option<Body> {
+    let target = Name::from(ask.target.as_str());
+    let answer = {
+        let mut state = node.fleet.lock();
+        let State {
+            view, ownership, ..
+        } = &mut *state;
+        let from = (&peer.vm, peer.incarnation);
+        ownership.on_ask(node.now(), view, &target, from, ask.list_generation)
+    };
+    let reply = |given, phase: wire::TargetPhase| wire::Handover {
+        target: target.to_string(),
+        given,
+        phase: phase.into(),
+        limit: 0,
+        runs: Vec::new(),
+    };
+    match answer {
+        Answer::Given => {
+            node.fleet.lock().owned.remove(&target);
+            let handover = give_up(node, &target).await;
+            log::info!("owner: target {target} handed over to {}", peer.vm);
+            Some(Body::Handover(match handover {
+                Some(handover) => handover_message(node, &handover),
+                // Given before and asked again, as the first reply was lost.
+                None => reply(true, wire::TargetPhase::Cold),
+            }))
+        }
+        Answer::StillMine => Some(Body::Handover(reply(false, wire::TargetPhase::Cold))),
+        Answer::NeverOwned => Some(Body::Handover(reply(false, wire::TargetPhase::Unknown))),
+        Answer::Clear => Some(Body::Handover(reply(true, wire::TargetPhase::Unknown))),
+        Answer::Wait => {
+            // The rules may have stopped the target without giving it.
+            if node.fleet.grants(node.now(), &target) == Grants::None {
+                node.fleet.lock().owned.remove(&target);
+                give_up(node, &target).await;
+            }
+            None
+        }
+    }
+}
+
+async fn give_up(node: &Arc<Node>, target: &Name) -> Option<sched::Handover> {
+    let target = target.clone();
+    node.owner
+        .ask(|reply| Msg::GiveUp { target, reply })
+        .await
+        .flatten()
+}
+
+/// Carries out what the ownership rules decided.
+fn carry_out(node: &Arc<Node>, state: &mut State, sheet: &Sheet, actions: Vec<Action>) {
+    for action in actions {
+        match action {
+            Action::AskHandover {
+                target,
+                from,
+                generation,
+            } => {
+                if !state.view.peers().contains(&from) {
+                    state.asked.insert(from.clone(), node.now());
+                }
+                tokio::spawn(ask(Arc::clone(node), target, from, generation));
+            }
+            Action::Start { target, source } => start(node, state, sheet, &target, source),
+            Action::GiveUp { target, to } => {
+                let to = to.as_deref().unwrap_or("no VM");
+                log::info!("owner: target {target} given up, owner by the list is {to}");
+                state.owned.remove(&target);
+                let (reply, _) = tokio::sync::oneshot::channel();
+                node.owner.send(Msg::GiveUp { target, reply });
+            }
+        }
+    }
+}
+
+fn start(node: &Arc<Node>, state: &mut State, sheet: &Sheet, name: &Name, source: member::Source) {
+    let Some(target) = sheet.targets.get(name) else {
+        return;
+    };
+    if state.owned.contains_key(name) {
+        return;
+    }
+    let spec = spec(sheet, name, target);
+    let owned = (target.pool.clone(), spec.clone());
+    state.owned.insert(name.clone(), owned);
+    let source = match (source, state.handed.remove(name)) {
+        (member::Source::Handed, Some(handover)) => Source::Handed(handover),
+        (member::Source::Fresh, _) => Source::Fresh,
+        _ => Source::AssumeFull,
+    };
+    log::info!("owner: target {name} is owned here, {}", source.label());
+    node.owner.send(Msg::Own {
+        pool: target.pool.clone(),
+        spec,
+        source,
+    });
+}
+
+/// Passes changed specifications of owned targets to the scheduler.
+fn respecify(node: &Arc<Node>, state: &mut State, sheet: &Sheet) {
+    let mut gone = Vec::new();
+    for (name, (pool, known)) in &mut state.owned {
+        let Some(target) = sheet.targets.get(name) else {
+            gone.push(name.clone());
+            continue;
+        };
+        let spec = spec(sheet, name, target);
+        if spec != *known {
+            known.clone_from(&spec);
+            node.owner.send(Msg::Own {
+                pool: pool.clone(),
+                spec,
+                source: Source::Changed,
+            });
+        }
+    }
+    for target in gone {
+        state.owned.remove(&target);
+        let (reply, _) = tokio::sync::oneshot::channel();
+        node.owner.send(Msg::GiveUp { target, reply });
+    }
+}
+
+fn spec(sheet: &Sheet, name: &Name, target: &sheet::Target) -> TargetSpec {
+    TargetSpec {
+        name: name.clone(),
+        capacity: target.capacity,
+        cold_limit: target.cold_limit,
+        speed: target.speed,
+        open: sheet.takes_new_work(name),
+    }
+}
+
+/// Asks a VM for the hand-over of a target.
+async fn ask(node: Arc<Node>, target: Name, from: Name, generation: u64) {
+    let question = Body::HandoverAsk(HandoverAsk {
+        target: target.to_string(),
+        list_generation: generation,
+    });
+    let wait = node.settings.timing.silent;
+    let Ok(Body::Handover(handover)) = node.peers.call(&from, question, wait).await else {
+        return;
+    };
+    let sheet = node.sheet();
+    let now = node.now();
+    let mut state = node.fleet.lock();
+    if handover.given && handover.phase() != wire::TargetPhase::Unknown {
+        let handed = handover_of(now, &handover);
+        state.handed.insert(target.clone(), handed);
+    }
+    let State {
+        view, ownership, ..
+    } = &mut *state;
+    let actions = match (handover.given, handover.phase()) {
+        (true, wire::TargetPhase::Unknown) => {
+            ownership.on_clear(now, view, &target, &from, generation)
+        }
+        (false, wire::TargetPhase::Unknown) => {
+            ownership.on_never_owned(now, view, &target, &from, generation)
+        }
+        (given, _) => ownership.on_handover(now, view, &target, given, generation),
+    };
+    carry_out(&node, &mut state, &sheet, actions);
+}
+
+fn handover_message(node: &Node, handover: &sched::Handover) -> wire::Handover {
+    let phase = match handover.phase {
+        TargetPhase::Cold => wire::TargetPhase::Cold,
+        TargetPhase::Warming => wire::TargetPhase::Warming,
+        TargetPhase::Serving => wire::TargetPhase::Serving,
+        TargetPhase::Draining => wire::TargetPhase::Draining,
+        TargetPhase::Out => wire::TargetPhase::Out,
+    };
+    let now = node.now();
+    wire::Handover {
+        target: handover.target.to_string(),
+        given: true,
+        phase: phase.into(),
+        limit: handover.limit,
+        runs: handover
+            .in_flight
+            .iter()
+            .map(|run| HandoverRun {
+                id: run.request.to_string(),
+                permit: run.permit.0,
+                cost: run.cost,
+                hard_deadline_us: micros(run.hard_deadline.saturating_sub(now)),
+            })
+            .collect(),
+    }
+}
+
+fn handover_of(now: Duration, message: &wire::Handover) -> sched::Handover {
+    let phase = match message.phase() {
+        wire::TargetPhase::Unknown | wire::TargetPhase::Cold => TargetPhase::Cold,
+        wire::TargetPhase::Warming => TargetPhase::Warming,
+        wire::TargetPhase::Serving => TargetPhase::Serving,
+        wire::TargetPhase::Draining => TargetPhase::Draining,
+        wire::TargetPhase::Out => TargetPhase::Out,
+    };
+    sched::Handover {
+        target: message.target.as_str().into(),
+        phase,
+        limit: message.limit,
+        in_flight: message
+            .runs
+            .iter()
+            .map(|run| InFlight {
+                request: run.id.as_str().into(),
+                permit: PermitId(run.permit),
+                cost: run.cost,
+                hard_deadline: now + Duration::from_micros(run.hard_deadline_us),
+            })
+            .collect(),
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod demo;
 mod entry;
 mod feed;
+mod fleet;
 mod logging;
 mod node;
 mod outcome;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,13 +1,13 @@
 //! The daemon's shared state: what its roles know and how they reach each other.
 
-use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use limit::Reservation;
-use member::{Incarnation, VmList, VmState};
-use sched::{Descriptor, PermitId, RunReport, TargetSpec};
+use member::{Beat, Greeting, Incarnation, View, VmList, VmState};
+use sched::{Descriptor, PermitId, RunReport};
 use serde::Serialize;
 use sheet::{Name, Settings, Sheet};
 use tokio::sync::{oneshot, watch};
@@ -15,7 +15,8 @@
 
 use crate::clock::Clock;
 use crate::entry::{Table, return_permit};
-use crate::owner::{self, Msg, Source, run_end};
+use crate::fleet::Fleet;
+use crate::owner::{self, Msg, run_end};
 use crate::owners::Owners;
 use crate::peer::{LinkEvent, Peer, Peers};
 use crate::shares::{Holder, take_moves};
@@ -29,11 +30,10 @@
     incarnation: String,
 }
 
-/// What is known of a linked peer.
-#[derive(Clone, Copy, Debug)]
-struct Seen {
-    incarnation: Incarnation,
-    ready: bool,
+impl Entry {
+    pub(crate) fn vm(&self) -> &Name {
+        &self.vm
+    }
 }
 
 /// Whether the daemon takes new calls.
@@ -51,16 +51,15 @@
     pub(crate) peers: Peers,
     pub(crate) owner: owner::Handle,
     pub(crate) holder: Holder,
+    pub(crate) fleet: Fleet,
     clock: Box<dyn Clock>,
     sheet: watch::Sender<Arc<Sheet>>,
-    list: Mutex<VmList>,
     /// Counts changes of the sheet and the list that peers should hear of at once.
     changes: watch::Sender<u64>,
-    seen: Mutex<HashMap<Name, Seen>>,
     owners: Mutex<Owners>,
-    owned: Mutex<HashMap<Name, TargetSpec>>,
     table: Mutex<Table>,
     phase: watch::Sender<Phase>,
+    leaving: watch::Sender<bool>,
     pauses: AtomicU64,
 }
 
@@ -79,21 +78,21 @@
         let table = Table::new(incarnation, limits.max_outcomes, limits.max_outcome_age);
         let single = is_single(&settings);
         let holder = Holder::new(clock.now(), incarnation, &settings, single);
+        let fleet = Fleet::new(&settings, incarnation, single);
         Node {
             settings,
             incarnation,
             peers: Peers::default(),
             owner,
             holder,
+            fleet,
             clock,
             sheet: watch::Sender::new(Arc::new(Sheet::default())),
-            list: Mutex::default(),
             changes: watch::Sender::new(0),
-            seen: Mutex::default(),
             owners: Mutex::default(),
-            owned: Mutex::default(),
             table: Mutex::new(table),
             phase: watch::Sender::new(Phase::Starting),
+            leaving: watch::Sender::new(false),
             pauses: AtomicU64::new(0),
         }
     }
@@ -126,6 +125,8 @@
     /// Notes that the process was paused, which voids all permits that it holds.
     pub(crate) fn on_pause(&self, length: Duration) {
         self.pauses.fetch_add(1, Ordering::SeqCst);
+        self.holder.suspend();
+        self.fleet.on_pause(self.now(), length);
         log::warn!("config: the process was paused for {length:?}; its permits are void");
     }
 
@@ -137,19 +138,30 @@
         self.phase() == Phase::Ready
     }
 
+    /// Takes no new calls any more.
     pub(crate) fn drain(&self) {
         self.phase.send_replace(Phase::Draining);
-        self.changes.send_modify(|count| *count += 1);
+        self.fleet.set_ready(false);
+        self.announce();
     }
 
-    /// Names of the targets that this daemon owns.
-    pub(crate) fn owned(&self) -> Vec<Name> {
-        lock(&self.owned).keys().cloned().collect()
+    /// Starts to drain because the VM list marks this VM as leaving.
+    pub(crate) fn leave(&self) {
+        self.leaving.send_if_modified(|leaving| {
+            let first = !*leaving;
+            *leaving = true;
+            first
+        });
     }
 
-    /// Generation of the VM list in use.
-    pub(crate) fn list_generation(&self) -> u64 {
-        lock(&self.list).generation
+    /// Becomes true when the VM list marks this VM as leaving.
+    pub(crate) fn leaving(&self) -> watch::Receiver<bool> {
+        self.leaving.subscribe()
+    }
+
+    /// Lets peers hear of a change at once.
+    fn announce(&self) {
+        self.changes.send_modify(|count| *count += 1);
     }
 
     pub(crate) fn is_single(&self) -> bool {
@@ -185,140 +197,79 @@
             log::info!("config: sheet revision {revision} is in force");
             self.holder.configure(self.now(), &newer);
             self.sync();
-            self.changes.send_modify(|count| *count += 1);
+            self.announce();
         }
         taken
     }
 
-    /// Takes a VM list if it is fresher.
+    /// Takes a VM list if it is fresher; `age` is the time since it was read from the platform.
     pub(crate) fn on_list(self: &Arc<Self>, list: VmList, age: Duration) {
-        let _ = age;
-        {
-            let mut current = lock(&self.list);
-            if list.generation <= current.generation && current.generation > 0 {
-                return;
-            }
-            log::info!(
-                "config: VM list generation {} with {} VMs",
-                list.generation,
-                list.vms.len()
-            );
-            *current = list;
+        let (generation, vms) = (list.generation, list.vms.len());
+        if self.fleet.on_list(self.now(), list, age) {
+            log::info!("config: VM list generation {generation} with {vms} VMs");
+            self.sync();
+            self.announce();
         }
-        self.sync();
-        self.changes.send_modify(|count| *count += 1);
     }
 
-    /// Applies sheet and list: links, owned targets, owners of pools, readiness.
+    /// Applies sheet and list to links, ownership, owners of pools and shares.
     fn sync(self: &Arc<Self>) {
-        let sheet = self.sheet();
-        let list = lock(&self.list).clone();
-        self.sync_links(&list);
-        let mut pools: HashMap<Name, Vec<Name>> = HashMap::new();
-        let mut owned = HashMap::new();
-        for (name, target) in &sheet.targets {
-            let Some(vm) = self.owner_of(&list, name, &target.zone) else {
-                continue;
-            };
-            let vms = pools.entry(target.pool.clone()).or_default();
-            if !vms.contains(&vm) {
-                vms.push(vm.clone());
-            }
-            if vm == self.settings.vm {
-                let spec = TargetSpec {
-                    name: name.clone(),
-                    capacity: target.capacity,
-                    cold_limit: target.cold_limit,
-                    speed: target.speed,
-                    open: sheet.takes_new_work(name),
-                };
-                owned.insert(name.clone(), (target.pool.clone(), spec));
-            }
-        }
-        lock(&self.owners).set(pools);
+        self.sync_links();
+        crate::fleet::update(self);
+        lock(&self.owners).set(self.fleet.owners(&self.sheet()));
         if !self.is_single() {
             self.sync_listed();
         }
-        self.sync_owned(owned);
-        let ready = sheet.revision > 0 && (self.is_single() || !list.vms.is_empty());
-        self.phase.send_if_modified(|phase| {
-            let starts = ready && *phase == Phase::Starting;
-            if starts {
-                *phase = Phase::Ready;
-            }
-            starts
-        });
+        self.update_readiness();
+    }
+
+    /// Takes calls once the sheet is there and shares are held somewhere. Before that, requests
+    /// inside their workspace's rate would be refused.
+    pub(crate) fn update_readiness(&self) {
+        if self.phase() != Phase::Starting || self.sheet().revision == 0 {
+            return;
+        }
+        let now = self.now();
+        let ready = self.is_single()
+            || self.holder.parts(now) > 0
+            || self.fleet.view(|view| view.entries(now).next().is_some());
+        if ready {
+            log::info!("entry: ready");
+            self.phase.send_replace(Phase::Ready);
+            self.fleet.set_ready(true);
+            self.announce();
+        }
     }
 
     /// Applies the list and the known incarnations to the share holder role.
     fn sync_listed(&self) {
-        let list = lock(&self.list).clone();
-        let seen = lock(&self.seen).clone();
-        let live: Vec<Name> = list
-            .vms
-            .iter()
-            .filter(|vm| vm.state == VmState::Live)
-            .map(|vm| vm.name.clone())
-            .collect();
-        let others = list
-            .vms
-            .iter()
-            .filter(|vm| vm.name != self.settings.vm)
-            .map(|vm| {
-                let incarnation = seen.get(&vm.name).map(|seen| seen.incarnation);
-                (vm.name.clone(), incarnation)
-            });
-        let sheet = self.sheet();
-        let own = &self.settings.vm;
+        let now = self.now();
+        let (live, others) = self.fleet.view(|view| {
+            let vms = view.list().map_or(&[][..], |list| &list.vms);
+            let live: Vec<Name> = vms
+                .iter()
+                .filter(|vm| vm.state == VmState::Live)
+                .map(|vm| vm.name.clone())
+                .collect();
+            let others: Vec<_> = vms
+                .iter()
+                .filter(|vm| vm.name != self.settings.vm)
+                .map(|vm| (vm.name.clone(), view.incarnation_of(&vm.name)))
+                .collect();
+            (live, others)
+        });
         self.holder
-            .set_listed(self.now(), own, &live, others, &sheet);
-    }
-
-    fn sync_owned(&self, owned: HashMap<Name, (Name, TargetSpec)>) {
-        let mut current = lock(&self.owned);
-        let gone: Vec<Name> = current
-            .keys()
-            .filter(|name| !owned.contains_key(*name))
-            .cloned()
-            .collect();
-        for target in gone {
-            current.remove(&target);
-            let (reply, _) = oneshot::channel();
-            self.owner.send(Msg::GiveUp { target, reply });
-        }
-        for (name, (pool, spec)) in owned {
-            let source = match current.insert(name, spec.clone()) {
-                Some(known) if known == spec => continue,
-                Some(_) => Source::Changed,
-                None => Source::Fresh,
-            };
-            self.owner.send(Msg::Own { pool, spec, source });
-        }
+            .set_listed(now, &self.settings.vm, &live, others, &self.sheet());
     }
 
-    fn sync_links(self: &Arc<Self>, list: &VmList) {
-        let peers: Vec<_> = list
-            .vms
-            .iter()
-            .filter(|vm| vm.name != self.settings.vm)
-            .map(|vm| (vm.name.clone(), vm.peer))
-            .collect();
+    /// Dials the peers that the view names.
+    pub(crate) fn sync_links(self: &Arc<Self>) {
+        let peers = self.fleet.links(self.now());
         self.peers.set(&peers, |vm, address, rx| {
             tokio::spawn(crate::peer::dial(Arc::clone(self), vm, address, rx)).abort_handle()
         });
     }
 
-    fn owner_of(&self, list: &VmList, target: &str, zone: &str) -> Option<Name> {
-        if self.is_single() {
-            return Some(self.settings.vm.clone());
-        }
-        let live = || list.vms.iter().filter(|vm| vm.state == VmState::Live);
-        let near = live().filter(|vm| *vm.zone == *zone).map(|vm| &*vm.name);
-        member::first(target, near)
-            .or_else(|| member::first(target, live().map(|vm| &*vm.name)))
-            .map(Name::from)
-    }
-
     /// Chooses an owner for an offer.
     pub(crate) fn pick_owner(
         &self,
@@ -377,54 +328,57 @@
 
     pub(crate) fn heartbeat(&self) -> Heartbeat {
         Heartbeat {
-            list_generation: self.list_generation(),
-            list_age_us: 0,
+            list_generation: self.fleet.view(View::generation),
+            list_age_us: owner::micros(self.fleet.view(|view| view.list_age(self.now()))),
             sheet_revision: self.sheet().revision,
             ready: self.takes_calls(),
         }
     }
 
     /// Takes what a dialled link says of its peer.
-    pub(crate) fn on_link(&self, vm: &Name, event: &LinkEvent) {
+    pub(crate) fn on_link(&self, vm: &Name, address: SocketAddr, event: &LinkEvent) {
+        let now = self.now();
         match event {
             LinkEvent::Up(hello) => {
                 let incarnation = Incarnation(hello.incarnation);
                 log::info!("peer: linked to {vm}, incarnation {incarnation}");
                 self.peers.set_up(vm, Some(incarnation));
-                let seen = Seen {
-                    incarnation,
-                    ready: false,
-                };
-                let before = lock(&self.seen).insert(vm.clone(), seen);
+                let greeting = self.fleet.on_hello(now, vm, incarnation, address.ip());
+                if let Greeting::Restarted { old } = greeting {
+                    self.owner.send(Msg::EntryGone(old));
+                }
                 let moves = self.holder.in_transit_to(incarnation);
                 if !moves.moves.is_empty() {
                     self.peers.send(vm, Body::PartMoves(moves));
                 }
                 self.sync_listed();
-                if let Some(before) = before
-                    && before.incarnation != incarnation
-                {
-                    self.owner.send(Msg::EntryGone(before.incarnation));
-                }
             }
-            LinkEvent::Refused | LinkEvent::Down => {
+            LinkEvent::Refused => {
                 self.peers.set_up(vm, None);
-                if let Some(seen) = lock(&self.seen).get_mut(vm) {
-                    seen.ready = false;
+                if let Some(gone) = self.fleet.on_refused(now, vm) {
+                    self.owner.send(Msg::EntryGone(gone));
                 }
             }
+            LinkEvent::Down => {
+                self.peers.set_up(vm, None);
+                self.fleet.on_silent(now, vm);
+            }
         }
     }
 
-    pub(crate) fn on_heartbeat(self: &Arc<Self>, vm: &Name, heartbeat: &Heartbeat) {
-        if let Some(seen) = lock(&self.seen).get_mut(vm) {
-            seen.ready = heartbeat.ready;
-        }
+    pub(crate) fn on_heartbeat(&self, vm: &Name, heartbeat: &Heartbeat) {
+        let beat = Beat {
+            generation: heartbeat.list_generation,
+            age: Duration::from_micros(heartbeat.list_age_us),
+            ready: heartbeat.ready,
+        };
+        self.fleet.on_heartbeat(self.now(), vm, beat);
         if heartbeat.sheet_revision > self.sheet().revision {
             self.peers.send(vm, Body::SheetAsk(self.sheet().revision));
         }
-        if heartbeat.list_generation > self.list_generation() {
-            self.peers.send(vm, Body::ListAsk(self.list_generation()));
+        let generation = self.fleet.view(View::generation);
+        if heartbeat.list_generation > generation {
+            self.peers.send(vm, Body::ListAsk(generation));
         }
     }
 
@@ -479,6 +433,7 @@
     pub(crate) async fn on_request(self: &Arc<Self>, peer: &Peer, body: Body) -> Option<Body> {
         match body {
             Body::Offer(offer) => self.offer(offer, peer.incarnation).await.ok(),
+            Body::HandoverAsk(ask) => crate::fleet::on_ask(self, peer, &ask).await,
             Body::PartAsk(ask) => Some(Body::PartMoves(self.holder.on_ask(self.now(), peer, &ask))),
             Body::PartQuery(_) => Some(Body::PartClaims(self.holder.claims(self.now()))),
             Body::OutcomeAsk(ask) => {
@@ -511,10 +466,12 @@
     }
 
     fn push_list(&self, peer: &Peer, generation: u64) {
-        let list = lock(&self.list).clone();
-        if list.generation > generation {
-            self.peers
-                .send(&peer.vm, Body::ListPush(list_push(&list, Duration::ZERO)));
+        let push = self.fleet.view(|view| {
+            let list = view.list().filter(|list| list.generation > generation)?;
+            Some(list_push(list, view.list_age(self.now())))
+        });
+        if let Some(push) = push {
+            self.peers.send(&peer.vm, Body::ListPush(push));
         }
     }
 
@@ -550,31 +507,27 @@
 
     /// Addresses that callers may use.
     pub(crate) fn entries(&self) -> Vec<Entry> {
-        let mut entries = Vec::new();
-        if self.takes_calls() {
-            entries.push(Entry {
-                vm: self.settings.vm.clone(),
-                zone: self.settings.zone.clone(),
-                address: self.settings.entry.to_string(),
-                incarnation: self.id_prefix().to_string(),
-            });
-        }
-        let seen = lock(&self.seen).clone();
-        for vm in &lock(&self.list).vms {
-            if let Some(seen) = seen.get(&vm.name)
-                && seen.ready
-                && vm.state == VmState::Live
-                && vm.name != self.settings.vm
-            {
-                entries.push(Entry {
-                    vm: vm.name.clone(),
-                    zone: vm.zone.clone(),
-                    address: vm.entry.to_string(),
-                    incarnation: seen.incarnation.to_string(),
-                });
-            }
-        }
-        entries
+        let entry = |entry: member::Entry| Entry {
+            vm: entry.vm,
+            zone: entry.zone,
+            address: entry.address.to_string(),
+            incarnation: entry.incarnation.to_string(),
+        };
+        let now = self.now();
+        let others = self
+            .fleet
+            .view(|view| view.entries(now).map(entry).collect::<Vec<_>>());
+        let own = Entry {
+            vm: self.settings.vm.clone(),
+            zone: self.settings.zone.clone(),
+            address: self.settings.entry.to_string(),
+            incarnation: self.id_prefix().to_string(),
+        };
+        let own = self.takes_calls().then_some(own);
+        let others = others
+            .into_iter()
+            .filter(|entry| entry.vm != self.settings.vm);
+        own.into_iter().chain(others).collect()
     }
 
     fn id_prefix(&self) -> Incarnation {
--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -105,6 +105,17 @@
     Changed,
 }
 
+impl Source {
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            Source::Fresh => "never owned before",
+            Source::AssumeFull => "assumed full",
+            Source::Handed(_) => "handed over",
+            Source::Changed => "changed",
+        }
+    }
+}
+
 /// State of an owned target, for the status document.
 #[derive(Clone, Debug, serde::Serialize)]
 pub(crate) struct TargetStatus {
--- a/crates/daemon/src/owner/task.rs
+++ b/crates/daemon/src/owner/task.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use member::Incarnation;
+use member::{Grants, Incarnation};
 use metrics::counter;
 use sched::{Config, Descriptor, Event, Name, PermitId, RunEnd, RunReport, Scheduler, TargetPhase};
 use tokio::sync::{mpsc, oneshot};
@@ -309,6 +309,13 @@
             self.unused(pool, permit.id);
             return;
         };
+        if self.node.fleet.grants(now, &permit.target) == Grants::None {
+            // The target moves away; its next owner decides about the request.
+            self.unused(pool, permit.id);
+            let revision = self.node.sheet().revision;
+            let _ = waiting.reply.send(verdict(Verdict::NotOwner(revision)));
+            return;
+        }
         let reply = verdict(Verdict::Grant(Grant {
             permit: permit.id.0,
             target: permit.target.to_string(),
--- a/crates/daemon/src/peer/dial.rs
+++ b/crates/daemon/src/peer/dial.rs
@@ -53,14 +53,14 @@
         let end = run(&node, &vm, address, &mut rx).await;
         match end {
             End::Closed => return,
-            End::Refused => node.on_link(&vm, &LinkEvent::Refused),
-            End::Broken => node.on_link(&vm, &LinkEvent::Down),
+            End::Refused => node.on_link(&vm, address, &LinkEvent::Refused),
+            End::Broken => node.on_link(&vm, address, &LinkEvent::Down),
             End::Version(version) => {
-                node.on_link(&vm, &LinkEvent::Down);
+                node.on_link(&vm, address, &LinkEvent::Down);
                 log::warn!("peer: {vm} speaks protocol version {version}, not {PROTOCOL_VERSION}");
             }
             End::WrongVm => {
-                node.on_link(&vm, &LinkEvent::Down);
+                node.on_link(&vm, address, &LinkEvent::Down);
                 log::warn!("peer: {address} does not answer as {vm}");
             }
         }
@@ -111,7 +111,7 @@
     if hello.vm != **vm {
         return End::WrongVm;
     }
-    node.on_link(vm, &LinkEvent::Up(hello));
+    node.on_link(vm, address, &LinkEvent::Up(hello));
     exchange(node, vm, &mut framed, rx).await
 }
 
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -20,7 +20,7 @@
 use crate::clock::BootClock;
 use crate::entry::{self, random_incarnation};
 use crate::node::Node;
-use crate::{admin, feed, owner, peer, shares};
+use crate::{admin, feed, fleet, owner, peer, shares};
 
 /// Why the daemon does not start.
 #[derive(Debug)]
@@ -113,6 +113,7 @@
         tokio::spawn(watch_pauses(Arc::clone(&node)));
         tokio::spawn(send_digests(Arc::clone(&node)));
         tokio::spawn(shares::run(Arc::clone(&node)));
+        tokio::spawn(fleet::run(Arc::clone(&node)));
         let (stop, stop_rx) = oneshot::channel();
         let (stopped_tx, stopped) = oneshot::channel();
         let limits = Http::of(&node);
@@ -156,6 +157,13 @@
         }
     }
 
+    /// Waits until the VM list marks this VM as leaving.
+    pub async fn leaving(&self) {
+        let mut leaving = self.node.leaving();
+        // Fails only if the node is gone, which this daemon keeps.
+        let _ = leaving.wait_for(|leaving| *leaving).await;
+    }
+
     /// Takes no new calls, finishes what runs, and returns when all is done or the drain time is
     /// over.
     pub async fn drain(self) {
@@ -167,6 +175,7 @@
             while node.running() > 0 {
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
+            shares::give_away(&node).await;
             // Fails only if the server has ended already.
             let _ = self.stop.send(());
             let _ = self.stopped.await;
--- a/crates/daemon/src/shares.rs
+++ b/crates/daemon/src/shares.rs
@@ -396,6 +396,28 @@
     }
 }
 
+/// Longest time to give all parts away before a shutdown.
+const GIVE_AWAY: Duration = Duration::from_secs(5);
+
+/// Gives all parts to a ready peer, so that nothing waits for a hold-down after a shutdown.
+pub(crate) async fn give_away(node: &Arc<Node>) {
+    let until = node.now() + GIVE_AWAY;
+    while node.now() < until && node.holder.parts(node.now()) > 0 {
+        let receiver = node
+            .entries()
+            .iter()
+            .find_map(|entry| Some((entry.vm().clone(), node.peers.incarnation(entry.vm())?)));
+        let Some((vm, incarnation)) = receiver else {
+            return;
+        };
+        let moves = node.holder.give_all(node.now(), incarnation);
+        if !moves.moves.is_empty() {
+            node.peers.send(&vm, Body::PartMoves(moves));
+        }
+        tokio::time::sleep(TICK).await;
+    }
+}
+
 /// Parts of a workspace of which `own` is the successor, one bit a part.
 fn succession(own: &Name, live: &[Name], workspace: &Name) -> u32 {
     let mut holders = member::ranked(workspace, live.iter().map(|vm| &**vm));
--- a/crates/sheet/src/settings.rs
+++ b/crates/sheet/src/settings.rs
@@ -148,7 +148,7 @@
         Self {
             heartbeat: ms(500),
             silent: secs(2),
-            lease: secs(15),
+            lease: secs(6),
             list_lag: secs(10),
             list_poll: secs(1),
             watch_wait: secs(30),
@@ -167,11 +167,12 @@
 impl Timing {
     /// Time to wait before taking over what a VM held that left the VM list.
     ///
-    /// The VM may read a list that contains it up to `list_lag` later, hold its lease for `lease`
-    /// from then, and use a permit granted at the end of the lease within `permit_life`.
+    /// The VM may read a list that contains it up to `list_lag` later, plus the time that a message
+    /// may wait in buffers (`silent`), and holds its lease for `lease` from then. All that counts
+    /// twice, since the owner in between may still wait on a list from between two changes.
     #[must_use]
     pub fn hold_down(&self) -> Duration {
-        self.list_lag + self.lease + self.permit_life + HOLD_DOWN_SLACK
+        2 * (self.list_lag + self.silent + self.lease) + HOLD_DOWN_SLACK
     }
 }
 
