Check settings and give line and column of errors

Cause: Settings::parse refused comments and did not check values against each other. Change: comments are blanked in place, errors are located at the value of their field, and Settings::check refuses zero, inverted and conflicting values.

--- /dev/null
+++ b/crates/sheet/src/check.rs
@@ -0,0 +1,176 @@
+//! Checks of settings across fields.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::{CheckError, Settings, Sheet};
+
+/// Smallest `limits.max_header`: hyper refuses smaller read buffers.
+const MIN_HEADER: usize = 8 << 10;
+
+/// Largest `limits.max_header`.
+const MAX_HEADER: usize = 1 << 20;
+
+/// Largest number of connections, waiting requests or outcomes.
+const MAX_COUNT: usize = 10_000_000;
+
+type Checked = Result<(), CheckError>;
+
+impl Settings {
+    /// Checks the values against each other. [`Settings::parse`] has done so already.
+    ///
+    /// # Errors
+    ///
+    /// The first contradiction.
+    pub fn check(&self) -> Checked {
+        self.check_limits()?;
+        self.check_timing()?;
+        self.check_addresses()
+    }
+
+    /// Checks the names in the settings against a sheet.
+    ///
+    /// # Errors
+    ///
+    /// The first name that the sheet doesn't define.
+    pub fn check_names(&self, sheet: &Sheet) -> Checked {
+        if sheet.zones.contains_key(&self.zone) {
+            Ok(())
+        } else {
+            Err(CheckError::NoSuchZone((&*self.zone).into()))
+        }
+    }
+
+    fn check_limits(&self) -> Checked {
+        let limits = &self.limits;
+        let counts = [
+            ("limits.max_connections", limits.max_connections),
+            ("limits.max_waiting", limits.max_waiting),
+            ("limits.max_outcomes", limits.max_outcomes),
+        ];
+        for (field, count) in counts {
+            if count == 0 {
+                return Err(CheckError::Zero(field));
+            }
+            if count > MAX_COUNT {
+                let values = [count.to_string().into(), MAX_COUNT.to_string().into()];
+                return Err(CheckError::Above { field, values });
+            }
+        }
+        let (field, size) = ("limits.max_header", limits.max_header);
+        let show = |bytes: usize| format!("{}KiB", bytes >> 10).into();
+        if size == 0 {
+            return Err(CheckError::Zero(field));
+        }
+        if size < MIN_HEADER {
+            let values = [format!("{size}B").into(), show(MIN_HEADER)];
+            return Err(CheckError::Below { field, values });
+        }
+        if size > MAX_HEADER {
+            let values = [format!("{size}B").into(), show(MAX_HEADER)];
+            return Err(CheckError::Above { field, values });
+        }
+        not_zero(&[
+            ("limits.max_outcome_age", limits.max_outcome_age),
+            ("limits.idle_timeout", limits.idle_timeout),
+            ("limits.header_timeout", limits.header_timeout),
+        ])
+    }
+
+    fn check_timing(&self) -> Checked {
+        let t = &self.timing;
+        not_zero(&[
+            ("timing.heartbeat", t.heartbeat),
+            ("timing.silent", t.silent),
+            ("timing.lease", t.lease),
+            ("timing.list_lag", t.list_lag),
+            ("timing.list_poll", t.list_poll),
+            ("timing.watch_wait", t.watch_wait),
+            ("timing.permit_life", t.permit_life),
+            ("timing.load_poll", t.load_poll),
+            ("timing.propagation", t.propagation),
+            ("timing.drain", t.drain),
+            ("timing.redial_min", t.redial_min),
+            ("timing.redial_max", t.redial_max),
+            ("timing.keepalive", t.keepalive),
+            ("timing.stream_silent", t.stream_silent),
+        ])?;
+        above(
+            ("timing.silent", t.silent),
+            ("timing.heartbeat", t.heartbeat),
+        )?;
+        // Otherwise the lease runs out between two reads of the VM list.
+        above(("timing.lease", t.lease), ("timing.list_poll", t.list_poll))?;
+        // Otherwise streams that only carry keepalive comments are dialled again.
+        above(
+            ("timing.stream_silent", t.stream_silent),
+            ("timing.keepalive", t.keepalive),
+        )?;
+        if t.redial_max < t.redial_min {
+            return Err(CheckError::Inverted {
+                fields: ["timing.redial_max", "timing.redial_min"],
+                values: [show(t.redial_max), show(t.redial_min)],
+            });
+        }
+        Ok(())
+    }
+
+    fn check_addresses(&self) -> Checked {
+        let mut seen: Vec<(&'static str, SocketAddr)> = Vec::new();
+        let fields = [
+            ("entry", Some(self.entry)),
+            ("admin", Some(self.admin)),
+            ("peer", self.peer),
+        ];
+        for (field, address) in fields {
+            let Some(address) = address else { continue };
+            // Port 0 stands for any free port, a different one each time.
+            let same = seen
+                .iter()
+                .find(|(_, other)| *other == address && address.port() != 0);
+            if let Some(&(other, _)) = same {
+                return Err(CheckError::SameAddress {
+                    fields: [field, other],
+                    address: address.to_string().into(),
+                });
+            }
+            seen.push((field, address));
+        }
+        match (self.peer, self.vm_list) {
+            (None, None) => return Ok(()),
+            (Some(_), None) => return Err(CheckError::Needs(["peer", "vm_list"])),
+            (None, Some(_)) => return Err(CheckError::Needs(["vm_list", "peer"])),
+            (Some(_), Some(_)) => {}
+        }
+        // Peers learn the entry and peer addresses from this daemon.
+        for (field, address) in seen {
+            let reachable = address.port() != 0 && !address.ip().is_unspecified();
+            if field != "admin" && !reachable {
+                let address = address.to_string().into();
+                return Err(CheckError::NotReachable { field, address });
+            }
+        }
+        Ok(())
+    }
+}
+
+fn not_zero(fields: &[(&'static str, Duration)]) -> Checked {
+    match fields.iter().find(|(_, duration)| duration.is_zero()) {
+        Some(&(field, _)) => Err(CheckError::Zero(field)),
+        None => Ok(()),
+    }
+}
+
+fn above(upper: (&'static str, Duration), lower: (&'static str, Duration)) -> Checked {
+    if upper.1 > lower.1 {
+        return Ok(());
+    }
+    Err(CheckError::NotAbove {
+        fields: [upper.0, lower.0],
+        values: [show(upper.1), show(lower.1)],
+    })
+}
+
+fn show(duration: Duration) -> Box<str> {
+    humantime::format_duration(duration).to_string().into()
+}
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod canon;
 mod cell;
+mod check;
 mod column;
 mod diff;
 mod error;
@@ -27,6 +28,7 @@
     Tier, Workspace, Zone, ZoneState,
 };
 pub use parse::{MAX_ROWS, MAX_TIERS};
+pub use read::MAX_SETTINGS_BYTES;
 pub use settings::{Limits, Log, LogFormat, LogLevel, Settings, SheetSource, Timing};
-pub use settings_error::{SettingsError, SettingsFault};
+pub use settings_error::{CheckError, SettingsError, SettingsFault};
 pub use table::MAX_SHEET_BYTES;
--- a/crates/sheet/src/settings_error.rs
+++ b/crates/sheet/src/settings_error.rs
@@ -15,18 +15,164 @@
     pub fault: SettingsFault,
 }
 
-/// What is wrong in a settings file.
+/// What is wrong in a settings file. Fields are written with dots, as in `timing.silent`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SettingsFault {
-    /// The text is not JSON with comments.
+    /// The text has this many bytes, more than the limit.
+    TooLarge(usize),
+    /// A comment or string is not closed, or a slash begins no comment.
+    Comment,
+    /// The text is not JSON, for this reason.
     Syntax(String),
+    /// A field is unknown or missing, or its value has another type or unit.
+    Field {
+        /// The field; empty for the whole file.
+        field: String,
+        /// What is wrong.
+        reason: String,
+    },
+    /// The values contradict each other.
+    Check(CheckError),
 }
 
+/// Values that contradict each other or the sheet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CheckError {
+    /// The field is zero.
+    Zero(&'static str),
+    /// The field is below its smallest value.
+    Below {
+        /// The field.
+        field: &'static str,
+        /// The value and the smallest value, with units.
+        values: [Box<str>; 2],
+    },
+    /// The field is above its largest value.
+    Above {
+        /// The field.
+        field: &'static str,
+        /// The value and the largest value, with units.
+        values: [Box<str>; 2],
+    },
+    /// The first field must be above the second.
+    NotAbove {
+        /// The two fields.
+        fields: [&'static str; 2],
+        /// Their values with units.
+        values: [Box<str>; 2],
+    },
+    /// The first field must not be below the second.
+    Inverted {
+        /// The two fields.
+        fields: [&'static str; 2],
+        /// Their values with units.
+        values: [Box<str>; 2],
+    },
+    /// Two fields have the same address.
+    SameAddress {
+        /// The two fields.
+        fields: [&'static str; 2],
+        /// The address.
+        address: Box<str>,
+    },
+    /// The first field is set, but the second isn't, and the first needs it.
+    Needs([&'static str; 2]),
+    /// Other VMs can't connect to this address.
+    NotReachable {
+        /// The field.
+        field: &'static str,
+        /// The address.
+        address: Box<str>,
+    },
+    /// The sheet has no zone of this name.
+    NoSuchZone(Box<str>),
+}
+
+impl CheckError {
+    /// The fields that the error is about, the one to correct first.
+    #[must_use]
+    pub fn fields(&self) -> &[&'static str] {
+        match self {
+            Self::Zero(field)
+            | Self::Below { field, .. }
+            | Self::Above { field, .. }
+            | Self::NotReachable { field, .. } => std::slice::from_ref(field),
+            Self::NotAbove { fields, .. }
+            | Self::Inverted { fields, .. }
+            | Self::SameAddress { fields, .. } => fields,
+            Self::Needs(fields) => &fields[..1],
+            Self::NoSuchZone(_) => &["zone"],
+        }
+    }
+}
+
+impl fmt::Display for CheckError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Zero(field) => write!(f, "{field} is zero; write a value above 0"),
+            Self::Below { field, values } => {
+                let [value, least] = values;
+                write!(f, "{field} ({value}) is below {least}; raise it")
+            }
+            Self::Above { field, values } => {
+                let [value, most] = values;
+                write!(f, "{field} ({value}) is above {most}; lower it")
+            }
+            Self::NotAbove { fields, values } => {
+                let ([field, other], [value, least]) = (fields, values);
+                write!(
+                    f,
+                    "{field} ({value}) is not above {other} ({least}); raise it or lower {other}"
+                )
+            }
+            Self::Inverted { fields, values } => {
+                let ([field, other], [value, least]) = (fields, values);
+                write!(
+                    f,
+                    "{field} ({value}) is below {other} ({least}); raise it or lower {other}"
+                )
+            }
+            Self::SameAddress { fields, address } => {
+                let [field, other] = fields;
+                write!(
+                    f,
+                    "{field} has the address of {other} ({address}); use another port"
+                )
+            }
+            Self::Needs([field, other]) => {
+                write!(f, "{field} is set without {other}; set both or neither")
+            }
+            Self::NotReachable { field, address } => write!(
+                f,
+                "{field} ({address}) can't be reached from other VMs; write the IP number of this \
+                 VM and a port"
+            ),
+            Self::NoSuchZone(zone) => write!(
+                f,
+                "zone {zone:?} is not in the sheet; correct the name or add a zone row"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for CheckError {}
+
 impl fmt::Display for SettingsError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}:{}:{}: ", self.file, self.line, self.column)?;
         match &self.fault {
-            SettingsFault::Syntax(reason) => f.write_str(reason),
+            SettingsFault::TooLarge(bytes) => write!(
+                f,
+                "has {bytes} bytes, more than {}; remove comments",
+                crate::read::MAX_SETTINGS_BYTES
+            ),
+            SettingsFault::Comment => f.write_str(
+                "a comment or string is not closed, or a slash begins no comment; correct it",
+            ),
+            SettingsFault::Syntax(reason) => write!(f, "not JSON: {reason}"),
+            SettingsFault::Field { field, reason } if field.is_empty() => f.write_str(reason),
+            SettingsFault::Field { field, reason } => write!(f, "{field}: {reason}"),
+            SettingsFault::Check(e) => e.fmt(f),
         }
     }
 }
--- a/crates/sheet/src/units.rs
+++ b/crates/sheet/src/units.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Deserializer};
 
 use crate::Name;
+use crate::name::is_name;
 
 /// Longest text of a duration or size in bytes.
 ///
@@ -60,5 +61,10 @@
 /// Deserializes a name.
 pub(crate) fn name<'de, D: Deserializer<'de>>(d: D) -> Result<Name, D::Error> {
     let text = String::deserialize(d)?;
-    Ok(text.into())
+    if is_name(&text) {
+        return Ok(text.into());
+    }
+    Err(D::Error::custom(format!(
+        "{text:?} is not a name; use up to 64 ASCII letters, digits, \"-\", \"_\" and \".\""
+    )))
 }
