member: count the transit of relayed lists

A heartbeat's list age is as old as its transit when it arrives. Daemons that confirmed a list to each other could pass such understated ages around and hold their leases long after the platform was gone. Ages from peers now count for Config::silence more, which bounds the transit on an open link, and on_list_push takes relayed lists. Proof that the old owner's process is gone now shortens the wait to a list read lag later, since that process may have handed the target over by a list that the successor has not read.

--- a/crates/member/src/config.rs
+++ b/crates/member/src/config.rs
@@ -10,17 +10,18 @@
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Config {
-    /// By how much a list may be older than its age says: the lag of the platform (10 s) plus the
-    /// time that a message may spend in transit and in buffers.
+    /// Longest time by which the platform's list lags behind its state.
     pub lag: Duration,
-    /// Time for which a list that contains this VM confirms the lease.
+    /// Time for which a list that contains this VM confirms the lease. It has to cover two relays,
+    /// each of which adds `silence` to the age of a list.
     pub lease: Duration,
     /// Wait of a new owner whose predecessor can't be reached.
     pub hold_down: Duration,
-    /// A peer that wasn't heard for this time is not reached; its links are closed. No message
-    /// spends more than this time in transit and in buffers.
+    /// A peer that wasn't heard for this time is not reached, and its link is closed. So no message
+    /// of an open link spent longer in transit and in buffers, and ages from peers count for this
+    /// much more: without it, a list that daemons confirm to each other would never grow old.
     pub silence: Duration,
-    /// Wait after proof that the old owner's process is gone.
+    /// Least wait after proof that the old owner's process is gone.
     pub grace: Duration,
     /// First interval between two questions to an old owner; it doubles up to eight times this.
     pub ask_every: Duration,
@@ -40,8 +41,8 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            lag: Duration::from_secs(12),
-            lease: Duration::from_secs(6),
+            lag: Duration::from_secs(10),
+            lease: Duration::from_secs(8),
             hold_down: Duration::from_secs(38),
             silence: Duration::from_secs(2),
             grace: Duration::from_secs(1),
--- a/crates/member/src/ownership.rs
+++ b/crates/member/src/ownership.rs
@@ -45,8 +45,13 @@
 /// - with the state of the target, when the holder answers that it stopped;
 /// - fresh, when all other listed VMs answer that they never owned it;
 /// - as if the target were full, when each VM that may hold it by the lists read answers that it
-///   doesn't, when the only one of them refuses connections since the wait began
-///   ([`Config::grace`](crate::Config::grace)), or after the hold-down.
+///   doesn't, after proof that the process of the only one of them is gone, or after the
+///   hold-down.
+///
+/// Proof that a process is gone is a refused connection since the wait began, or the answer of a
+/// new process at its address. The wait then lasts until a list is read that the platform can't
+/// have shown before the proof, `lag` later, and at least [`Config::grace`](crate::Config::grace):
+/// the old process may have handed the target over by a list that this daemon has not read yet.
 ///
 /// An owner that a newer list replaces goes on until it is asked, or until just before a successor
 /// that doesn't reach it could have waited the hold-down. An owner without lease grants only warm
@@ -59,8 +64,10 @@
 /// target with [`Grants::Warm`] between the hold-down of its successor and the expiry of its own
 /// lease; the successor started as if the target were full. This needs:
 ///
-/// 1. A list read at some time shows the platform's state no more than `lag` before, transit and
-///    buffers included, ages aren't understated otherwise, and generations never go back.
+/// 1. A list shows the platform's state no more than `lag` before it was read, ages are measured
+///    from the sending of the request, and generations never go back. No message of an open link
+///    is older than [`Config::silence`](crate::Config::silence) when it is taken, except after a
+///    pause.
 /// 2. `hold_down > 2 * (lag + lease)`, see [`Config::check`](crate::Config::check). One `lag +
 ///    lease` passes until the old owner's lease ends; the second one covers an owner that waits
 ///    on a list between the two lists of a hand-over.
@@ -69,13 +76,10 @@
 ///    [`View::on_list`] returned true, and [`Ownership::grants`] before each grant.
 /// 5. All daemons assign a target the same zone; a target that moves gets a new name.
 /// 6. A VM runs one daemon at a time. A refused connection at its address means that none runs.
-/// 7. A process that handed a target over answers its peers for `lag + lease` afterwards; a
-///    shutdown lingers for that time. Otherwise its closed port would look to an owner by an
-///    intermediate list as if the target were free.
-/// 8. Within `lag + lease` after a VM left the list, at least one process that read an earlier
+/// 7. Within `lag + lease` after a VM left the list, at least one process that read an earlier
 ///    list goes on, is listed, and is among those asked. Otherwise nobody asked remembers the
 ///    VM, and a start as [`Source::Fresh`](crate::Source) would be wrong.
-/// 9. If the platform gives lists to some VMs only, at least one VM of each older list that is
+/// 8. If the platform gives lists to some VMs only, at least one VM of each older list that is
 ///    still in use reads the newer one or reaches a VM that did. Otherwise the older VMs may
 ///    hold their leases by reaching each other.
 #[derive(Clone, Debug, Default)]
@@ -176,7 +180,7 @@
             if let Some(wait) = &mut target.wait {
                 wait.never_owned.insert(from.clone());
                 if wait.sole.as_ref() == Some(from) {
-                    target.claims.remove(from);
+                    wait.gone = wait.gone.or(Some(now));
                 }
             }
         })
--- a/crates/member/src/relay.rs
+++ b/crates/member/src/relay.rs
@@ -11,8 +11,9 @@
 /// Upper bound of the expected number of stand-ins per zone: with 24 zones and one read a second,
 /// relays and stand-ins stay near 240 of the 2,000 calls a second that the platform allows.
 pub const STAND_INS_PER_ZONE: usize = 8;
-/// A list older than this, or a zone whose relays weren't heard for this time, lacks a relay.
-pub const RELAY_SILENCE: Duration = Duration::from_secs(3);
+/// A daemon whose list is older than this, or that heard no relay of its zone for this time, lacks
+/// a relay. Ages of some 3.5 s are usual, since a relayed list counts for 2 s more.
+pub const RELAY_SILENCE: Duration = Duration::from_secs(5);
 /// Time for which a stand-in keeps its role before it draws again.
 pub const STAND_IN_SLOT: Duration = Duration::from_secs(2);
 
--- a/crates/member/src/target.rs
+++ b/crates/member/src/target.rs
@@ -99,7 +99,8 @@
     pub(crate) sole: Option<Name>,
     pub(crate) never_owned: BTreeSet<Name>,
     pub(crate) handed: bool,
-    refused: Option<Duration>,
+    /// When the process of `sole` was first known to be gone.
+    pub(crate) gone: Option<Duration>,
     next_ask: Duration,
     interval: Duration,
 }
@@ -294,7 +295,7 @@
             sole: self.claims.sole(cx.now).cloned(),
             never_owned: BTreeSet::new(),
             handed: false,
-            refused: None,
+            gone: None,
             next_ask: cx.now,
             interval: cx.view.config().ask_every,
         });
@@ -327,7 +328,9 @@
         if !self.held && self.never_owned(cx, wait) {
             return Some(Source::Fresh);
         }
-        let gone = wait.refused.is_some_and(|at| cx.now >= at + cfg.grace);
+        let gone = wait
+            .gone
+            .is_some_and(|at| cx.now >= at + cfg.grace && cx.view.confirmed_after(at + cfg.lag));
         let waited = cx.now >= wait.since + cfg.hold_down;
         (gone || waited || self.claims.none(cx.now)).then_some(Source::AssumeFull)
     }
@@ -344,12 +347,13 @@
     /// A refusal counts only if it came after the wait began, since a process that started
     /// earlier may hold the target by now, and only if no third VM may hold it.
     fn watch_refusal(&mut self, cx: &Cx<'_>) {
-        let Some(wait) = &mut self.wait else { return };
-        let refused = wait.sole.as_ref().and_then(|vm| cx.view.refused(vm));
-        wait.refused = match refused.filter(|at| *at >= wait.since) {
-            Some(at) => wait.refused.or(Some(at)),
-            None => None,
-        };
+        if let Some(wait) = &mut self.wait
+            && let Some(vm) = &wait.sole
+            && let Some(at) = cx.view.refused(vm)
+            && at >= wait.since
+        {
+            wait.gone = wait.gone.or(Some(at));
+        }
     }
 
     fn ask(&mut self, cx: &Cx<'_>, name: &Name, actions: &mut Vec<Action>) {
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -70,12 +70,11 @@
         }
     }
 
-    /// Takes a list read from the platform or relayed by a peer. `age` is the time since the
-    /// request to the platform was sent, added up over all relays. Returns whether the list was
-    /// fresher; then [`Ownership::update`](crate::Ownership::update) must follow before anything
-    /// else is decided.
+    /// Takes a list read from the platform; `age` is the time since the request was sent. Returns
+    /// whether the list was fresher; then [`Ownership::update`](crate::Ownership::update) must
+    /// follow before anything else is decided.
     pub fn on_list(&mut self, now: Duration, list: VmList, age: Duration) -> bool {
-        let read = self.read_at(now, age);
+        let read = (now + ORIGIN).saturating_sub(age);
         let generation = self.generation();
         if self.list.is_some() && list.generation <= generation {
             if list.generation == generation {
@@ -90,6 +89,12 @@
         true
     }
 
+    /// Takes a list relayed by a peer, with the age that the peer gave; otherwise as
+    /// [`on_list`](Self::on_list).
+    pub fn on_list_push(&mut self, now: Duration, list: VmList, age: Duration) -> bool {
+        self.on_list(now, list, self.relayed(now, age))
+    }
+
     /// Takes the first message of a link; `from` is the IP address of its other end.
     pub fn on_hello(
         &mut self,
@@ -126,8 +131,8 @@
         peer.ready = beat.ready;
         self.newest = self.newest.max(beat.generation);
         if self.list.is_some() && beat.generation == self.generation() {
-            let read = self.read_at(now, beat.age);
-            self.confirm(read);
+            let age = self.relayed(now, beat.age);
+            self.confirm((now + ORIGIN).saturating_sub(age));
         }
         if self.reaches_all(now) {
             self.met = now + ORIGIN;
@@ -326,6 +331,11 @@
         now + ORIGIN
     }
 
+    /// Whether the list was read from the platform at `at` or later.
+    pub(crate) fn confirmed_after(&self, at: Duration) -> bool {
+        self.read >= at + ORIGIN
+    }
+
     pub(crate) fn refused(&self, vm: &str) -> Option<Duration> {
         self.known.get(vm)?.refused
     }
@@ -357,10 +367,11 @@
             && self.links.iter().all(|vm| self.reaches(now, vm))
     }
 
-    fn read_at(&self, now: Duration, age: Duration) -> Duration {
+    /// Upper bound of an age that a peer gave.
+    fn relayed(&self, now: Duration, age: Duration) -> Duration {
         let (until, length) = self.pause;
-        let age = if now < until { age + length } else { age };
-        (now + ORIGIN).saturating_sub(age)
+        let waited = if now < until { length } else { Duration::ZERO };
+        age + self.cfg.silence + waited
     }
 
     fn confirm(&mut self, read: Duration) {
