Add the fault-injecting TCP proxy

Tests need partitions, silent connections, half-open ones, latency and cuts between processes. The proxy refuses connections while its upstream does, since daemons treat a refused port as proof that a process is gone.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,6 +8,7 @@
 mod host;
 mod platform;
 mod port;
+mod proxy;
 mod reply;
 mod service;
 
@@ -19,5 +20,6 @@
     ConfigService, ListFault, Platform, SheetFault, VmEntry, VmList, VmListService, VmState,
 };
 pub use port::Port;
+pub use proxy::{Link, Proxy, Side};
 pub use reply::Headers;
 pub use service::{PlainService, ServiceCall, ServiceFault};
--- /dev/null
+++ b/crates/testkit/src/proxy/link.rs
@@ -0,0 +1,93 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::sync::watch::error::RecvError;
+
+/// Direction of bytes through a proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Side {
+    /// From the caller to the upstream.
+    Up,
+    /// From the upstream to the caller.
+    Down,
+}
+
+impl Side {
+    pub(crate) fn other(self) -> Self {
+        match self {
+            Self::Up => Self::Down,
+            Self::Down => Self::Up,
+        }
+    }
+}
+
+/// Faults and limits of one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Link {
+    /// Delay of each byte.
+    pub latency: Duration,
+    /// Limit per connection.
+    pub bytes_per_second: Option<u64>,
+    /// Whether bytes, ends and resets are kept back.
+    pub held: bool,
+    /// Bytes after which a connection is closed.
+    pub truncate_after: Option<u64>,
+}
+
+/// Settings of a proxy. Connections are numbered from 0 in the order of their acceptance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Controls {
+    pub(crate) upstream: SocketAddr,
+    pub(crate) up: Link,
+    pub(crate) down: Link,
+    pub(crate) refuse: bool,
+    /// Connections below this number are silent.
+    pub(crate) silenced_before: u64,
+    /// Connections below this number are reset.
+    pub(crate) cut_before: u64,
+}
+
+impl Controls {
+    pub(crate) fn new(upstream: SocketAddr) -> Self {
+        Self {
+            upstream,
+            up: Link::default(),
+            down: Link::default(),
+            refuse: false,
+            silenced_before: 0,
+            cut_before: 0,
+        }
+    }
+
+    pub(crate) fn link(&self, side: Side) -> Link {
+        match side {
+            Side::Up => self.up,
+            Side::Down => self.down,
+        }
+    }
+
+    pub(crate) fn link_mut(&mut self, side: Side) -> &mut Link {
+        match side {
+            Side::Up => &mut self.up,
+            Side::Down => &mut self.down,
+        }
+    }
+
+    /// Whether connection `id` passes bytes in this direction.
+    pub(crate) fn passes(&self, id: u64, side: Side) -> bool {
+        !self.link(side).held && !self.is_silent(id)
+    }
+
+    pub(crate) fn is_silent(&self, id: u64) -> bool {
+        id < self.silenced_before
+    }
+}
+
+/// Waits until the settings fulfil a condition. Fails once the proxy is dropped.
+pub(crate) async fn until(
+    controls: &mut watch::Receiver<Controls>,
+    condition: impl FnMut(&Controls) -> bool,
+) -> Result<(), RecvError> {
+    controls.wait_for(condition).await.map(|_| ())
+}
--- /dev/null
+++ b/crates/testkit/tests/proxy.rs
@@ -0,0 +1,242 @@
+//! Behaviour of the fault-injecting proxy.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use testkit::client::{Call, Client, ClientError};
+use testkit::{PlainService, Port, Proxy, ServiceFault, Side};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const SHORT: Duration = Duration::from_millis(100);
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn start() -> (PlainService, Proxy, Client) {
+    let service = PlainService::start(any()).await.unwrap();
+    let proxy = Proxy::start(any(), service.addr()).await.unwrap();
+    let client = Client::new(proxy.addr());
+    (service, proxy, client)
+}
+
+/// A proxied connection, both ends plain sockets.
+async fn pair() -> (Proxy, TcpStream, TcpStream) {
+    let listener = TcpListener::bind(any()).await.unwrap();
+    let upstream = listener.local_addr().unwrap();
+    let proxy = Proxy::start(any(), upstream).await.unwrap();
+    let caller = TcpStream::connect(proxy.addr()).await.unwrap();
+    let (server, _) = listener.accept().await.unwrap();
+    (proxy, caller, server)
+}
+
+async fn is_silent(stream: &mut TcpStream) -> bool {
+    let mut buf = [0; 16];
+    let read = tokio::time::timeout(SHORT, stream.read(&mut buf));
+    read.await.is_err()
+}
+
+#[tokio::test]
+async fn forwards_and_closes_as_the_ends_do() {
+    // Guards against a proxy that changes bytes or swallows a half-close.
+    let (proxy, mut caller, mut server) = pair().await;
+    let bytes: Vec<u8> = (0..200_000_u32).map(|i| i.to_le_bytes()[0]).collect();
+
+    let send = async {
+        caller.write_all(&bytes).await.unwrap();
+        caller.shutdown().await.unwrap();
+    };
+    let mut got = Vec::new();
+    let ((), read) = tokio::join!(send, server.read_to_end(&mut got));
+    read.unwrap();
+    server.write_all(b"done").await.unwrap();
+    drop(server);
+    let mut answer = Vec::new();
+    caller.read_to_end(&mut answer).await.unwrap();
+
+    assert_eq!(got, bytes);
+    assert_eq!(answer, b"done");
+    proxy.wait_open(|open| open == 0).await;
+    assert_eq!(
+        (proxy.bytes(Side::Up), proxy.bytes(Side::Down)),
+        (200_000, 4)
+    );
+}
+
+#[tokio::test]
+async fn latency_applies_to_each_direction() {
+    // Guards against a delay that is skipped; it asserts a lower bound only.
+    let (_service, proxy, client) = start().await;
+    proxy.set_latency(Duration::from_millis(20));
+    let start = Instant::now();
+
+    client.call(Call::get("/")).await.unwrap();
+
+    assert!(start.elapsed() >= Duration::from_millis(40));
+}
+
+#[tokio::test]
+async fn cut_resets_connections_and_lets_new_ones_work() {
+    // Guards against a cut that reaches the ends as an orderly close.
+    let (proxy, mut caller, mut server) = pair().await;
+
+    proxy.cut();
+
+    let mut buf = [0; 1];
+    let caller_end = caller.read(&mut buf).await.unwrap_err();
+    let server_end = server.read(&mut buf).await.unwrap_err();
+    assert_eq!(caller_end.kind(), std::io::ErrorKind::ConnectionReset);
+    assert_eq!(server_end.kind(), std::io::ErrorKind::ConnectionReset);
+
+    let (_service, proxy, client) = start().await;
+    proxy.cut();
+    client.call(Call::get("/")).await.unwrap();
+}
+
+#[tokio::test]
+async fn silenced_connection_stays_silent_while_new_ones_work() {
+    // Guards against a silence that a close of either end breaks.
+    let (service, proxy, client) = start().await;
+    let mut old = client.connect().await.unwrap();
+    old.call(Call::get("/")).await.unwrap();
+
+    proxy.silence();
+    let silent = old.call(Call::get("/").timeout(SHORT)).await;
+    let new = client.call(Call::get("/")).await;
+
+    assert!(matches!(silent, Err(ClientError::Timeout)));
+    assert!(new.is_ok());
+    assert_eq!(service.calls().len(), 2);
+
+    let (proxy, mut caller, server) = pair().await;
+    proxy.silence();
+    drop(server);
+    assert!(is_silent(&mut caller).await);
+    drop(caller);
+    proxy.wait_open(|open| open == 0).await;
+}
+
+#[tokio::test]
+async fn healed_blackhole_delivers_what_was_sent() {
+    // Guards against a partition that loses bytes, which TCP does not.
+    let (proxy, mut caller, mut server) = pair().await;
+
+    proxy.set_blackhole(true);
+    caller.write_all(b"hello").await.unwrap();
+    assert!(is_silent(&mut server).await);
+    proxy.set_blackhole(false);
+
+    let mut buf = [0; 5];
+    server.read_exact(&mut buf).await.unwrap();
+    assert_eq!(&buf, b"hello");
+}
+
+#[tokio::test]
+async fn half_open_connection_passes_one_direction() {
+    // Guards against a half-open fault that stops both directions.
+    let (proxy, mut caller, mut server) = pair().await;
+
+    proxy.set_held(Side::Down, true);
+    caller.write_all(b"up").await.unwrap();
+    server.write_all(b"down").await.unwrap();
+
+    let mut buf = [0; 2];
+    server.read_exact(&mut buf).await.unwrap();
+    assert!(is_silent(&mut caller).await);
+}
+
+#[tokio::test]
+async fn refuses_on_demand_and_while_the_upstream_does() {
+    // Guards against a proxy that hides from callers that a process is gone.
+    let (service, proxy, client) = start().await;
+
+    proxy.refuse().await;
+    let refused = client.call(Call::get("/")).await;
+    proxy.accept();
+    proxy.wait_listening(true).await;
+    client.call(Call::get("/")).await.unwrap();
+    service.crash().await;
+    let first = client.call(Call::get("/")).await;
+    proxy.wait_listening(false).await;
+    let later = client.call(Call::get("/")).await;
+    service.restart().unwrap();
+    proxy.wait_listening(true).await;
+    client.call(Call::get("/")).await.unwrap();
+
+    assert!(matches!(refused, Err(ClientError::Connect(_))));
+    assert!(first.is_err());
+    assert!(matches!(later, Err(ClientError::Connect(_))));
+}
+
+#[tokio::test]
+async fn truncates_after_so_many_bytes() {
+    // Guards against a cut at a chunk's end instead of the byte.
+    let (proxy, mut caller, mut server) = pair().await;
+    proxy.set_truncate(Side::Down, Some(7));
+
+    server.write_all(b"0123456789").await.unwrap();
+    let mut got = Vec::new();
+    caller.read_to_end(&mut got).await.unwrap();
+
+    assert_eq!(got, b"0123456");
+}
+
+#[tokio::test]
+async fn bandwidth_limit_slows_a_transfer() {
+    // Guards against a limit that is ignored; it asserts a lower bound only.
+    let (proxy, mut caller, mut server) = pair().await;
+    proxy.set_bandwidth(Some(1_000_000));
+    let start = Instant::now();
+
+    let send = async {
+        caller.write_all(&vec![7; 100_000]).await.unwrap();
+        caller.shutdown().await.unwrap();
+    };
+    let mut got = Vec::new();
+    let ((), read) = tokio::join!(send, server.read_to_end(&mut got));
+    read.unwrap();
+
+    assert_eq!(got.len(), 100_000);
+    assert!(start.elapsed() >= Duration::from_millis(80));
+}
+
+#[tokio::test]
+async fn reset_of_an_answer_reaches_the_caller() {
+    // Guards against a proxy that turns a reset into an end of the body.
+    let (service, _proxy, client) = start().await;
+    service.set_fault(ServiceFault::ResetAfterBody);
+
+    let answer = client.call(Call::post("/", "body")).await;
+
+    assert!(matches!(answer, Err(ClientError::Reset(_))));
+}
+
+#[tokio::test]
+async fn many_proxies_start_and_end() {
+    // Guards against proxies that keep their port or tasks after they are dropped.
+    let service = PlainService::start(any()).await.unwrap();
+    let mut proxies = Vec::new();
+    for _ in 0..200 {
+        proxies.push(Proxy::start(any(), service.addr()).await.unwrap());
+    }
+    for proxy in &proxies {
+        Client::new(proxy.addr())
+            .call(Call::get("/"))
+            .await
+            .unwrap();
+    }
+    let addr = proxies[0].addr();
+
+    drop(proxies);
+
+    // The acceptor closes its sockets soon after the drop.
+    let again = async {
+        while Port::reserve(addr).and_then(|port| port.listen()).is_err() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(10), again)
+        .await
+        .unwrap();
+}
