--- a/crates/limit/tests/fleet/main.rs
+++ b/crates/limit/tests/fleet/main.rs
@@ -27,7 +27,9 @@
     let op = prop_oneof![
         12 => (1..1_500_u64).prop_map(Op::Time),
         12 => (vm.clone(), 1..=5_u64).prop_map(|(v, q)| Op::Reserve(v, q)),
+        3 => Just(Op::ReserveAll),
         10 => (any.clone(), 0..=quarters).prop_map(|(i, q)| Op::Settle(i, q)),
+        2 => (0..=quarters).prop_map(Op::SettleAll),
         8 => (vm.clone(), vm.clone(), 1..200_u64).prop_map(|(v, w, t)| Op::Ask(v, w, t)),
         2 => vm.clone().prop_map(Op::Balance),
         1 => (vm.clone(), vm.clone()).prop_map(|(v, w)| Op::GiveAll(v, w)),
--- a/crates/limit/tests/fleet/model.rs
+++ b/crates/limit/tests/fleet/model.rs
@@ -25,7 +25,10 @@
 pub enum Op {
     Time(u64),
     Reserve(usize, u64),
+    /// Every holder reserves all it has.
+    ReserveAll,
     Settle(usize, u64),
+    SettleAll(u64),
     Ask(usize, usize, u64),
     Balance(usize),
     GiveAll(usize, usize),
@@ -159,7 +162,11 @@
                 (0..vms).for_each(|vm| self.tick(vm));
             }
             Op::Reserve(vm, quarters) => self.reserve(vm % vms, quarters),
+            Op::ReserveAll => (0..vms).for_each(|vm| self.reserve(vm, 4)),
             Op::Settle(i, quarters) => self.settle(i, quarters),
+            Op::SettleAll(quarters) => {
+                (0..self.open.len()).for_each(|_| self.settle(0, quarters));
+            }
             Op::Ask(from, to, tokens) => self.send(from % vms, to % vms, Body::Ask(tokens)),
             Op::Balance(vm) => {
                 let now = self.now;
