--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -46,7 +46,7 @@
 fn share(status: &limit::Status) -> serde_json::Value {
     serde_json::json!({
         "workspace": status.workspace,
-        "parts": status.held,
+        "parts": status.held.len(),
         "parts_in_transit": status.in_transit,
         "tokens": status.tokens,
         "rate": status.limit.rate,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -231,7 +231,7 @@
         }
         let now = self.now();
         let ready = self.is_single()
-            || self.holder.parts(now) > 0
+            || self.holder.holds_parts(now)
             || self.fleet.view(|view| view.entries(now).next().is_some());
         if ready {
             log::info!("entry: ready");
--- a/crates/daemon/src/shares.rs
+++ b/crates/daemon/src/shares.rs
@@ -103,9 +103,8 @@
         let listed = listed
             .into_iter()
             .map(|(vm, incarnation)| (vm, incarnation.map(|incarnation| incarnation.0)));
-        for gone in state.reclaim.set_listed(now, listed) {
-            state.shares.gone(gone);
-        }
+        let State { shares, reclaim } = &mut *state;
+        reclaim.set_listed(now, shares, listed);
         for workspace in sheet.workspaces.keys() {
             let parts = succession(own, live, workspace);
             state.reclaim.set_successor(now, workspace, parts);
@@ -183,7 +182,7 @@
                 number: message.number,
                 epoch: message.epoch,
                 hops: message.hops,
-                taken: state.shares.accept(now, &part),
+                taken: state.shares.accept(now, giver.0, &part),
             });
         }
         answers
@@ -233,14 +232,11 @@
         PartMoves { moves, left: 0 }
     }
 
-    /// Parts that are held or in transit, over all workspaces.
-    pub(crate) fn parts(&self, now: Duration) -> u32 {
+    /// Whether any part is held or in transit.
+    pub(crate) fn holds_parts(&self, now: Duration) -> bool {
         let mut state = self.lock();
-        state
-            .shares
-            .status(now)
-            .map(|s| s.held + s.in_transit)
-            .sum()
+        let mut parts = state.shares.status(now);
+        parts.any(|s| !s.held.is_empty() || s.in_transit > 0)
     }
 
     fn try_reserve(
@@ -402,7 +398,7 @@
 /// Gives all parts to a ready peer, so that nothing waits for a hold-down after a shutdown.
 pub(crate) async fn give_away(node: &Arc<Node>) {
     let until = node.now() + GIVE_AWAY;
-    while node.now() < until && node.holder.parts(node.now()) > 0 {
+    while node.now() < until && node.holder.holds_parts(node.now()) {
         let receiver = node
             .entries()
             .iter()
--- a/crates/testkit/src/bin/standin.rs
+++ b/crates/testkit/src/bin/standin.rs
@@ -137,7 +137,7 @@
         {
             match revision(&sheet) {
                 Some(revision) => platform.sheets.publish(revision, sheet.clone()),
-                None => eprintln!("platform: {}: no sheet row with a revision", path.display()),
+                None => eprintln!("platform: {}: not a valid sheet", path.display()),
             }
         }
         if let Some(path) = &args.vms
@@ -161,15 +161,7 @@
     Ok(true)
 }
 
-/// Revision in the `sheet` row of a CSV sheet.
+/// Revision of a valid sheet.
 fn revision(csv: &[u8]) -> Option<u64> {
-    let mut reader = csv::ReaderBuilder::new().flexible(true).from_reader(csv);
-    let headers = reader.headers().ok()?.clone();
-    let column = |name: &str| headers.iter().position(|header| header == name);
-    let (kind, revision) = (column("kind")?, column("revision")?);
-    let row = reader
-        .records()
-        .filter_map(Result::ok)
-        .find(|row| row.get(kind) == Some("sheet"))?;
-    row.get(revision)?.trim().parse().ok()
+    sheet::Sheet::parse(csv).ok().map(|sheet| sheet.revision)
 }
