Clear the lints of the daemon

Change: let-else, larger duration units, one lookup in the owner's offer, and an unused callback removed.

--- a/crates/daemon/src/entry/admit.rs
+++ b/crates/daemon/src/entry/admit.rs
@@ -20,9 +20,9 @@
 /// Header with the longest time to the first byte of the answer, for example `410ms`.
 const DEADLINE_HEADER: &str = "x-primrosechute-deadline";
 /// Longest deadline that a caller may ask for.
-const MAX_DEADLINE: Duration = Duration::from_secs(600);
+const MAX_DEADLINE: Duration = Duration::from_mins(10);
 /// Longest time that a run may take after its deadline.
-const MAX_RUN: Duration = Duration::from_secs(300);
+const MAX_RUN: Duration = Duration::from_mins(5);
 /// Bytes of a prompt that count as one token before the engine has counted them.
 const BYTES_PER_TOKEN: u64 = 4;
 /// Bytes of a body whose hash decides the affinity to targets with a warm prefix cache.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -382,10 +382,6 @@
         }
     }
 
-    pub(crate) fn on_accepted_closed(&self, peer: &Peer) {
-        log::debug!("peer: link from {} closed", peer.vm);
-    }
-
     /// Takes a message that needs no reply.
     pub(crate) fn on_message(self: &Arc<Self>, peer: &Peer, body: Body) {
         match body {
--- a/crates/daemon/src/owner/task.rs
+++ b/crates/daemon/src/owner/task.rs
@@ -150,14 +150,12 @@
             entry,
             received: now,
         };
-        if self.waiting.contains_key(&descriptor.id) {
-            // An entry offers a request to one owner at a time; a second offer while one waits
-            // replaces the reply channel only.
-            self.waiting.insert(descriptor.id, waiting);
-            return;
+        let before = self.waiting.insert(descriptor.id.clone(), waiting);
+        // An entry offers a request to one owner at a time, so a second offer of a waiting request
+        // only replaces the reply channel.
+        if before.is_none() {
+            found.scheduler.offer(now, descriptor);
         }
-        self.waiting.insert(descriptor.id.clone(), waiting);
-        found.scheduler.offer(now, descriptor);
     }
 
     fn withdraw(&mut self, pool: &Name, id: &Name) {
--- a/crates/daemon/src/peer/accept.rs
+++ b/crates/daemon/src/peer/accept.rs
@@ -76,7 +76,7 @@
         incarnation: Incarnation(hello.incarnation),
     };
     exchange(&node, &peer, &mut framed).await;
-    node.on_accepted_closed(&peer);
+    log::debug!("peer: link from {} closed", peer.vm);
 }
 
 async fn exchange(node: &Arc<Node>, peer: &Peer, framed: &mut Framed<TcpStream, Codec>) {
--- a/crates/daemon/src/peer/dial.rs
+++ b/crates/daemon/src/peer/dial.rs
@@ -98,12 +98,12 @@
     if framed.send(hello).await.is_err() {
         return End::Broken;
     }
-    let hello = match timeout(timing.silent, framed.next()).await {
-        Ok(Some(Ok(Frame {
-            body: Some(Body::Hello(hello)),
-            ..
-        }))) => hello,
-        _ => return End::Broken,
+    let Ok(Some(Ok(Frame {
+        body: Some(Body::Hello(hello)),
+        ..
+    }))) = timeout(timing.silent, framed.next()).await
+    else {
+        return End::Broken;
     };
     if hello.version != PROTOCOL_VERSION {
         return End::Version(hello.version);
@@ -132,9 +132,8 @@
     loop {
         tokio::select! {
             outgoing = rx.recv() => {
-                let mut outgoing = match outgoing {
-                    Some(outgoing) => outgoing,
-                    None => return End::Closed,
+                let Some(mut outgoing) = outgoing else {
+                    return End::Closed;
                 };
                 // Feeds what waits and flushes once, to save system calls under load.
                 loop {
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -297,7 +297,7 @@
 const PAUSE_TICK: Duration = Duration::from_millis(50);
 
 /// Gap that counts as a pause. A busy machine delays a tick by less than this.
-const PAUSE_GAP: Duration = Duration::from_millis(1000);
+const PAUSE_GAP: Duration = Duration::from_secs(1);
 
 async fn watch_pauses(node: Arc<Node>) {
     let mut tick = interval(PAUSE_TICK);
