--- a/crates/daemon/src/entry/admit.rs
+++ b/crates/daemon/src/entry/admit.rs
@@ -21,6 +21,8 @@
 const DEADLINE_HEADER: &str = "x-primrosechute-deadline";
 /// Longest deadline that a caller may ask for.
 const MAX_DEADLINE: Duration = Duration::from_mins(10);
+/// Longest text of a deadline. `humantime` 2.4 panics on some numbers of 20 digits.
+const MAX_DEADLINE_TEXT: usize = 16;
 /// Longest time that a run may take after its deadline.
 const MAX_RUN: Duration = Duration::from_mins(5);
 /// Bytes of a prompt that count as one token before the engine has counted them.
@@ -202,6 +204,7 @@
     value
         .to_str()
         .ok()
+        .filter(|text| text.len() <= MAX_DEADLINE_TEXT)
         .and_then(|text| humantime::parse_duration(text).ok())
         .filter(|deadline| !deadline.is_zero() && *deadline <= MAX_DEADLINE)
         .ok_or(Refusal::Malformed(
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -43,6 +43,9 @@
 #[derive(Debug)]
 pub struct Codec {
     lengths: LengthDelimitedCodec,
+    /// Whether the length of a frame was read and its message was not. The buffer alone does not
+    /// show that the link ended there.
+    inside: bool,
 }
 
 impl Default for Codec {
@@ -51,6 +54,7 @@
             lengths: LengthDelimitedCodec::builder()
                 .max_frame_length(MAX_FRAME)
                 .new_codec(),
+            inside: false,
         }
     }
 }
@@ -60,10 +64,22 @@
     type Error = FrameError;
 
     fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Frame>, FrameError> {
-        match self.lengths.decode(buf)? {
-            Some(frame) => Frame::decode(frame).map(Some).map_err(FrameError::Decode),
-            None => Ok(None),
+        let before = buf.len();
+        let Some(frame) = self.lengths.decode(buf)? else {
+            self.inside |= buf.len() < before;
+            return Ok(None);
+        };
+        self.inside = false;
+        Frame::decode(frame).map(Some).map_err(FrameError::Decode)
+    }
+
+    fn decode_eof(&mut self, buf: &mut BytesMut) -> Result<Option<Frame>, FrameError> {
+        let frame = self.decode(buf)?;
+        if frame.is_none() && (self.inside || !buf.is_empty()) {
+            let text = "the link ended inside a frame";
+            return Err(io::Error::new(io::ErrorKind::UnexpectedEof, text).into());
         }
+        Ok(frame)
     }
 }
 
