sched: replace the placeholder by the scheduler of one pool

The placeholder granted first in, first out per tier against the capacity of the sheet and ignored deadlines, warm-up, handover and containment.

The scheduler is split into modules of one job each: tier queues with a deadline heap (queue), deficit round robin over workspaces (fairness), learned limit (limit), phases and ramp of a target (target), time-to-first-token estimates (estimate), prefix affinity (affinity), suspect fingerprints (containment), runs in flight (runs), decisions (grant), reports (observe) and counters (stats). Baseline is the random, first in, first out policy for comparison. Existing methods keep their signatures; release_request, reclaim, load_report_at, suspects, stats, limit and in_flight are new.

--- /dev/null
+++ b/crates/sched/src/baseline.rs
@@ -0,0 +1,102 @@
+//! The policy that the scheduler is compared with.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use crate::model::{Descriptor, Event, Name, Permit, PermitId, RunReport, ShedReason, TargetSpec};
+
+/// First in first out over a random target with room, without tiers, deadlines or warm-up.
+pub struct Baseline {
+    queue: VecDeque<Descriptor>,
+    max_waiting: usize,
+    permit_life: Duration,
+    /// Targets with their tokens and runs in flight.
+    targets: Vec<(TargetSpec, u64, u32)>,
+    runs: HashMap<PermitId, (Name, u64)>,
+    random: fastrand::Rng,
+    next_permit: u64,
+    events: Vec<Event>,
+}
+
+impl Baseline {
+    /// Creates a baseline scheduler; the seed fixes its choices.
+    #[must_use]
+    pub fn new(max_waiting: usize, permit_life: Duration, seed: u64) -> Self {
+        Baseline {
+            queue: VecDeque::new(),
+            max_waiting,
+            permit_life,
+            targets: Vec::new(),
+            runs: HashMap::new(),
+            random: fastrand::Rng::with_seed(seed),
+            next_permit: 1,
+            events: Vec::new(),
+        }
+    }
+
+    /// Adds a target or changes its specification.
+    pub fn set_target(&mut self, spec: TargetSpec) {
+        match self.targets.iter_mut().find(|own| own.0.name == spec.name) {
+            Some(own) => own.0 = spec,
+            None => self.targets.push((spec, 0, 0)),
+        }
+    }
+
+    /// Queues a request, or sheds it if the queue is full.
+    pub fn offer(&mut self, descriptor: Descriptor) {
+        if self.queue.len() < self.max_waiting {
+            self.queue.push_back(descriptor);
+        } else {
+            self.events.push(Event::Shed {
+                id: descriptor.id,
+                tier: descriptor.tier,
+                reason: ShedReason::QueueFull,
+            });
+        }
+    }
+
+    /// Removes a waiting request. Returns false if it does not wait.
+    pub fn withdraw(&mut self, id: &str) -> bool {
+        let at = self.queue.iter().position(|waiting| &*waiting.id == id);
+        at.and_then(|at| self.queue.remove(at)).is_some()
+    }
+
+    /// Ends a permit.
+    pub fn release(&mut self, permit: PermitId, _: RunReport) {
+        if let Some((name, cost)) = self.runs.remove(&permit)
+            && let Some(own) = self.targets.iter_mut().find(|own| own.0.name == name)
+        {
+            own.1 -= cost;
+            own.2 -= 1;
+        }
+    }
+
+    /// Grants from the front of the queue while a target has room.
+    pub fn poll(&mut self, now: Duration) -> Vec<Event> {
+        while let Some(first) = self.queue.front() {
+            let cost = first.cost;
+            let room = |(spec, tokens, running): &&mut (TargetSpec, u64, u32)| {
+                spec.open && (*running == 0 || *tokens + cost <= spec.capacity)
+            };
+            let rooms: Vec<_> = self.targets.iter_mut().filter(room).collect();
+            let Some((spec, tokens, running)) = self.random.choice(rooms) else {
+                break;
+            };
+            *tokens += cost;
+            *running += 1;
+            let id = PermitId(self.next_permit);
+            self.next_permit += 1;
+            self.runs.insert(id, (spec.name.clone(), cost));
+            let target = spec.name.clone();
+            if let Some(descriptor) = self.queue.pop_front() {
+                self.events.push(Event::Granted(Permit {
+                    id,
+                    request: descriptor.id,
+                    target,
+                    expires: now + self.permit_life,
+                }));
+            }
+        }
+        std::mem::take(&mut self.events)
+    }
+}
--- /dev/null
+++ b/crates/sched/src/list.rs
@@ -0,0 +1,65 @@
+//! Doubly linked lists through the items of a slab, for removal in constant time.
+
+use slab::Slab;
+
+/// Neighbours of an item in one list.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Link {
+    prev: Option<usize>,
+    next: Option<usize>,
+}
+
+/// Ends of a list. Each call on a list must pass the same slab and the same link.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct List {
+    head: Option<usize>,
+    tail: Option<usize>,
+}
+
+impl List {
+    pub(crate) fn head(&self) -> Option<usize> {
+        self.head
+    }
+
+    pub(crate) fn tail(&self) -> Option<usize> {
+        self.tail
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.head.is_none()
+    }
+
+    pub(crate) fn push_back<T>(
+        &mut self,
+        items: &mut Slab<T>,
+        link: fn(&mut T) -> &mut Link,
+        at: usize,
+    ) {
+        *link(&mut items[at]) = Link {
+            prev: self.tail,
+            next: None,
+        };
+        match self.tail {
+            Some(tail) => link(&mut items[tail]).next = Some(at),
+            None => self.head = Some(at),
+        }
+        self.tail = Some(at);
+    }
+
+    pub(crate) fn remove<T>(
+        &mut self,
+        items: &mut Slab<T>,
+        link: fn(&mut T) -> &mut Link,
+        at: usize,
+    ) {
+        let Link { prev, next } = std::mem::take(link(&mut items[at]));
+        match prev {
+            Some(prev) => link(&mut items[prev]).next = next,
+            None => self.head = next,
+        }
+        match next {
+            Some(next) => link(&mut items[next]).prev = prev,
+            None => self.tail = prev,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/num.rs
@@ -0,0 +1,20 @@
+//! Conversions between token counts and floating point.
+
+/// A token count as a floating-point number.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts stay far below 2^52"
+)]
+pub(crate) fn float(tokens: u64) -> f64 {
+    tokens as f64
+}
+
+/// A floating-point number of tokens, rounded down; negative numbers give 0.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the cast saturates and the fraction is not needed"
+)]
+pub(crate) fn whole(tokens: f64) -> u64 {
+    tokens as u64
+}
--- /dev/null
+++ b/crates/sched/src/observe.rs
@@ -0,0 +1,154 @@
+//! What the ends of runs and the load reports say about the targets.
+
+use std::time::Duration;
+
+use crate::model::{LoadReport, PermitId, RunEnd, RunReport};
+use crate::runs::Run;
+use crate::scheduler::Scheduler;
+
+/// A prompt may take this many times its unloaded time before it counts as late, if that is
+/// longer than the goal for the first token.
+const PROMPT_SLACK: f64 = 2.0;
+
+impl Scheduler {
+    /// Ends a permit. Unknown permits and second releases are ignored.
+    pub fn release(&mut self, now: Duration, permit: PermitId, report: RunReport) {
+        self.see(now);
+        if let Some(at) = self.runs.by_permit(permit) {
+            self.finish(at, &report);
+        }
+    }
+
+    /// Ends the run of a request, also one that an earlier owner granted and handed over. Returns
+    /// false if the request has no run here.
+    pub fn release_request(&mut self, now: Duration, request: &str, report: RunReport) -> bool {
+        self.see(now);
+        let at = self.runs.by_request(request);
+        at.map(|at| self.finish(at, &report)).is_some()
+    }
+
+    /// Takes a target's own load report, measured now.
+    pub fn load_report(&mut self, now: Duration, target: &str, report: LoadReport) {
+        self.load_report_at(now, target, report, now);
+    }
+
+    /// Takes a target's own load report that was measured at an earlier time. A report older than
+    /// the last one is ignored.
+    pub fn load_report_at(
+        &mut self,
+        now: Duration,
+        target: &str,
+        report: LoadReport,
+        measured: Duration,
+    ) {
+        self.see(now);
+        if let Some(&at) = self.by_name.get(target) {
+            let target = &mut self.targets[at];
+            target.report(&self.cfg, now, measured.min(now), report, self.in_doubt);
+        }
+    }
+
+    /// Ends a run without a report.
+    pub(crate) fn free(&mut self, at: usize) -> Run {
+        let run = self.runs.remove(at);
+        let target = &mut self.targets[run.target];
+        target.tokens = target.tokens.saturating_sub(run.cost);
+        target.running -= 1;
+        if run.alone {
+            target.alone = false;
+            if let Some(fingerprint) = run.fingerprint {
+                self.containment.set_running(fingerprint, false);
+            }
+        }
+        run
+    }
+
+    fn finish(&mut self, at: usize, report: &RunReport) {
+        if report.end == RunEnd::Reset {
+            self.crash(at);
+            return;
+        }
+        let run = self.free(at);
+        let target = &mut self.targets[run.target];
+        let current = run.epoch == target.epoch;
+        let before = target.tokens.saturating_add(run.cost);
+        match report.end {
+            RunEnd::Overloaded if current => target.overloaded(&self.cfg, self.now, before),
+            RunEnd::Unused | RunEnd::Reset | RunEnd::Overloaded => {}
+            RunEnd::Cancelled => {
+                self.learn(&run, report, current.then_some(before), false);
+            }
+            RunEnd::Complete => {
+                if current && !self.in_doubt {
+                    target.completed(&self.cfg, run.cost);
+                }
+                self.learn(&run, report, current.then_some(before), true);
+                if run.alone
+                    && let Some(fingerprint) = run.fingerprint
+                {
+                    self.containment.clear(self.now, fingerprint);
+                }
+            }
+        }
+    }
+
+    /// Takes a reset: the target turns cold, and the requests that ran on it become suspect.
+    ///
+    /// Each run that a crash ended reports a reset of its own; only the first one of an epoch
+    /// counts, or the runs granted since would be blamed for a crash before their time.
+    fn crash(&mut self, at: usize) {
+        let (now, run) = (self.now, self.runs.get(at));
+        let (place, epoch) = (run.target, run.epoch);
+        let target = &mut self.targets[place];
+        if epoch >= target.blamed {
+            if target.alive {
+                let blamed = target.blamed;
+                for (_, run) in self.runs.on(place) {
+                    if let Some(fingerprint) = run.fingerprint
+                        && (blamed..=epoch).contains(&run.epoch)
+                    {
+                        self.containment.blame(now, fingerprint, &target.spec.name);
+                    }
+                }
+            }
+            target.blamed = epoch + 1;
+            target.crashed(&self.cfg, now);
+        }
+        self.free(at);
+    }
+
+    /// Learns times and the limit from a run. `before` is the number of tokens in flight with it
+    /// if it ran in the present epoch of its target.
+    fn learn(&mut self, run: &Run, report: &RunReport, before: Option<u64>, complete: bool) {
+        let target = &mut self.targets[run.target];
+        let speed = target.spec.speed.max(f64::MIN_POSITIVE);
+        let mut met = true;
+        if let Some(first) = report.first_token {
+            let seconds = first.as_secs_f64();
+            target.alive = true;
+            if run.prompt > 0 {
+                target.first_token.learn(self.now, run.prompt, seconds);
+                self.first_token
+                    .learn(self.now, run.prompt, seconds * speed);
+            }
+            let goal = self.cfg.first_token_goal.as_secs_f64();
+            met &= seconds <= goal.max(PROMPT_SLACK * target.first_token.unloaded(run.prompt));
+        }
+        if let Some(gap) = report.token_gap {
+            target.token_gap.learn(gap.as_secs_f64());
+            self.token_gap.learn(gap.as_secs_f64() * speed);
+            met &= gap <= self.cfg.token_gap_goal;
+        }
+        if let (Some(own), Some(pool)) = (target.token_gap.get(), self.token_gap.get()) {
+            target.weigh((own > 0.0).then(|| pool / own));
+        }
+        if let Some(before) = before {
+            target.alive |= complete;
+            if !met {
+                target.limit.missed(run.cost);
+            } else if complete && !self.in_doubt {
+                target.limit.met(run.cost, before);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/runs.rs
@@ -0,0 +1,107 @@
+//! Runs in flight: by permit, by request id and by hard deadline.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+use slab::Slab;
+
+use crate::model::{Name, PermitId};
+
+/// One run in flight.
+pub(crate) struct Run {
+    pub(crate) permit: PermitId,
+    /// Whether an earlier owner gave the permit; its number means nothing here.
+    pub(crate) handed_over: bool,
+    pub(crate) request: Name,
+    pub(crate) target: usize,
+    pub(crate) cost: u64,
+    pub(crate) prompt: u64,
+    pub(crate) fingerprint: Option<u64>,
+    /// Whether it runs alone because its fingerprint is suspect.
+    pub(crate) alone: bool,
+    /// Epoch of the target at the grant.
+    pub(crate) epoch: u64,
+    pub(crate) hard_deadline: Duration,
+}
+
+/// Table of the runs in flight.
+#[derive(Default)]
+pub(crate) struct Runs {
+    items: Slab<(Run, u64)>,
+    by_permit: HashMap<PermitId, usize>,
+    by_request: HashMap<Name, usize>,
+    ends: BinaryHeap<Reverse<(Duration, usize, u64)>>,
+    serial: u64,
+}
+
+impl Runs {
+    pub(crate) fn insert(&mut self, run: Run) {
+        self.serial += 1;
+        let (permit, request, end) = (run.permit, run.request.clone(), run.hard_deadline);
+        let handed_over = run.handed_over;
+        let at = self.items.insert((run, self.serial));
+        if !handed_over {
+            self.by_permit.insert(permit, at);
+        }
+        self.by_request.insert(request, at);
+        self.ends.push(Reverse((end, at, self.serial)));
+        if self.ends.len() > 2 * self.items.len() + 64 {
+            let items = &self.items;
+            self.ends
+                .retain(|&Reverse((_, at, serial))| is_running(items, at, serial));
+        }
+    }
+
+    pub(crate) fn by_permit(&self, permit: PermitId) -> Option<usize> {
+        self.by_permit.get(&permit).copied()
+    }
+
+    pub(crate) fn by_request(&self, request: &str) -> Option<usize> {
+        self.by_request.get(request).copied()
+    }
+
+    pub(crate) fn get(&self, at: usize) -> &Run {
+        &self.items[at].0
+    }
+
+    pub(crate) fn remove(&mut self, at: usize) -> Run {
+        let (run, _) = self.items.remove(at);
+        if !run.handed_over {
+            self.by_permit.remove(&run.permit);
+        }
+        // A second run of the same request may have taken the entry.
+        if self.by_request.get(&run.request) == Some(&at) {
+            self.by_request.remove(&run.request);
+        }
+        run
+    }
+
+    /// The next run whose hard deadline has passed.
+    pub(crate) fn next_over(&mut self, now: Duration) -> Option<usize> {
+        while let Some(&Reverse((end, at, serial))) = self.ends.peek() {
+            if is_running(&self.items, at, serial) {
+                return (end <= now).then_some(at);
+            }
+            self.ends.pop();
+        }
+        None
+    }
+
+    /// Time of the first hard deadline.
+    pub(crate) fn next_end(&self) -> Option<Duration> {
+        self.ends.peek().map(|&Reverse((end, ..))| end)
+    }
+
+    /// Runs on one target.
+    pub(crate) fn on(&self, target: usize) -> impl Iterator<Item = (usize, &Run)> {
+        self.items
+            .iter()
+            .filter(move |(_, (run, _))| run.target == target)
+            .map(|(at, (run, _))| (at, run))
+    }
+}
+
+fn is_running(items: &Slab<(Run, u64)>, at: usize, serial: u64) -> bool {
+    items.get(at).is_some_and(|&(_, own)| own == serial)
+}
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -1,229 +1,311 @@
 //! The scheduler of one pool at one owner.
 
-use std::collections::{HashMap, VecDeque};
+use std::cmp::Ordering;
+use std::collections::HashMap;
 use std::time::Duration;
 
+use slab::Slab;
+
+use crate::affinity::Prefixes;
+use crate::config::Config;
+use crate::containment::{Containment, Standing, Suspect};
+use crate::estimate::{FirstToken, Mean};
 use crate::model::{
-    Descriptor, Digest, Event, Handover, LoadReport, Name, Permit, PermitId, RunReport, ShedReason,
-    TargetPhase, TargetSpec,
+    Descriptor, Digest, Event, Handover, InFlight, Name, PermitId, ShedReason, TargetPhase,
+    TargetSpec,
 };
-
-/// Limits of a scheduler.
-#[derive(Clone, Debug)]
-pub struct Config {
-    /// Number of tiers.
-    pub tiers: u8,
-    /// Most descriptors that may wait.
-    pub max_waiting: usize,
-    /// Life of a permit.
-    pub permit_life: Duration,
-}
-
-impl Default for Config {
-    fn default() -> Self {
-        Config {
-            tiers: 5,
-            max_waiting: 10_000,
-            permit_life: Duration::from_secs(1),
-        }
-    }
-}
-
-struct Target {
-    spec: TargetSpec,
-    tokens: u64,
-    running: u32,
-}
-
-struct Run {
-    target: Name,
-    cost: u64,
-}
+use crate::queue::Queue;
+use crate::runs::{Run, Runs};
+use crate::stats::Stats;
+use crate::target::Target;
 
 /// Queues descriptors and grants permits for the targets that this daemon owns in one pool.
 pub struct Scheduler {
-    cfg: Config,
-    queues: Vec<VecDeque<Descriptor>>,
-    targets: HashMap<Name, Target>,
-    runs: HashMap<PermitId, Run>,
-    next_permit: u64,
-    events: Vec<Event>,
+    pub(crate) cfg: Config,
+    /// The latest time passed to any call.
+    pub(crate) now: Duration,
+    pub(crate) queue: Queue,
+    pub(crate) targets: Slab<Target>,
+    pub(crate) by_name: HashMap<Name, usize>,
+    pub(crate) runs: Runs,
+    pub(crate) containment: Containment,
+    pub(crate) prefixes: Prefixes,
+    /// Time to first token over all targets, as if each had speed 1.
+    pub(crate) first_token: FirstToken,
+    /// Time between tokens over all targets, as if each had speed 1.
+    pub(crate) token_gap: Mean,
+    pub(crate) in_doubt: bool,
+    pub(crate) next_permit: u64,
+    pub(crate) events: Vec<Event>,
+    pub(crate) stats: Stats,
 }
 
 impl Scheduler {
     /// Creates a scheduler without targets.
     #[must_use]
     pub fn new(cfg: Config) -> Self {
-        let queues = (0..cfg.tiers).map(|_| VecDeque::new()).collect();
         Scheduler {
-            cfg,
-            queues,
-            targets: HashMap::new(),
-            runs: HashMap::new(),
+            now: Duration::ZERO,
+            queue: Queue::new(cfg.tiers),
+            targets: Slab::new(),
+            by_name: HashMap::new(),
+            runs: Runs::default(),
+            containment: Containment::new(cfg.max_suspects, cfg.suspect_life, cfg.poison_life),
+            prefixes: Prefixes::new(cfg.max_prefixes),
+            first_token: FirstToken::default(),
+            token_gap: Mean::default(),
+            in_doubt: false,
             next_permit: 1,
             events: Vec::new(),
+            stats: Stats::default(),
+            cfg,
         }
     }
 
     /// Adds a target that this daemon came to own, or changes its specification.
     ///
     /// `assume_full` is set when the old owner could not hand over: each place of a cold target
-    /// counts as taken until a report or the hard deadline frees it.
+    /// counts as taken until a report or the hard deadline frees it. It has no effect on a target
+    /// that is here already.
     pub fn set_target(&mut self, now: Duration, spec: TargetSpec, assume_full: bool) {
-        let _ = (now, assume_full);
+        self.see(now);
+        if let Some(&at) = self.by_name.get(&spec.name) {
+            self.targets[at].set_spec(now, spec);
+            return;
+        }
         let name = spec.name.clone();
-        self.targets
-            .entry(name)
-            .and_modify(|target| target.spec = spec.clone())
-            .or_insert(Target {
-                spec,
-                tokens: 0,
-                running: 0,
-            });
+        let mut target = Target::new(now, spec);
+        if assume_full {
+            target.assume_full(now, self.cfg.assumed_run);
+        }
+        let at = self.targets.insert(target);
+        self.by_name.insert(name, at);
     }
 
-    /// Takes over a target with the state that its old owner handed over.
+    /// Takes over a target with the state that its old owner handed over. It has no effect on the
+    /// runs and the warmth of a target that is here already.
     pub fn adopt(&mut self, now: Duration, spec: TargetSpec, handover: &Handover) {
-        let _ = handover;
+        let known = self.by_name.contains_key(&spec.name);
+        let (name, open) = (spec.name.clone(), spec.open);
         self.set_target(now, spec, false);
+        if known {
+            return;
+        }
+        let at = self.by_name[&name];
+        let target = &mut self.targets[at];
+        if open {
+            target.set_warm(&self.cfg, handover.phase, handover.limit);
+        }
+        for run in &handover.in_flight {
+            target.tokens = target.tokens.saturating_add(run.cost);
+            target.running += 1;
+            self.runs.insert(Run {
+                permit: run.permit,
+                handed_over: true,
+                request: run.request.clone(),
+                target: at,
+                cost: run.cost,
+                prompt: 0,
+                fingerprint: None,
+                alone: false,
+                epoch: target.epoch,
+                hard_deadline: now.saturating_add(run.hard_deadline),
+            });
+        }
     }
 
-    /// Gives up a target and returns its state for the new owner.
+    /// Gives up a target and returns its state for the new owner. Releases of its permits have no
+    /// effect here any more; they go to the new owner by request id.
     pub fn give_up(&mut self, now: Duration, target: &str) -> Option<Handover> {
-        let _ = now;
-        let target = self.targets.remove(target)?;
+        self.see(now);
+        let at = self.by_name.remove(target)?;
+        let target = self.targets.remove(at);
+        self.prefixes.forget(at);
+        let ids: Vec<usize> = self.runs.on(at).map(|(id, _)| id).collect();
+        let mut in_flight = Vec::with_capacity(ids.len());
+        for id in ids {
+            let run = self.runs.remove(id);
+            if run.alone
+                && let Some(fingerprint) = run.fingerprint
+            {
+                self.containment.set_running(fingerprint, false);
+            }
+            in_flight.push(InFlight {
+                request: run.request,
+                permit: run.permit,
+                cost: run.cost,
+                hard_deadline: run.hard_deadline.saturating_sub(now),
+            });
+        }
+        in_flight.sort_by_key(|run| run.permit);
         Some(Handover {
+            phase: target.phase(),
+            limit: target.limit.get(),
             target: target.spec.name,
-            phase: TargetPhase::Cold,
-            limit: target.spec.capacity,
-            in_flight: Vec::new(),
+            in_flight,
         })
     }
 
     /// Stops grants to cold targets and growth of warm ones while the owner's lease is in doubt.
     pub fn set_in_doubt(&mut self, in_doubt: bool) {
-        let _ = in_doubt;
+        self.in_doubt = in_doubt;
     }
 
-    /// Queues a request. Decisions follow as events of [`Scheduler::poll`].
+    /// Queues a request. Decisions follow as events of [`Scheduler::poll`]. An id that waits
+    /// already is ignored.
     pub fn offer(&mut self, now: Duration, descriptor: Descriptor) {
-        let _ = now;
-        if self.targets.is_empty() {
-            self.events.push(Event::Shed {
-                id: descriptor.id,
-                tier: descriptor.tier,
-                reason: ShedReason::NoTarget,
-            });
+        self.see(now);
+        if self.queue.find(&descriptor.id).is_some() {
+            return;
+        }
+        if !self.has_open() {
+            self.shed(&descriptor, ShedReason::NoTarget);
+            return;
+        }
+        if self.containment.standing(self.now, descriptor.fingerprint) == Standing::Refused {
+            self.shed(&descriptor, ShedReason::Poison);
+            return;
+        }
+        let latest = self.latest_grant(&descriptor);
+        if latest <= self.now {
+            self.shed(&descriptor, ShedReason::Deadline);
             return;
         }
-        let tier = usize::from(descriptor.tier).min(self.queues.len() - 1);
-        self.queues[tier].push_back(descriptor);
+        if self.queue.len() >= self.cfg.max_waiting && !self.make_room(&descriptor) {
+            self.shed(&descriptor, ShedReason::QueueFull);
+            return;
+        }
+        self.queue.push(descriptor, latest);
     }
 
     /// Removes a waiting request whose caller left. Returns false if it does not wait here.
     pub fn withdraw(&mut self, now: Duration, id: &str) -> bool {
-        let _ = now;
-        for queue in &mut self.queues {
-            if let Some(at) = queue.iter().position(|descriptor| &*descriptor.id == id) {
-                queue.remove(at);
-                return true;
-            }
-        }
-        false
+        self.see(now);
+        let at = self.queue.find(id);
+        at.map(|at| self.queue.remove(at)).is_some()
     }
 
-    /// Ends a permit.
-    pub fn release(&mut self, now: Duration, permit: PermitId, report: RunReport) {
-        let _ = (now, report);
-        if let Some(run) = self.runs.remove(&permit)
-            && let Some(target) = self.targets.get_mut(&run.target)
-        {
-            target.tokens -= run.cost;
-            target.running -= 1;
+    /// Frees runs without a report, for permits whose entry is gone. Unknown permits are ignored.
+    pub fn reclaim(&mut self, now: Duration, permits: &[PermitId]) {
+        self.see(now);
+        for &permit in permits {
+            if let Some(at) = self.runs.by_permit(permit) {
+                self.free(at);
+            }
         }
     }
 
-    /// Takes a target's own load report.
-    pub fn load_report(&mut self, now: Duration, target: &str, report: LoadReport) {
-        let _ = (now, target, report);
+    /// Merges what another owner found of a fingerprint: it was in flight when the given targets
+    /// crashed. With one target it is suspect, with two it is refused until the given time. An
+    /// empty list means that a run alone was complete and clears a suspect one.
+    pub fn suspect(&mut self, fingerprint: u64, crashed: &[Name], until: Duration) {
+        self.containment
+            .merge(self.now, fingerprint, crashed, until);
     }
 
-    /// Refuses a fingerprint until the given time, as another owner found it to crash targets.
-    pub fn suspect(&mut self, fingerprint: u64, crashed: &[Name], until: Duration) {
-        let _ = (fingerprint, crashed, until);
-    }
-
-    /// Decides as much as can be decided now and returns the events since the last call.
-    pub fn poll(&mut self, now: Duration) -> Vec<Event> {
-        for tier in 0..self.queues.len() {
-            while let Some(descriptor) = self.queues[tier].front() {
-                let cost = descriptor.cost;
-                let Some(target) = self
-                    .targets
-                    .values_mut()
-                    .filter(|target| target.spec.open)
-                    .filter(|target| {
-                        target.running == 0 || target.tokens + cost <= target.spec.capacity
-                    })
-                    .min_by_key(|target| target.tokens)
-                else {
-                    break;
-                };
-                target.tokens += cost;
-                target.running += 1;
-                let id = PermitId(self.next_permit);
-                self.next_permit += 1;
-                let run = Run {
-                    target: target.spec.name.clone(),
-                    cost,
-                };
-                let Some(descriptor) = self.queues[tier].pop_front() else {
-                    break;
-                };
-                self.events.push(Event::Granted(Permit {
-                    id,
-                    request: descriptor.id,
-                    target: run.target.clone(),
-                    expires: now + self.cfg.permit_life,
-                }));
-                self.runs.insert(id, run);
-            }
-        }
-        std::mem::take(&mut self.events)
+    /// Fingerprints whose standing changed here since the last call, for other owners.
+    pub fn suspects(&mut self) -> Vec<Suspect> {
+        self.containment.take_changed()
     }
 
     /// Time at which `poll` should be called again although nothing happened, if any.
     #[must_use]
     pub fn next_wakeup(&self) -> Option<Duration> {
-        None
+        if self.queue.len() == 0 {
+            return self.runs.next_end();
+        }
+        if !self.has_open() {
+            return Some(self.now);
+        }
+        let targets = self.targets.iter();
+        targets
+            .filter_map(|(_, target)| target.wakeup(self.now))
+            .chain(self.queue.due_at())
+            .chain(self.runs.next_end())
+            .min()
     }
 
     /// Summary for entries.
     #[must_use]
     pub fn digest(&self) -> Digest {
-        Digest {
-            free: self
-                .targets
-                .values()
-                .filter(|target| target.spec.open)
-                .map(|target| target.spec.capacity.saturating_sub(target.tokens))
-                .sum(),
-            limit: self
-                .targets
-                .values()
-                .map(|target| target.spec.capacity)
-                .sum(),
-            waiting: self
-                .queues
-                .iter()
-                .map(|queue| u32::try_from(queue.len()).unwrap_or(u32::MAX))
-                .collect(),
+        let mut digest = Digest::default();
+        for (_, target) in &self.targets {
+            let (free, limit) = target.free(&self.cfg, self.now, self.in_doubt);
+            digest.free = digest.free.saturating_add(free);
+            digest.limit = digest.limit.saturating_add(limit);
         }
+        digest.waiting = (0..self.queue.tiers())
+            .map(|tier| u32::try_from(self.queue.tier_len(tier)).unwrap_or(u32::MAX))
+            .collect();
+        digest
     }
 
     /// Warm-up state of a target, for the status document.
     #[must_use]
     pub fn phase(&self, target: &str) -> Option<TargetPhase> {
-        self.targets.get(target).map(|_| TargetPhase::Serving)
+        Some(self.targets[*self.by_name.get(target)?].phase())
+    }
+
+    /// Tokens that a target may hold in flight now; while it is cold, `cold_limit` bounds the
+    /// requests as well.
+    #[must_use]
+    pub fn limit(&self, target: &str) -> Option<u64> {
+        Some(self.targets[*self.by_name.get(target)?].allowed())
+    }
+
+    /// Requests, known or assumed, and known tokens in flight on a target.
+    #[must_use]
+    pub fn in_flight(&self, target: &str) -> Option<(u32, u64)> {
+        let target = &self.targets[*self.by_name.get(target)?];
+        Some((target.in_flight(), target.tokens))
+    }
+
+    /// Counts of decisions.
+    #[must_use]
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
+    pub(crate) fn see(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+    }
+
+    pub(crate) fn has_open(&self) -> bool {
+        self.targets.iter().any(|(_, target)| target.spec.open)
+    }
+
+    pub(crate) fn shed(&mut self, descriptor: &Descriptor, reason: ShedReason) {
+        self.stats.shed(descriptor.tier, reason);
+        self.events.push(Event::Shed {
+            id: descriptor.id.clone(),
+            tier: descriptor.tier,
+            reason,
+        });
+    }
+
+    pub(crate) fn shed_waiting(&mut self, at: usize, reason: ShedReason) {
+        let descriptor = self.queue.remove(at);
+        self.shed(&descriptor, reason);
+    }
+
+    /// Makes room in the full queue. A lower tier gives way to a higher one. Inside the lowest
+    /// tier waiting, a workspace with more waiting gives way, or one workspace could fill the
+    /// queue against all others.
+    fn make_room(&mut self, descriptor: &Descriptor) -> bool {
+        let Some(lowest) = self.queue.lowest() else {
+            return false;
+        };
+        let tier = self.queue.tier_of(descriptor.tier);
+        let (victim, reason) = match tier.cmp(&lowest) {
+            Ordering::Less => (self.queue.victim(lowest), ShedReason::Evicted),
+            Ordering::Equal => {
+                let victim = self.queue.victim_for(lowest, &descriptor.workspace);
+                (victim, ShedReason::QueueFull)
+            }
+            Ordering::Greater => (None, ShedReason::QueueFull),
+        };
+        let Some(victim) = victim else { return false };
+        self.shed_waiting(victim, reason);
+        true
     }
 }
--- /dev/null
+++ b/crates/sched/src/stats.rs
@@ -0,0 +1,69 @@
+//! Counters of a scheduler.
+
+use std::collections::BTreeMap;
+
+use crate::model::ShedReason;
+
+/// Counts of decisions since the scheduler was created.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    grants: BTreeMap<u8, u64>,
+    sheds: BTreeMap<(u8, usize), u64>,
+    prefill_tokens: u64,
+}
+
+/// All reasons, in the order of their counters.
+const REASONS: [ShedReason; 5] = [
+    ShedReason::QueueFull,
+    ShedReason::Evicted,
+    ShedReason::Deadline,
+    ShedReason::NoTarget,
+    ShedReason::Poison,
+];
+
+impl Stats {
+    /// Grants to requests of a tier.
+    #[must_use]
+    pub fn grants(&self, tier: u8) -> u64 {
+        self.grants.get(&tier).copied().unwrap_or(0)
+    }
+
+    /// Sheds of requests of a tier for a reason.
+    #[must_use]
+    pub fn sheds(&self, tier: u8, reason: ShedReason) -> u64 {
+        let key = (tier, index(reason));
+        self.sheds.get(&key).copied().unwrap_or(0)
+    }
+
+    /// Prompt tokens of all granted requests.
+    #[must_use]
+    pub fn prefill_tokens(&self) -> u64 {
+        self.prefill_tokens
+    }
+
+    /// All counters of sheds that are not 0.
+    pub fn all_sheds(&self) -> impl Iterator<Item = (u8, ShedReason, u64)> {
+        self.sheds
+            .iter()
+            .map(|(&(tier, reason), &count)| (tier, REASONS[reason], count))
+    }
+
+    pub(crate) fn granted(&mut self, tier: u8, prompt: u64) {
+        *self.grants.entry(tier).or_default() += 1;
+        self.prefill_tokens += prompt;
+    }
+
+    pub(crate) fn shed(&mut self, tier: u8, reason: ShedReason) {
+        *self.sheds.entry((tier, index(reason))).or_default() += 1;
+    }
+}
+
+fn index(reason: ShedReason) -> usize {
+    match reason {
+        ShedReason::QueueFull => 0,
+        ShedReason::Evicted => 1,
+        ShedReason::Deadline => 2,
+        ShedReason::NoTarget => 3,
+        ShedReason::Poison => 4,
+    }
+}
