Serve views of the VM list with other peer addresses

All daemons read one list, so a proxy before a peer port affects every peer. A view per daemon leads each pair of daemons through a proxy of its own, which a partition needs.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -17,7 +17,7 @@
     answer_text,
 };
 pub use platform::{
-    ConfigService, ListFault, Platform, SheetFault, VmEntry, VmList, VmListService, VmState,
+    ConfigService, ListFault, Platform, SheetFault, VmEntry, VmList, VmListService, VmState, VmView,
 };
 pub use port::Port;
 pub use proxy::{Link, Proxy, Side};
--- a/crates/testkit/src/platform/mod.rs
+++ b/crates/testkit/src/platform/mod.rs
@@ -2,7 +2,7 @@
 mod vms;
 
 pub use self::sheets::{ConfigService, SheetFault};
-pub use self::vms::{ListFault, VmEntry, VmList, VmListService, VmState};
+pub use self::vms::{ListFault, VmEntry, VmList, VmListService, VmState, VmView};
 
 use std::io;
 use std::net::SocketAddr;
--- a/crates/testkit/src/platform/vms.rs
+++ b/crates/testkit/src/platform/vms.rs
@@ -1,4 +1,4 @@
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -111,7 +111,10 @@
             calls: AtomicU64::new(0),
         });
         let state = Arc::clone(&shared);
-        let host = Host::start(addr, move |req, _: Conn| handle(Arc::clone(&state), req))?;
+        let peers = Arc::default();
+        let host = Host::start(addr, move |req, _: Conn| {
+            handle(Arc::clone(&state), req, Arc::clone(&peers))
+        })?;
         Ok(Self { host, shared })
     }
 
@@ -174,6 +177,22 @@
         self.shared.state.lock().newest.clone()
     }
 
+    /// Serves the same list on `addr` too, with other peer addresses for the named VMs.
+    ///
+    /// A daemon that reads its list here reaches each peer through a path of its own, so that
+    /// faults can be put between any two daemons.
+    ///
+    /// # Errors
+    /// The address can't be bound.
+    pub fn view(&self, addr: SocketAddr, peers: HashMap<String, SocketAddr>) -> io::Result<VmView> {
+        let shared = Arc::clone(&self.shared);
+        let peers = Arc::new(peers);
+        let host = Host::start(addr, move |req, _: Conn| {
+            handle(Arc::clone(&shared), req, Arc::clone(&peers))
+        })?;
+        Ok(VmView { host })
+    }
+
     /// Sets the fault.
     pub fn set_fault(&self, fault: ListFault) {
         self.shared.state.lock().advance(Instant::now());
@@ -211,7 +230,30 @@
     }
 }
 
-async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Answer {
+/// Another address of a VM list, see [`VmListService::view`].
+pub struct VmView {
+    host: Arc<Host>,
+}
+
+impl VmView {
+    /// Address it serves.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.host.addr()
+    }
+}
+
+impl Drop for VmView {
+    fn drop(&mut self) {
+        self.host.abort();
+    }
+}
+
+async fn handle(
+    shared: Arc<Shared>,
+    req: Request<Incoming>,
+    peers: Arc<HashMap<String, SocketAddr>>,
+) -> Answer {
     shared.calls.fetch_add(1, Ordering::Relaxed);
     if req.uri().path() != "/v1/vms" || req.method() != Method::GET {
         return reply::error(StatusCode::NOT_FOUND, "only GET /v1/vms is served");
@@ -219,12 +261,15 @@
     let mut fault = shared.fault.subscribe();
     let _ = fault.wait_for(|fault| *fault != ListFault::Hang).await;
     let frozen = *shared.fault.borrow() == ListFault::Stale;
-    let list = {
+    let mut list = {
         let mut state = shared.state.lock();
         if !frozen {
             state.advance(Instant::now());
         }
         state.visible.clone()
     };
+    for row in &mut list.vms {
+        row.peer = peers.get(&row.name).copied().unwrap_or(row.peer);
+    }
     reply::json(StatusCode::OK, &list)
 }
--- a/crates/testkit/tests/platform.rs
+++ b/crates/testkit/tests/platform.rs
@@ -117,3 +117,22 @@
     platform.vms.set_fault(ListFault::None);
     assert_eq!(names().await.0, 4);
 }
+
+#[tokio::test]
+async fn view_shows_the_same_list_with_other_peer_addresses() {
+    // Guards against a view that leads daemons around the proxy between them.
+    let platform = start().await;
+    let other = SocketAddr::from(([127, 0, 0, 1], 9));
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let peers = [("vm-2".to_owned(), other)].into();
+    let view = platform.vms.view(any, peers).unwrap();
+    platform.vms.put(vm("vm-1"));
+    platform.vms.put(vm("vm-2"));
+
+    let list = Client::new(view.addr()).call(Call::get("/v1/vms")).await;
+
+    let list = list.unwrap().json();
+    assert_eq!(list["generation"], 2);
+    assert_eq!(list["vms"][0]["peer"], "127.0.0.1:2");
+    assert_eq!(list["vms"][1]["peer"], "127.0.0.1:9");
+}
