--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,6 +11,7 @@
 mod proxy;
 mod reply;
 mod service;
+mod sheet;
 
 pub use engine::{
     End, Engine, EngineConfig, EngineStats, LoadReport, OrderKind, OrderRecord, RunRecord,
@@ -23,3 +24,4 @@
 pub use proxy::{Link, Proxy, Side};
 pub use reply::Headers;
 pub use service::{PlainService, ServiceCall, ServiceFault};
+pub use sheet::{RouteRow, SheetBuilder, TargetRow};
