--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,15 +11,17 @@
 mod proxy;
 mod reply;
 mod service;
+mod sheet;
 
 pub use engine::{
     End, Engine, EngineConfig, EngineStats, LoadReport, OrderKind, OrderRecord, RunRecord,
     answer_text,
 };
 pub use platform::{
-    ConfigService, ListFault, Platform, SheetFault, VmEntry, VmList, VmListService, VmState,
+    ConfigService, ListFault, Platform, SheetFault, VmEntry, VmList, VmListService, VmState, VmView,
 };
 pub use port::Port;
 pub use proxy::{Link, Proxy, Side};
 pub use reply::Headers;
 pub use service::{PlainService, ServiceCall, ServiceFault};
+pub use sheet::{RouteRow, SheetBuilder, TargetRow};
