Pass ends of runs to the next owner of a target

Cause: a release of a permit whose target moved reached only the old owner, which no longer has the run, so its place stayed taken until the hard deadline.

--- a/crates/daemon/src/entry/permit.rs
+++ b/crates/daemon/src/entry/permit.rs
@@ -241,6 +241,7 @@
         token_gap_us: None,
         id: String::new(),
         owner: grant.owner,
+        target: grant.target.clone(),
     };
     send(node, owner, Body::Release(release));
 }
@@ -257,6 +258,7 @@
             token_gap_us: report.token_gap.map(micros),
             id: job.id.as_str().to_string(),
             owner: self.owner_incarnation,
+            target: self.target.to_string(),
         };
         send(node, &self.owner, Body::Release(release));
     }
--- a/crates/daemon/src/feed/load.rs
+++ b/crates/daemon/src/feed/load.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::Method;
 use sched::{LoadReport, Name};
@@ -18,6 +19,9 @@
     running: u32,
     tokens: u64,
     cold: bool,
+    /// Age of the report.
+    #[serde(default)]
+    age_ms: u64,
 }
 
 /// Reads the load of each owned target again and again.
@@ -49,5 +53,12 @@
         cold: load.cold,
         start: load.start,
     };
-    node.owner.send(Msg::Load { target, report });
+    let measured = node
+        .now()
+        .saturating_sub(Duration::from_millis(load.age_ms));
+    node.owner.send(Msg::Load {
+        target,
+        report,
+        measured,
+    });
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -86,12 +86,11 @@
 
     pub(crate) fn on_hello(
         &self,
-        now: Duration,
         vm: &Name,
         incarnation: Incarnation,
         from: std::net::IpAddr,
     ) -> Greeting {
-        self.lock().view.on_hello(now, vm, incarnation, from)
+        self.lock().view.on_hello(vm, incarnation, from)
     }
 
     pub(crate) fn on_heartbeat(&self, now: Duration, vm: &Name, beat: Beat) {
@@ -257,6 +256,21 @@
     }
 }
 
+/// Passes the end of a run on to the owner that took its target over.
+pub(crate) fn forward_release(node: &Arc<Node>, release: wire::Release) {
+    let sheet = node.sheet();
+    let Some(target) = sheet.targets.get(&*release.target) else {
+        return;
+    };
+    let owner = node
+        .fleet
+        .view(|view| view.owner(&release.target, &target.zone).map(Name::from));
+    if let Some(owner) = owner.filter(|owner| *owner != node.settings.vm) {
+        // If the link is down, the new owner frees the place at the run's hard deadline.
+        node.peers.send(&owner, Body::Release(release));
+    }
+}
+
 /// Answers a question for a hand-over. No answer is sent where it could shorten the asker's wait
 /// wrongly.
 pub(crate) async fn on_ask(node: &Arc<Node>, peer: &Peer, ask: &HandoverAsk) -> Option<Body> {
@@ -282,7 +296,7 @@
             let handover = give_up(node, &target).await;
             log::info!("owner: target {target} handed over to {}", peer.vm);
             Some(Body::Handover(match handover {
-                Some(handover) => handover_message(node, &handover),
+                Some(handover) => handover_message(&handover),
                 // Given before and asked again, as the first reply was lost.
                 None => reply(true, wire::TargetPhase::Cold),
             }))
@@ -407,7 +421,7 @@
     let now = node.now();
     let mut state = node.fleet.lock();
     if handover.given && handover.phase() != wire::TargetPhase::Unknown {
-        let handed = handover_of(now, &handover);
+        let handed = handover_of(&handover);
         state.handed.insert(target.clone(), handed);
     }
     let State {
@@ -425,7 +439,7 @@
     carry_out(&node, &mut state, &sheet, actions);
 }
 
-fn handover_message(node: &Node, handover: &sched::Handover) -> wire::Handover {
+fn handover_message(handover: &sched::Handover) -> wire::Handover {
     let phase = match handover.phase {
         TargetPhase::Cold => wire::TargetPhase::Cold,
         TargetPhase::Warming => wire::TargetPhase::Warming,
@@ -433,7 +447,6 @@
         TargetPhase::Draining => wire::TargetPhase::Draining,
         TargetPhase::Out => wire::TargetPhase::Out,
     };
-    let now = node.now();
     wire::Handover {
         target: handover.target.to_string(),
         given: true,
@@ -446,13 +459,13 @@
                 id: run.request.to_string(),
                 permit: run.permit.0,
                 cost: run.cost,
-                hard_deadline_us: micros(run.hard_deadline.saturating_sub(now)),
+                hard_deadline_us: micros(run.hard_deadline),
             })
             .collect(),
     }
 }
 
-fn handover_of(now: Duration, message: &wire::Handover) -> sched::Handover {
+fn handover_of(message: &wire::Handover) -> sched::Handover {
     let phase = match message.phase() {
         wire::TargetPhase::Unknown | wire::TargetPhase::Cold => TargetPhase::Cold,
         wire::TargetPhase::Warming => TargetPhase::Warming,
@@ -471,7 +484,7 @@
                 request: run.id.as_str().into(),
                 permit: PermitId(run.permit),
                 cost: run.cost,
-                hard_deadline: now + Duration::from_micros(run.hard_deadline_us),
+                hard_deadline: Duration::from_micros(run.hard_deadline_us),
             })
             .collect(),
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,7 +7,7 @@
 
 use limit::Reservation;
 use member::{Beat, Greeting, Incarnation, View, VmList, VmState};
-use sched::{Descriptor, PermitId, RunReport};
+use sched::Descriptor;
 use serde::Serialize;
 use sheet::{Name, Settings, Sheet};
 use tokio::sync::{oneshot, watch};
@@ -16,7 +16,7 @@
 use crate::clock::Clock;
 use crate::entry::{Table, return_permit};
 use crate::fleet::Fleet;
-use crate::owner::{self, Msg, run_end};
+use crate::owner::{self, Msg};
 use crate::owners::Owners;
 use crate::peer::{LinkEvent, Peer, Peers};
 use crate::shares::{Holder, take_moves};
@@ -343,7 +343,7 @@
                 let incarnation = Incarnation(hello.incarnation);
                 log::info!("peer: linked to {vm}, incarnation {incarnation}");
                 self.peers.set_up(vm, Some(incarnation));
-                let greeting = self.fleet.on_hello(now, vm, incarnation, address.ip());
+                let greeting = self.fleet.on_hello(vm, incarnation, address.ip());
                 if let Greeting::Restarted { old } = greeting {
                     self.owner.send(Msg::EntryGone(old));
                 }
@@ -389,18 +389,7 @@
                 pool: withdraw.pool.into(),
                 id: withdraw.id.into(),
             }),
-            Body::Release(release) => self.owner.send(Msg::Release {
-                pool: release.pool.into(),
-                permit: PermitId(release.permit),
-                owner: Incarnation(release.owner),
-                id: release.id.into(),
-                report: RunReport {
-                    end: run_end(release.end),
-                    tokens: release.tokens,
-                    first_token: release.first_token_us.map(Duration::from_micros),
-                    token_gap: release.token_gap_us.map(Duration::from_micros),
-                },
-            }),
+            Body::Release(release) => self.owner.send(Msg::Release(release)),
             Body::Digest(digest) => {
                 lock(&self.owners).on_digest(self.now(), &peer.vm, digest);
             }
--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 use member::Incarnation;
-use sched::{Descriptor, LoadReport, Name, PermitId, RunEnd, RunReport, TargetSpec};
+use sched::{Descriptor, LoadReport, Name, PermitId, RunEnd, TargetSpec};
 use tokio::sync::{mpsc, oneshot};
-use wire::{Body, Digest};
+use wire::{Body, Digest, Release};
 
 pub(crate) use task::{micros, start};
 
@@ -53,16 +53,13 @@
     /// The caller of a waiting request left.
     Withdraw { pool: Name, id: Name },
     /// A permit ended.
-    Release {
-        pool: Name,
-        permit: PermitId,
-        /// Incarnation that gave the permit.
-        owner: Incarnation,
-        id: Name,
-        report: RunReport,
+    Release(Release),
+    /// A target reported its load, which was measured at the given time.
+    Load {
+        target: Name,
+        report: LoadReport,
+        measured: Duration,
     },
-    /// A target reported its load.
-    Load { target: Name, report: LoadReport },
     /// This daemon came to own a target, or its specification changed.
     Own {
         pool: Name,
--- a/crates/daemon/src/owner/task.rs
+++ b/crates/daemon/src/owner/task.rs
@@ -8,9 +8,9 @@
 use metrics::counter;
 use sched::{Config, Descriptor, Event, Name, PermitId, RunEnd, RunReport, Scheduler, TargetPhase};
 use tokio::sync::{mpsc, oneshot};
-use wire::{Body, Digest, Grant, OfferReply, Shed, Verdict};
+use wire::{Body, Digest, Grant, OfferReply, Release, Shed, Verdict};
 
-use super::{Handle, Msg, Source, TargetStatus};
+use super::{Handle, Msg, Source, TargetStatus, run_end};
 use crate::node::Node;
 use crate::outcome::shed_label;
 
@@ -102,14 +102,12 @@
                 reply,
             } => self.offer(&pool, descriptor, entry, reply),
             Msg::Withdraw { pool, id } => self.withdraw(&pool, &id),
-            Msg::Release {
-                pool,
-                permit,
-                owner,
-                id,
+            Msg::Release(release) => self.release(release),
+            Msg::Load {
+                target,
                 report,
-            } => self.release(&pool, permit, owner, &id, report),
-            Msg::Load { target, report } => self.load(&target, report),
+                measured,
+            } => self.load(&target, report, measured),
             Msg::Own { pool, spec, source } => self.own(&pool, spec, source),
             Msg::GiveUp { target, reply } => {
                 // The asking task may be gone; the target is given up all the same.
@@ -166,31 +164,38 @@
         self.waiting.remove(id);
     }
 
-    fn release(
-        &mut self,
-        pool: &Name,
-        permit: PermitId,
-        owner: Incarnation,
-        id: &Name,
-        report: RunReport,
-    ) {
+    /// Ends a permit, of this owner or of the one before it.
+    fn release(&mut self, release: Release) {
+        let pool = Name::from(release.pool.as_str());
+        let permit = PermitId(release.permit);
+        let own = Incarnation(release.owner) == self.node.incarnation;
+        let known = self.given.contains_key(&(pool.clone(), permit));
+        if own && known {
+            self.end(&pool, permit, report_of(&release));
+        } else if own {
+            crate::fleet::forward_release(&self.node, release);
+        } else if let Some(found) = self.pools.get_mut(&pool) {
+            let now = self.node.now();
+            found
+                .scheduler
+                .release_request(now, &release.id, report_of(&release));
+        }
+    }
+
+    /// Ends a permit of this owner.
+    fn end(&mut self, pool: &Name, permit: PermitId, report: RunReport) {
         let now = self.now();
-        let Some(found) = self.pools.get_mut(pool) else {
-            return;
-        };
-        if owner == self.node.incarnation {
-            self.given.remove(&(pool.clone(), permit));
+        self.given.remove(&(pool.clone(), permit));
+        if let Some(found) = self.pools.get_mut(pool) {
             found.scheduler.release(now, permit, report);
-        } else {
-            found.scheduler.release_request(now, id, report);
         }
     }
 
-    fn load(&mut self, target: &Name, report: sched::LoadReport) {
+    fn load(&mut self, target: &Name, report: sched::LoadReport, measured: Duration) {
         let now = self.now();
         let pool = self.targets.get(target);
         if let Some(pool) = pool.and_then(|pool| self.pools.get_mut(pool)) {
-            pool.scheduler.load_report(now, target, report);
+            pool.scheduler.load_report_at(now, target, report, measured);
         }
     }
 
@@ -274,13 +279,7 @@
     }
 
     fn run_gone(&mut self, pool: &Name, permit: PermitId) {
-        let report = RunReport {
-            end: RunEnd::Cancelled,
-            tokens: 0,
-            first_token: None,
-            token_gap: None,
-        };
-        self.release(pool, permit, self.node.incarnation, &Name::from(""), report);
+        self.end(pool, permit, without_run(RunEnd::Cancelled));
     }
 
     /// Polls all schedulers and sends their decisions.
@@ -338,13 +337,7 @@
     }
 
     fn unused(&mut self, pool: &Name, permit: PermitId) {
-        let report = RunReport {
-            end: RunEnd::Unused,
-            tokens: 0,
-            first_token: None,
-            token_gap: None,
-        };
-        self.release(pool, permit, self.node.incarnation, &Name::from(""), report);
+        self.end(pool, permit, without_run(RunEnd::Unused));
     }
 
     fn shed(&mut self, id: &Name, tier: u8, reason: sched::ShedReason) {
@@ -419,6 +412,25 @@
     }
 }
 
+fn report_of(release: &Release) -> RunReport {
+    RunReport {
+        end: run_end(release.end),
+        tokens: release.tokens,
+        first_token: release.first_token_us.map(Duration::from_micros),
+        token_gap: release.token_gap_us.map(Duration::from_micros),
+    }
+}
+
+/// Report of a permit of which no run was seen.
+fn without_run(end: RunEnd) -> RunReport {
+    RunReport {
+        end,
+        tokens: 0,
+        first_token: None,
+        token_gap: None,
+    }
+}
+
 fn verdict(verdict: Verdict) -> Body {
     Body::OfferReply(OfferReply {
         verdict: Some(verdict),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -245,6 +245,9 @@
     /// Incarnation of the owner that gave the permit.
     #[prost(fixed64, tag = "8")]
     pub owner: u64,
+    /// Target of the permit.
+    #[prost(string, tag = "9")]
+    pub target: String,
 }
 
 /// Load of an owner in one pool.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -47,9 +47,14 @@
         let mut buf = BytesMut::from(&whole[..length]);
         let mut codec = Codec::default();
 
-        assert!(matches!(codec.decode(&mut buf), Ok(None)), "length {length}");
+        assert!(
+            matches!(codec.decode(&mut buf), Ok(None)),
+            "length {length}"
+        );
         if length > 0 {
-            let err = codec.decode_eof(&mut buf).expect_err("the link ended early");
+            let err = codec
+                .decode_eof(&mut buf)
+                .expect_err("the link ended early");
             assert_eq!(
                 err.to_string(),
                 "cannot read a frame: the link ended inside a frame"
