--- a/crates/testkit/src/proxy/listen.rs
+++ b/crates/testkit/src/proxy/listen.rs
@@ -5,6 +5,7 @@
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::sync::watch::error::RecvError;
 
 use super::Shared;
 use super::link::{Controls, until};
@@ -21,50 +22,37 @@
     mut controls: watch::Receiver<Controls>,
     shared: Arc<Shared>,
 ) {
-    let mut listener = Some(first);
+    let mut listener = first;
     loop {
-        if let Some(open) = listener.take() {
-            let Ok(why) = accept(open, &mut controls, &shared).await else {
-                return;
-            };
-            shared.listening.send_replace(false);
-            if why == Closed::Upstream && wait_for_upstream(&mut controls).await.is_err() {
-                return;
-            }
-        }
-        if until(&mut controls, |c| !c.refuse).await.is_err() {
+        if accept(listener, &mut controls, &shared).await.is_err() {
             return;
         }
-        match port.listen() {
-            Ok(open) => {
-                listener = Some(open);
-                shared.listening.send_replace(true);
+        shared.listening.send_replace(false);
+        listener = loop {
+            if reopen(&mut controls).await.is_err() {
+                return;
             }
-            // The port is reserved, so only a lack of resources can be the reason.
-            Err(_) => tokio::time::sleep(PROBE).await,
-        }
+            match port.listen() {
+                Ok(listener) => break listener,
+                // The port is reserved, so only a lack of resources can be the reason.
+                Err(_) => tokio::time::sleep(PROBE).await,
+            }
+        };
+        shared.listening.send_replace(true);
     }
 }
 
-/// Why the port was closed.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Closed {
-    Refuse,
-    Upstream,
-}
-
+/// Accepts connections until the port has to close.
 async fn accept(
     listener: TcpListener,
     controls: &mut watch::Receiver<Controls>,
     shared: &Arc<Shared>,
-) -> Result<Closed, watch::error::RecvError> {
+) -> Result<(), RecvError> {
     let given = controls.clone();
     loop {
         tokio::select! {
-            changed = until(controls, |c| c.refuse) => {
-                return changed.map(|()| Closed::Refuse);
-            }
-            () = shared.refused.notified() => return Ok(Closed::Upstream),
+            refuse = until(controls, |c| c.refuse) => return refuse,
+            () = shared.refused.notified() => return Ok(()),
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => spawn(stream, given.clone(), Arc::clone(shared)),
                 Err(_) => tokio::time::sleep(PROBE).await,
@@ -82,11 +70,12 @@
     });
 }
 
-/// Waits until the upstream accepts a connection, which is closed at once.
-async fn wait_for_upstream(
-    controls: &mut watch::Receiver<Controls>,
-) -> Result<(), watch::error::RecvError> {
+/// Waits until the port may open: the proxy accepts and so does the upstream.
+///
+/// The connection that tells is closed at once.
+async fn reopen(controls: &mut watch::Receiver<Controls>) -> Result<(), RecvError> {
     loop {
+        until(controls, |c| !c.refuse).await?;
         let upstream = controls.borrow_and_update().upstream;
         match TcpStream::connect(upstream).await {
             Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
