--- a/crates/testkit/src/platform/vms.rs
+++ b/crates/testkit/src/platform/vms.rs
@@ -186,11 +186,12 @@
     /// The address can't be bound.
     pub fn view(&self, addr: SocketAddr, peers: HashMap<String, SocketAddr>) -> io::Result<VmView> {
         let shared = Arc::clone(&self.shared);
-        let peers = Arc::new(peers);
+        let peers = Arc::new(Mutex::new(peers));
+        let given = Arc::clone(&peers);
         let host = Host::start(addr, move |req, _: Conn| {
-            handle(Arc::clone(&shared), req, Arc::clone(&peers))
+            handle(Arc::clone(&shared), req, Arc::clone(&given))
         })?;
-        Ok(VmView { host })
+        Ok(VmView { host, peers })
     }
 
     /// Sets the fault.
@@ -233,14 +234,22 @@
 /// Another address of a VM list, see [`VmListService::view`].
 pub struct VmView {
     host: Arc<Host>,
+    peers: Arc<PeerMap>,
 }
 
+type PeerMap = Mutex<HashMap<String, SocketAddr>>;
+
 impl VmView {
     /// Address it serves.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
         self.host.addr()
     }
+
+    /// Sets the peer address that this view shows for a VM.
+    pub fn set_peer(&self, name: &str, addr: SocketAddr) {
+        self.peers.lock().insert(name.to_owned(), addr);
+    }
 }
 
 impl Drop for VmView {
@@ -249,11 +258,7 @@
     }
 }
 
-async fn handle(
-    shared: Arc<Shared>,
-    req: Request<Incoming>,
-    peers: Arc<HashMap<String, SocketAddr>>,
-) -> Answer {
+async fn handle(shared: Arc<Shared>, req: Request<Incoming>, peers: Arc<PeerMap>) -> Answer {
     shared.calls.fetch_add(1, Ordering::Relaxed);
     if req.uri().path() != "/v1/vms" || req.method() != Method::GET {
         return reply::error(StatusCode::NOT_FOUND, "only GET /v1/vms is served");
@@ -268,6 +273,7 @@
         }
         state.visible.clone()
     };
+    let peers = peers.lock();
     for row in &mut list.vms {
         row.peer = peers.get(&row.name).copied().unwrap_or(row.peer);
     }
