Add the process harness for fleets of daemons

Each pair of daemons gets a proxy, as a partition can't be expressed by one proxy before each peer port. Listening ports stay reserved over restarts. The hidden `standin serve` is a daemon that only answers, for the harness's own tests.

--- a/crates/testkit/src/bin/standin.rs
+++ b/crates/testkit/src/bin/standin.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use clap::{Args, Parser, Subcommand};
+use tokio::signal::unix::{SignalKind, signal};
+
 use testkit::{Engine, EngineConfig, PlainService, Platform, VmList};
 
 /// Stand-ins for the outside of a fleet.
@@ -27,6 +29,24 @@
     },
     /// The configuration service and the VM list.
     Platform(PlatformArgs),
+    /// A daemon that only answers, for the tests of the harness itself.
+    #[command(hide = true)]
+    Serve {
+        /// Settings.
+        #[arg(long)]
+        config: PathBuf,
+    },
+}
+
+/// The settings that the stand-in daemon reads.
+#[derive(serde::Deserialize)]
+struct Settings {
+    vm: String,
+    entry: SocketAddr,
+    admin: SocketAddr,
+    peer: SocketAddr,
+    #[serde(default)]
+    fail: bool,
 }
 
 #[derive(Args)]
@@ -95,6 +115,26 @@
             tokio::signal::ctrl_c().await
         }
         Kind::Platform(args) => platform(args).await,
+        Kind::Serve { config } => serve(&config).await,
+    }
+}
+
+async fn serve(config: &PathBuf) -> io::Result<()> {
+    let settings: Settings = serde_json::from_slice(&std::fs::read(config)?)?;
+    if settings.fail {
+        return Err(io::Error::other("config: told to fail"));
+    }
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let _entry = PlainService::start(settings.entry).await?;
+    let _peer = PlainService::start(settings.peer).await?;
+    let _admin = PlainService::start(settings.admin).await?;
+    eprintln!("config: {} runs as {}", settings.vm, std::process::id());
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = reload.recv() => eprintln!("config: reload"),
+        }
     }
 }
 
--- /dev/null
+++ b/crates/testkit/src/fleet/builder.rs
@@ -0,0 +1,113 @@
+use std::collections::BTreeMap;
+use std::io;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde_json::{Map, Value};
+
+use super::Fleet;
+use super::vm::any;
+use crate::platform::Platform;
+
+/// Longest wait for a daemon to be ready, unless the builder names another.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// What a fleet consists of.
+pub struct FleetBuilder {
+    pub(crate) binary: PathBuf,
+    pub(crate) vms: Vec<(String, String)>,
+    pub(crate) peer_proxies: bool,
+    pub(crate) platform_proxies: bool,
+    pub(crate) settings: Map<String, Value>,
+    pub(crate) ready_timeout: Duration,
+}
+
+impl FleetBuilder {
+    pub(crate) fn new(binary: PathBuf) -> Self {
+        Self {
+            binary,
+            vms: Vec::new(),
+            peer_proxies: false,
+            platform_proxies: false,
+            settings: Map::new(),
+            ready_timeout: READY_TIMEOUT,
+        }
+    }
+
+    /// Adds a VM.
+    #[must_use]
+    pub fn vm(mut self, name: &str, zone: &str) -> Self {
+        self.vms.push((name.to_owned(), zone.to_owned()));
+        self
+    }
+
+    /// Adds `n` VMs named `vm-1`, `vm-2` and so on, spread over the zones in turn.
+    #[must_use]
+    pub fn vms(mut self, n: usize, zones: &[&str]) -> Self {
+        for (i, zone) in (0..n).zip(zones.iter().cycle()) {
+            self = self.vm(&format!("vm-{}", i + 1), zone);
+        }
+        self
+    }
+
+    /// Puts a proxy on the path from each daemon to the peer port of each other one.
+    #[must_use]
+    pub fn peer_proxies(mut self) -> Self {
+        self.peer_proxies = true;
+        self
+    }
+
+    /// Puts a proxy on the path from each daemon to the configuration service and the VM list.
+    #[must_use]
+    pub fn platform_proxies(mut self) -> Self {
+        self.platform_proxies = true;
+        self
+    }
+
+    /// Sets a field of all daemons' settings, for example `timing`. Objects are merged.
+    #[must_use]
+    pub fn setting(mut self, field: &str, value: Value) -> Self {
+        merge(self.settings.entry(field).or_insert(Value::Null), value);
+        self
+    }
+
+    /// Sets the longest wait for a daemon to be ready.
+    #[must_use]
+    pub fn ready_timeout(mut self, timeout: Duration) -> Self {
+        self.ready_timeout = timeout;
+        self
+    }
+
+    /// Starts the platform and reserves all addresses. Daemons start by
+    /// [`Fleet::launch_all`], once a sheet is published.
+    ///
+    /// # Errors
+    /// No port is free or the temporary folder can't be made.
+    pub async fn start(mut self) -> io::Result<Fleet> {
+        let vms = std::mem::take(&mut self.vms);
+        let mut fleet = Fleet {
+            platform: Platform::start(any(), any()).await?,
+            dir: tempfile::Builder::new().prefix("fleet-").tempdir()?,
+            cfg: self,
+            vms: BTreeMap::new(),
+            links: BTreeMap::new(),
+            targets: BTreeMap::new(),
+        };
+        for (name, zone) in vms {
+            fleet.add_vm(&name, &zone).await?;
+        }
+        Ok(fleet)
+    }
+}
+
+/// Merges objects field by field; any other value replaces the old one.
+pub(crate) fn merge(into: &mut Value, from: Value) {
+    match (into, from) {
+        (Value::Object(into), Value::Object(from)) => {
+            for (field, value) in from {
+                merge(into.entry(field).or_insert(Value::Null), value);
+            }
+        }
+        (into, from) => *into = from,
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/process.rs
@@ -0,0 +1,140 @@
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal};
+use tokio::process::{Child, Command};
+
+/// Time between two looks at a state that offers no event.
+const POLL: Duration = Duration::from_millis(5);
+
+/// Lines of a log that an error shows.
+const TAIL: usize = 20;
+
+/// Processor time and memory of a daemon.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Processor time in user and kernel mode since its start.
+    pub cpu: Duration,
+    /// Resident memory in bytes.
+    pub resident: u64,
+}
+
+/// A child process whose standard error goes to a file.
+pub(crate) struct Process {
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    pub(crate) fn new(log: PathBuf) -> Self {
+        Self { log, child: None }
+    }
+
+    /// Starts the program; fails while it runs.
+    pub(crate) fn spawn(&mut self, program: &Path, config: &Path) -> io::Result<()> {
+        if self.is_running() {
+            return Err(io::Error::other("the process runs already"));
+        }
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
+        let child = Command::new(program)
+            .arg("serve")
+            .arg("--config")
+            .arg(config)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", program.display())))?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    pub(crate) fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Process id, `None` once the exit was seen, so that no other process can have it.
+    pub(crate) fn pid(&self) -> Option<Pid> {
+        let id = self.child.as_ref()?.id()?;
+        Pid::from_raw(i32::try_from(id).ok()?)
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) -> io::Result<()> {
+        let pid = self.pid().ok_or_else(not_running)?;
+        Ok(rustix::process::kill_process(pid, signal)?)
+    }
+
+    /// Stops the process and returns once it stands still.
+    pub(crate) async fn pause(&self) -> io::Result<()> {
+        self.signal(Signal::STOP)?;
+        let pid = self.pid().ok_or_else(not_running)?;
+        while !matches!(stat(pid)?.state, 'T' | 'Z') {
+            tokio::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    pub(crate) async fn wait(&mut self) -> io::Result<ExitStatus> {
+        self.child.as_mut().ok_or_else(not_running)?.wait().await
+    }
+
+    pub(crate) fn usage(&self) -> io::Result<Usage> {
+        let pid = self.pid().ok_or_else(not_running)?;
+        let stat = stat(pid)?;
+        let hertz = rustix::param::clock_ticks_per_second().max(1);
+        let page = rustix::param::page_size() as u64;
+        Ok(Usage {
+            cpu: Duration::from_millis(stat.ticks * 1000 / hertz),
+            resident: stat.pages * page,
+        })
+    }
+
+    pub(crate) fn log(&self) -> String {
+        let read = File::open(&self.log).and_then(io::read_to_string);
+        read.unwrap_or_default()
+    }
+
+    /// Last lines of the log.
+    pub(crate) fn tail(&self) -> String {
+        let log = self.log();
+        let lines: Vec<&str> = log.lines().collect();
+        lines[lines.len().saturating_sub(TAIL)..].join("\n")
+    }
+}
+
+fn not_running() -> io::Error {
+    io::Error::new(io::ErrorKind::NotFound, "the process does not run")
+}
+
+struct Stat {
+    state: char,
+    ticks: u64,
+    pages: u64,
+}
+
+/// Reads `/proc/<pid>/stat`, see proc(5).
+fn stat(pid: Pid) -> io::Result<Stat> {
+    let text = std::fs::read_to_string(format!("/proc/{}/stat", pid.as_raw_nonzero()))?;
+    let malformed = || io::Error::new(io::ErrorKind::InvalidData, "malformed /proc stat");
+    // The second field is the program's name, which may contain spaces and brackets.
+    let (_, rest) = text.rsplit_once(") ").ok_or_else(malformed)?;
+    let fields: Vec<&str> = rest.split_whitespace().collect();
+    let number = |at: usize| fields.get(at).and_then(|field| field.parse::<u64>().ok());
+    let state = fields.first().and_then(|field| field.chars().next());
+    let ticks = number(11)
+        .zip(number(12))
+        .map(|(user, system)| user + system);
+    Ok(Stat {
+        state: state.ok_or_else(malformed)?,
+        ticks: ticks.ok_or_else(malformed)?,
+        pages: number(21).ok_or_else(malformed)?,
+    })
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/vm.rs
@@ -0,0 +1,105 @@
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde_json::{Map, Value, json};
+
+use super::builder::{FleetBuilder, merge};
+use super::process::Process;
+use crate::platform::{Platform, VmEntry, VmState, VmView};
+use crate::port::Port;
+use crate::proxy::Proxy;
+
+pub(crate) fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// One VM of a fleet: its addresses, its paths to the platform and its daemon.
+pub(crate) struct Vm {
+    pub(crate) name: String,
+    pub(crate) zone: String,
+    pub(crate) entry: Port,
+    pub(crate) admin: Port,
+    pub(crate) peer: Port,
+    /// Its own view of the VM list, when paths between daemons have proxies.
+    pub(crate) view: Option<VmView>,
+    pub(crate) sheet_proxy: Option<Proxy>,
+    pub(crate) list_proxy: Option<Proxy>,
+    pub(crate) settings: Map<String, Value>,
+    pub(crate) process: Process,
+    sheets: SocketAddr,
+    list: SocketAddr,
+    config: PathBuf,
+}
+
+impl Vm {
+    pub(crate) async fn new(
+        name: &str,
+        zone: &str,
+        cfg: &FleetBuilder,
+        platform: &Platform,
+        dir: &Path,
+    ) -> io::Result<Self> {
+        let view = if cfg.peer_proxies {
+            Some(platform.vms.view(any(), [].into())?)
+        } else {
+            None
+        };
+        let mut sheets = platform.sheets.addr();
+        let mut list = view.as_ref().map_or(platform.vms.addr(), VmView::addr);
+        let (mut sheet_proxy, mut list_proxy) = (None, None);
+        if cfg.platform_proxies {
+            let proxy = sheet_proxy.insert(Proxy::start(any(), sheets).await?);
+            sheets = proxy.addr();
+            let proxy = list_proxy.insert(Proxy::start(any(), list).await?);
+            list = proxy.addr();
+        }
+        Ok(Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            entry: Port::loopback()?,
+            admin: Port::loopback()?,
+            peer: Port::loopback()?,
+            view,
+            sheet_proxy,
+            list_proxy,
+            settings: cfg.settings.clone(),
+            process: Process::new(dir.join(format!("{name}.log"))),
+            sheets,
+            list,
+            config: dir.join(format!("{name}.json")),
+        })
+    }
+
+    /// Row of this VM in the VM list.
+    pub(crate) fn row(&self, state: VmState) -> VmEntry {
+        VmEntry {
+            name: self.name.clone(),
+            zone: self.zone.clone(),
+            state,
+            entry: self.entry.addr(),
+            peer: self.peer.addr(),
+        }
+    }
+
+    /// Writes the settings file.
+    pub(crate) fn write_settings(&self) -> io::Result<()> {
+        let mut settings = json!({
+            "vm": self.name,
+            "zone": self.zone,
+            "entry": self.entry.addr(),
+            "admin": self.admin.addr(),
+            "peer": self.peer.addr(),
+            "sheet": { "service": self.sheets },
+            "vm_list": self.list,
+        });
+        merge(&mut settings, Value::Object(self.settings.clone()));
+        std::fs::write(&self.config, serde_json::to_vec_pretty(&settings)?)
+    }
+
+    /// Starts the daemon with its present settings.
+    pub(crate) fn spawn(&mut self, binary: &Path) -> io::Result<()> {
+        self.write_settings()?;
+        self.process.spawn(binary, &self.config)
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod client;
 mod engine;
+pub mod fleet;
 mod host;
 mod platform;
 mod port;
