--- a/crates/testkit/src/bin/standin.rs
+++ b/crates/testkit/src/bin/standin/main.rs
@@ -1,8 +1,13 @@
 //! Runs a stand-in as a process of its own. It prints its address and serves until it is ended.
+//!
+//! With `--control ADDRESS` it also serves its recorded facts and fault controls, see `control`.
+
+mod control;
 
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use clap::{Args, Parser, Subcommand};
@@ -26,6 +31,9 @@
         /// Address to serve.
         #[arg(long, default_value = "127.0.0.1:0")]
         listen: SocketAddr,
+        /// Address of the fault controls.
+        #[arg(long)]
+        control: Option<SocketAddr>,
     },
     /// The configuration service and the VM list.
     Platform(PlatformArgs),
@@ -84,6 +92,9 @@
     /// Obey orders with old fencing numbers.
     #[arg(long)]
     ignore_fencing: bool,
+    /// Address of the fault controls.
+    #[arg(long)]
+    control: Option<SocketAddr>,
 }
 
 #[derive(Args)]
@@ -103,15 +114,21 @@
     /// Time until changes of the VM list are visible, in milliseconds.
     #[arg(long, default_value_t = 0)]
     list_lag_ms: u64,
+    /// Address of the fault controls.
+    #[arg(long)]
+    control: Option<SocketAddr>,
 }
 
 #[tokio::main]
 async fn main() -> io::Result<()> {
     match Cli::parse().kind {
         Kind::Engine(args) => engine(args).await,
-        Kind::Service { listen } => {
-            let service = PlainService::start(listen).await?;
+        Kind::Service { listen, control } => {
+            let service = Arc::new(PlainService::start(listen).await?);
             println!("service: {}", service.addr());
+            if let Some(addr) = control {
+                control::service(addr, Arc::clone(&service)).await?;
+            }
             tokio::signal::ctrl_c().await
         }
         Kind::Platform(args) => platform(args).await,
@@ -153,18 +170,24 @@
         record_headers: false,
         ..EngineConfig::default()
     };
-    let engine = Engine::start(args.listen, cfg).await?;
+    let engine = Arc::new(Engine::start(args.listen, cfg).await?);
     println!("engine: {}", engine.addr());
+    if let Some(addr) = args.control {
+        control::engine(addr, Arc::clone(&engine)).await?;
+    }
     tokio::signal::ctrl_c().await
 }
 
 async fn platform(args: PlatformArgs) -> io::Result<()> {
-    let platform = Platform::start(args.listen, args.vm_listen).await?;
+    let platform = Arc::new(Platform::start(args.listen, args.vm_listen).await?);
     platform
         .vms
         .set_lag(Duration::from_millis(args.list_lag_ms));
     println!("sheets: {}", platform.sheets.addr());
     println!("vms: {}", platform.vms.addr());
+    if let Some(addr) = args.control {
+        control::platform(addr, Arc::clone(&platform)).await?;
+    }
     let (mut sheet, mut vms) = (Vec::new(), Vec::new());
     let mut tick = tokio::time::interval(Duration::from_millis(200));
     loop {
--- a/crates/testkit/src/engine/model.rs
+++ b/crates/testkit/src/engine/model.rs
@@ -4,7 +4,10 @@
 
 use crate::reply::Headers;
 
-/// Behaviour of a stand-in engine. All durations but lags are divided by `speed`.
+/// Behaviour of a stand-in engine.
+///
+/// `time_scale` applies to steps, prefill and the restart, `speed` to steps and prefill. Lags are
+/// real time.
 #[derive(Clone, Debug)]
 pub struct EngineConfig {
     /// Relative speed of the hardware generation.
