member: shorten the wait of a restarted owner, split the modules

A restarted daemon waited the hold-down (38 s) for its own targets, since it can't know that nobody else held them. A peer that knows the lists of the last hold-down now answers Yours, and the wait ends with the first list read lag (10 s) after the answer. The answer GivenUp tells the daemon to stop although no reply may be sent.

--- a/crates/member/src/claims.rs
+++ b/crates/member/src/claims.rs
@@ -45,6 +45,12 @@
         !self.is_unknown(now) && self.by.iter().all(|(_, until)| *until <= now)
     }
 
+    /// Whether no other VM than `vm` may hold the target.
+    pub(crate) fn none_but(&self, vm: &str, now: Duration) -> bool {
+        let mut by = self.by.iter();
+        !self.is_unknown(now) && by.all(|(name, until)| &**name == vm || *until <= now)
+    }
+
     pub(crate) fn names(&self) -> impl Iterator<Item = &Name> {
         self.by.iter().map(|(name, _)| name)
     }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -4,10 +4,13 @@
 
 #![forbid(unsafe_code)]
 
+mod action;
+mod answer;
 mod claims;
 mod config;
 mod fence;
 mod hash;
+mod lease;
 mod links;
 mod list;
 mod ownership;
@@ -15,17 +18,19 @@
 mod relay;
 mod target;
 mod view;
+mod wait;
 
+pub use action::{Action, Source, State};
+pub use answer::Answer;
 pub use config::{Config, ConfigError};
 pub use fence::Fence;
 pub use hash::{first, ranked, weight};
 pub use links::{FULL_MESH, OTHER_ZONE_LINKS, OWN_ZONE_LINKS};
 pub use list::{BadIncarnation, Incarnation, Name, Vm, VmList, VmState};
-pub use ownership::{Answer, Grants, Ownership};
+pub use ownership::{Grants, Ownership};
 pub use peer::{Beat, Entry, Greeting, Lease};
 pub use relay::{
     RELAY_SILENCE, RELAYS_PER_ZONE, RelayRole, STAND_IN_SLOT, STAND_INS_PER_ZONE, is_relay,
     relay_role,
 };
-pub use target::{Action, Source, State};
 pub use view::View;
--- a/crates/member/src/ownership.rs
+++ b/crates/member/src/ownership.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::action::{Action, State};
+use crate::answer::Answer;
 use crate::fence::Fence;
 use crate::list::{Incarnation, Name};
 use crate::peer::Lease;
-use crate::target::{Action, Cx, Gift, State, Target};
+use crate::target::{Cx, Target};
 use crate::view::View;
 
 /// What a daemon may grant to a target now.
@@ -20,24 +22,6 @@
     Full,
 }
 
-/// Answer to a question for a hand-over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// This daemon stopped granting to the target for the asker: send its state, `given: true`.
-    Given,
-    /// This daemon owns the target by a fresher list: `given: false`, phase not `Unknown`.
-    StillMine,
-    /// This process never owned the target, knows no earlier owner and won't take the target by
-    /// a list as old as the asker's: `given: false`, phase `Unknown`.
-    NeverOwned,
-    /// This process doesn't hold the target and won't take it by a list as old as the asker's:
-    /// `given: true`, phase `Unknown`.
-    Clear,
-    /// Nothing that may shorten the asker's wait: send no reply. This process doesn't hold the
-    /// target now, or its list is fresher and names a third VM.
-    Wait,
-}
-
 /// Ownership of targets.
 ///
 /// The owner of a target by a list is the first-ranked live VM of the target's zone. When a list
@@ -48,8 +32,9 @@
 ///   doesn't, after proof that the process of the only one of them is gone, or after the
 ///   hold-down.
 ///
-/// Proof that a process is gone is a refused connection since the wait began, or the answer of a
-/// new process at its address. The wait then lasts until a list is read that the platform can't
+/// Proof that a process is gone is a refused connection since the wait began, the answer of a new
+/// process at its address, or, after a restart of this daemon, the answer of a process by whose
+/// lists only this VM can have held the target. The wait then lasts until a list is read that the platform can't
 /// have shown before the proof, `lag` later, and at least [`Config::grace`](crate::Config::grace):
 /// the old process may have handed the target over by a list that this daemon has not read yet.
 ///
@@ -200,9 +185,22 @@
         })
     }
 
-    /// Decides about a question of `from`, whose link began with `incarnation`. After
-    /// [`Answer::Given`], and whenever [`grants`](Self::grants) shows it, the daemon stops
-    /// granting before it sends the reply.
+    /// Takes the reply of a process by whose lists only this VM can have held the target.
+    pub fn on_yours(
+        &mut self,
+        now: Duration,
+        view: &View,
+        target: &str,
+        generation: u64,
+    ) -> Vec<Action> {
+        self.on_reply(now, view, target, generation, |target| {
+            if let Some(wait) = &mut target.wait {
+                wait.gone = wait.gone.or(Some(now));
+            }
+        })
+    }
+
+    /// Decides about a question of `from`, whose link began with `incarnation`.
     pub fn on_ask(
         &mut self,
         now: Duration,
@@ -310,70 +308,3 @@
         actions
     }
 }
-
-impl Target {
-    fn answer(
-        &mut self,
-        cx: &Cx<'_>,
-        (from, incarnation): (&Name, Incarnation),
-        generation: u64,
-    ) -> Answer {
-        let hold_down = cx.view.config().hold_down;
-        let recent = |at: Duration| cx.now < at + hold_down;
-        let other = self
-            .asked_by
-            .replace((from.clone(), cx.now))
-            .is_some_and(|(vm, at)| vm != *from && recent(at));
-        self.bar = self.bar.max(generation);
-        self.claims.add(from.clone(), cx.now + hold_down);
-        if self.is_mine() {
-            let sure = self.is_sure(cx, from, generation);
-            self.stop();
-            self.given = Some(Gift {
-                to: from.clone(),
-                incarnation,
-                generation,
-                at: cx.now,
-                sure,
-            });
-            return if sure { Answer::Given } else { Answer::Wait };
-        }
-        if self.generation <= self.bar {
-            self.stop();
-        }
-        if let Some(gift) = self.given.as_ref().filter(|gift| recent(gift.at)) {
-            // The reply may have been lost. Another process of that VM may not hold it.
-            let again = gift.sure
-                && gift.to == *from
-                && gift.incarnation == incarnation
-                && gift.generation == generation;
-            return if again { Answer::Given } else { Answer::Wait };
-        }
-        if self.held || !recent(self.created) {
-            return Answer::Clear;
-        }
-        let unowned = !other && !cx.view.departures(cx.now) && !cx.view.restarted(from);
-        if unowned {
-            Answer::NeverOwned
-        } else {
-            Answer::Wait
-        }
-    }
-
-    /// Whether no third daemon can take the target without a hand-over after it is given to
-    /// `from`.
-    ///
-    /// A third one would own it by a list between this daemon's and the asker's. That list is no
-    /// older than `safe_until - hold_down`, so the third one starts no earlier than `safe_until`;
-    /// it stops before lag plus lease from now, since the asker has read the newer list already.
-    /// Without such a list no third one exists.
-    fn is_sure(&self, cx: &Cx<'_>, from: &Name, generation: u64) -> bool {
-        let cfg = cx.view.config();
-        let now = View::shift(cx.now);
-        let until = self.safe_until(cx);
-        let direct = self.keep_until.is_some()
-            && self.successor.as_ref() == Some(from)
-            && self.generation >= generation;
-        now < until && (direct || now + cfg.lag + cfg.lease < until)
-    }
-}
--- a/crates/member/src/target.rs
+++ b/crates/member/src/target.rs
@@ -1,84 +1,13 @@
 //! The state of one target and its transitions.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::action::{Action, State};
 use crate::claims::Claims;
-use crate::hash::ranked;
 use crate::list::{Incarnation, Name};
 use crate::peer::Lease;
 use crate::view::View;
-
-/// At most this number of VMs are asked for a target whose old owner is unknown. In larger
-/// fleets only a hand-over or the hold-down ends the wait.
-pub(crate) const ASK_LIMIT: usize = 64;
-/// Factor by which the interval between questions grows at most.
-const ASK_BACKOFF: u32 = 8;
-
-/// What this daemon does with a target.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum State {
-    /// Another daemon owns it.
-    Other,
-    /// This daemon owns it by its list and asks for a hand-over.
-    Asking {
-        /// The first VM asked.
-        from: Name,
-        /// When it was first asked.
-        since: Duration,
-    },
-    /// The old owner can't be reached or doesn't hold the target. Questions go on.
-    HoldDown {
-        /// End of the wait at the latest.
-        until: Duration,
-    },
-    /// This daemon grants to the target.
-    Mine {
-        /// Whether runs of an earlier owner may be in flight.
-        assume_full: bool,
-    },
-}
-
-/// What is known about a target at the start of its admission.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Source {
-    /// The old owner sent its state.
-    Handed,
-    /// Runs of an earlier owner may be in flight: the target counts as full until it is known
-    /// better.
-    AssumeFull,
-    /// The target never had an owner.
-    Fresh,
-}
-
-/// What the daemon has to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Send a `HandoverAsk` to `from`, which may need a new link to
-    /// [`View::address`](crate::View::address).
-    AskHandover {
-        /// The target.
-        target: Name,
-        /// The VM to ask.
-        from: Name,
-        /// Generation to send, and to pass on with the reply to this question.
-        generation: u64,
-    },
-    /// Start to grant to the target.
-    Start {
-        /// The target.
-        target: Name,
-        /// What is known about it.
-        source: Source,
-    },
-    /// Stop granting to the target at once.
-    GiveUp {
-        /// The target.
-        target: Name,
-        /// The owner by the list, if it is another VM.
-        to: Option<Name>,
-    },
-}
+use crate::wait::Wait;
 
 /// The VM to which a target was given.
 #[derive(Clone, Debug)]
@@ -90,21 +19,6 @@
     pub(crate) sure: bool,
 }
 
-/// A wait for the end of the old owner.
-#[derive(Clone, Debug)]
-pub(crate) struct Wait {
-    pub(crate) since: Duration,
-    pub(crate) generation: u64,
-    /// The only VM that could hold the target when the wait began.
-    pub(crate) sole: Option<Name>,
-    pub(crate) never_owned: BTreeSet<Name>,
-    pub(crate) handed: bool,
-    /// When the process of `sole` was first known to be gone.
-    pub(crate) gone: Option<Duration>,
-    next_ask: Duration,
-    interval: Duration,
-}
-
 /// What a transition of any target depends on.
 pub(crate) struct Cx<'a> {
     pub(crate) now: Duration,
@@ -276,125 +190,4 @@
             self.ask(cx, name, actions);
         }
     }
-
-    fn begin(&mut self, cx: &Cx<'_>, name: &Name) {
-        self.claims.prune(cx.now);
-        let from = self.askable(cx, name).into_iter().next();
-        self.state = match from {
-            Some(from) => State::Asking {
-                from,
-                since: cx.now,
-            },
-            None => State::HoldDown {
-                until: cx.now + cx.view.config().hold_down,
-            },
-        };
-        self.wait = Some(Wait {
-            since: cx.now,
-            generation: self.generation,
-            sole: self.claims.sole(cx.now).cloned(),
-            never_owned: BTreeSet::new(),
-            handed: false,
-            gone: None,
-            next_ask: cx.now,
-            interval: cx.view.config().ask_every,
-        });
-    }
-
-    fn start(&mut self, name: &Name, source: Source, actions: &mut Vec<Action>) {
-        self.stop();
-        self.state = State::Mine {
-            assume_full: source == Source::AssumeFull,
-        };
-        self.claims.clear();
-        self.held = true;
-        self.given = None;
-        actions.push(Action::Start {
-            target: name.clone(),
-            source,
-        });
-    }
-
-    /// How the target may start now.
-    fn source(&self, cx: &Cx<'_>) -> Option<Source> {
-        let wait = self.wait.as_ref()?;
-        let cfg = cx.view.config();
-        if cfg.standalone {
-            return Some(Source::Fresh);
-        }
-        if wait.handed {
-            return Some(Source::Handed);
-        }
-        if !self.held && self.never_owned(cx, wait) {
-            return Some(Source::Fresh);
-        }
-        let gone = wait
-            .gone
-            .is_some_and(|at| cx.now >= at + cfg.grace && cx.view.confirmed_after(at + cfg.lag));
-        let waited = cx.now >= wait.since + cfg.hold_down;
-        (gone || waited || self.claims.none(cx.now)).then_some(Source::AssumeFull)
-    }
-
-    /// Whether all other listed VMs, and all that may hold the target, never owned it.
-    fn never_owned(&self, cx: &Cx<'_>, wait: &Wait) -> bool {
-        let rows = cx.view.list().into_iter().flat_map(|list| &list.vms);
-        let mut others = rows.filter(|row| &*row.name != cx.view.name());
-        !wait.never_owned.is_empty()
-            && others.all(|row| wait.never_owned.contains(&row.name))
-            && self.claims.names().all(|vm| wait.never_owned.contains(vm))
-    }
-
-    /// A refusal counts only if it came after the wait began, since a process that started
-    /// earlier may hold the target by now, and only if no third VM may hold it.
-    fn watch_refusal(&mut self, cx: &Cx<'_>) {
-        if let Some(wait) = &mut self.wait
-            && let Some(vm) = &wait.sole
-            && let Some(at) = cx.view.refused(vm)
-            && at >= wait.since
-        {
-            wait.gone = wait.gone.or(Some(at));
-        }
-    }
-
-    fn ask(&mut self, cx: &Cx<'_>, name: &Name, actions: &mut Vec<Action>) {
-        let cfg = cx.view.config();
-        let askable = self.askable(cx, name);
-        let Some(wait) = &mut self.wait else { return };
-        if cx.now >= wait.since + cfg.silence {
-            self.state = State::HoldDown {
-                until: wait.since + cfg.hold_down,
-            };
-        }
-        if cx.now < wait.next_ask {
-            return;
-        }
-        wait.next_ask = cx.now + wait.interval;
-        wait.interval = (wait.interval * 2).min(cfg.ask_every * ASK_BACKOFF);
-        let generation = wait.generation;
-        actions.extend(askable.into_iter().map(|from| Action::AskHandover {
-            target: name.clone(),
-            from,
-            generation,
-        }));
-    }
-
-    /// VMs whose answer may end the wait: those that may hold the target, or, if others may hold
-    /// it that this process doesn't know of, all listed ones by rank, those of the zone first.
-    fn askable(&self, cx: &Cx<'_>, name: &Name) -> Vec<Name> {
-        let mut vms: Vec<Name> = self.claims.names().cloned().collect();
-        if self.claims.is_unknown(cx.now)
-            && let Some(list) = cx.view.list()
-        {
-            let ranks = ranked(name, list.vms.iter().map(|row| &*row.name));
-            let (near, far): (Vec<_>, Vec<_>) = ranks
-                .into_iter()
-                .filter(|vm| *vm != cx.view.name() && !vms.iter().any(|known| **known == **vm))
-                .partition(|vm| cx.view.row(vm).is_some_and(|row| row.zone == self.zone));
-            vms.extend(near.into_iter().chain(far).take(ASK_LIMIT).map(Name::from));
-        }
-        if let Some(wait) = &self.wait {
-            vms.retain(|vm| !wait.never_owned.contains(vm));
-        }
-        vms
-    }
 }
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -8,10 +8,10 @@
 use crate::hash::first;
 use crate::links::peers;
 use crate::list::{Incarnation, Name, Vm, VmList, VmState};
-use crate::peer::{Beat, Entry, Greeting, Lease};
+use crate::peer::{Beat, Entry, Greeting};
 
 /// Added to all times kept here, so that the age of a list may exceed `now`.
-const ORIGIN: Duration = Duration::from_hours(365 * 24);
+pub(crate) const ORIGIN: Duration = Duration::from_hours(365 * 24);
 
 #[derive(Clone, Debug, Default)]
 struct Peer {
@@ -25,25 +25,25 @@
 /// The last VM list, what was heard of each VM, and the lease.
 #[derive(Clone, Debug)]
 pub struct View {
-    cfg: Config,
+    pub(crate) cfg: Config,
     name: Name,
     incarnation: Incarnation,
-    list: Option<VmList>,
+    pub(crate) list: Option<VmList>,
     rows: HashMap<Name, usize>,
     live: BTreeMap<Name, Vec<Name>>,
-    links: Vec<Name>,
+    pub(crate) links: Vec<Name>,
     known: HashMap<Name, Peer>,
     departed: HashMap<Name, (Vm, Duration)>,
     /// When the platform had confirmed the list, shifted by [`ORIGIN`].
-    read: Duration,
+    pub(crate) read: Duration,
     /// When all peers were last reached and none had a fresher list, shifted likewise.
-    met: Duration,
+    pub(crate) met: Duration,
     /// Highest generation that a peer named.
-    newest: u64,
-    unlisted: Option<Duration>,
+    pub(crate) newest: u64,
+    pub(crate) unlisted: Option<Duration>,
     ready: bool,
-    stale: Option<Duration>,
-    pause: (Duration, Duration),
+    pub(crate) stale: Option<Duration>,
+    pub(crate) pause: (Duration, Duration),
 }
 
 impl View {
@@ -165,7 +165,7 @@
     /// the pause began; their ages count for `length` more, and heartbeats don't show that their
     /// sender is reached.
     pub fn on_pause(&mut self, now: Duration, length: Duration) {
-        self.stale = Some(now);
+        self.stale = (!self.cfg.standalone).then_some(now);
         self.pause = (now + self.cfg.silence, length);
     }
 
@@ -180,30 +180,6 @@
         self.ready = ready;
     }
 
-    /// Whether this daemon may rely on its list.
-    #[must_use]
-    pub fn lease(&self, now: Duration) -> Lease {
-        if self.cfg.standalone {
-            return Lease::Held;
-        }
-        if self.list.is_none() {
-            return Lease::Expired;
-        }
-        let shifted = now + ORIGIN;
-        let end = match self.unlisted {
-            Some(since) => since + ORIGIN,
-            None if shifted <= self.read + self.cfg.lease || self.reaches_all(now) => {
-                return Lease::Held;
-            }
-            None => self.basis() + self.cfg.lease,
-        };
-        if shifted <= end + self.cfg.hold_down {
-            Lease::InDoubt
-        } else {
-            Lease::Expired
-        }
-    }
-
     /// Whether the list marks this VM as leaving.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
@@ -315,21 +291,10 @@
         self.rows.get(vm).map(|&i| &list.vms[i])
     }
 
-    /// Latest time, on the scale of [`View::shift`], at which the list was known to be the
-    /// freshest within the lag.
-    pub(crate) fn basis(&self) -> Duration {
-        self.read.max(self.met)
-    }
-
     pub(crate) fn shift(now: Duration) -> Duration {
         now + ORIGIN
     }
 
-    /// Whether the list was read from the platform at `at` or later.
-    pub(crate) fn confirmed_after(&self, at: Duration) -> bool {
-        self.read >= at + ORIGIN
-    }
-
     pub(crate) fn refused(&self, vm: &str) -> Option<Duration> {
         self.known.get(vm)?.refused
     }
@@ -347,34 +312,6 @@
             .any(|(_, left)| now < *left + hold_down)
     }
 
-    fn reaches(&self, now: Duration, vm: &str) -> bool {
-        self.heard(vm)
-            .is_some_and(|at| now.saturating_sub(at) <= self.cfg.silence)
-    }
-
-    /// The rule that keeps the lease while the platform gives no list. It never holds without
-    /// peers, since a lone daemon can't tell an outage from its own isolation.
-    fn reaches_all(&self, now: Duration) -> bool {
-        self.unlisted.is_none()
-            && self.newest <= self.generation()
-            && !self.links.is_empty()
-            && self.links.iter().all(|vm| self.reaches(now, vm))
-    }
-
-    /// Upper bound of an age that a peer gave.
-    fn relayed(&self, now: Duration, age: Duration) -> Duration {
-        let (until, length) = self.pause;
-        let waited = if now < until { length } else { Duration::ZERO };
-        age + self.cfg.silence + waited
-    }
-
-    fn confirm(&mut self, read: Duration) {
-        self.read = self.read.max(read);
-        if self.stale.is_some_and(|since| read > since + ORIGIN) {
-            self.stale = None;
-        }
-    }
-
     fn replace(&mut self, now: Duration, list: VmList) {
         let hold_down = self.cfg.hold_down;
         self.departed.retain(|_, (_, left)| now < *left + hold_down);
--- a/crates/member/tests/world/mod.rs
+++ b/crates/member/tests/world/mod.rs
@@ -1,10 +1,12 @@
 //! A fleet of daemons on a simulated network and platform.
 
+use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use member::{
-    Action, Answer, Beat, Config, Grants, Incarnation, Name, Ownership, View, Vm, VmList, VmState,
+    Action, Answer, Beat, Config, Fence, Grants, Incarnation, Name, Ownership, View, Vm, VmList,
+    VmState,
 };
 
 pub const VMS: usize = 5;
@@ -101,7 +103,10 @@
     seed: u64,
     draws: u64,
     incarnations: u64,
-    pub starts: usize,
+    /// Highest fencing number of each target.
+    fences: HashMap<Name, Fence>,
+    /// Starts by source.
+    pub starts: [usize; 3],
 }
 
 pub fn name(vm: usize) -> Name {
@@ -140,7 +145,8 @@
             seed,
             draws: 0,
             incarnations: 0,
-            starts: 0,
+            fences: HashMap::new(),
+            starts: [0; 3],
         };
         for vm in 0..VMS {
             world.boot(vm);
@@ -271,7 +277,7 @@
             }
             self.deliver()?;
             for vm in 0..VMS {
-                self.step(vm);
+                self.step(vm)?;
                 self.check()?;
             }
         }
@@ -302,14 +308,14 @@
                 // The socket's buffer keeps it until the process resumes.
                 self.net.push(message);
             } else if daemon.view.incarnation() == incarnation {
-                self.receive(message);
+                self.receive(message)?;
                 self.check()?;
             }
         }
         Ok(())
     }
 
-    fn receive(&mut self, message: Message) {
+    fn receive(&mut self, message: Message) -> Result<(), String> {
         let now = self.now;
         let (from, incarnation) = message.from;
         let (vm, peer) = (message.to.0, name(from));
@@ -331,7 +337,7 @@
             Body::Ask(target, generation) => {
                 let asker = (&peer, incarnation);
                 let answer = own.on_ask(now, view, &target, asker, generation);
-                if answer != Answer::Wait {
+                if !matches!(answer, Answer::Wait | Answer::GivenUp) {
                     self.send(vm, from, &Body::Reply(target, generation, answer));
                 }
             }
@@ -339,19 +345,20 @@
                 actions = match answer {
                     Answer::Given => own.on_handover(now, view, &target, true, generation),
                     Answer::NeverOwned => own.on_never_owned(now, view, &target, &peer, generation),
+                    Answer::Yours => own.on_yours(now, view, &target, generation),
                     Answer::Clear => own.on_clear(now, view, &target, &peer, generation),
                     _ => own.on_handover(now, view, &target, false, generation),
                 };
             }
         }
-        self.perform(vm, actions);
+        self.perform(vm, actions)
     }
 
     /// One round of reading the list, sending heartbeats and passing time.
-    fn step(&mut self, vm: usize) {
+    fn step(&mut self, vm: usize) -> Result<(), String> {
         let now = self.now;
         if self.running(vm).is_none() {
-            return;
+            return Ok(());
         }
         let slot = &self.slots[vm];
         if !self.down && !slot.cut_platform && self.draw(4) == 0 {
@@ -361,7 +368,7 @@
             let Daemon { view, own, .. } = self.running(vm).unwrap();
             view.on_list(now, list, Duration::ZERO);
             let actions = update(now, view, own);
-            self.perform(vm, actions);
+            self.perform(vm, actions)?;
         }
         let Daemon { view, own, .. } = self.running(vm).unwrap();
         let actions = own.tick(now, view);
@@ -371,7 +378,7 @@
             ready: true,
         };
         let own_links = view.peers().to_vec();
-        self.perform(vm, actions);
+        self.perform(vm, actions)?;
         for peer in 0..VMS {
             let daemon = self.slots[peer].daemon.as_ref();
             let linked = own_links.contains(&name(peer));
@@ -380,9 +387,10 @@
                 self.send(vm, peer, &Body::Beat(beat));
             }
         }
+        Ok(())
     }
 
-    fn perform(&mut self, vm: usize, actions: Vec<Action>) {
+    fn perform(&mut self, vm: usize, actions: Vec<Action>) -> Result<(), String> {
         for action in actions {
             match action {
                 Action::AskHandover {
@@ -392,10 +400,20 @@
                 } => {
                     self.send(vm, index(&from), &Body::Ask(target, generation));
                 }
-                Action::Start { .. } => self.starts += 1,
+                Action::Start { target, source } => {
+                    self.starts[source as usize] += 1;
+                    let Daemon { view, own, .. } = self.running(vm).unwrap();
+                    let order = u32::try_from(view.incarnation().0).unwrap();
+                    let fence = own.fence(&target, 1, order).unwrap();
+                    let last = self.fences.insert(target.clone(), fence);
+                    if last.is_some_and(|last| last > fence) {
+                        return Err(format!("{target}: {fence:?} after {last:?}"));
+                    }
+                }
                 Action::GiveUp { .. } => {}
             }
         }
+        Ok(())
     }
 
     fn send(&mut self, from: usize, to: usize, body: &Body) {
