--- /dev/null
+++ b/crates/ctl/src/command.rs
@@ -0,0 +1,66 @@
+//! Command line of `primrosectl`.
+
+use std::process::ExitCode;
+
+use clap::{CommandFactory, Parser, Subcommand};
+
+use crate::output::{Exit, Output};
+use crate::sheets;
+
+/// Checks, watches and exercises a site of primrosechute.
+#[derive(Debug, Parser)]
+#[command(
+    name = "primrosectl",
+    version,
+    about,
+    after_help = "Examples:\n  \
+        primrosectl sheet check sheet.csv\n\n\
+        Exit codes: 0 ok, 1 failed, 2 input rejected, 3 partial result."
+)]
+struct Args {
+    /// Print the result as JSON.
+    #[arg(long, global = true)]
+    json: bool,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Check or compile a sheet.
+    #[command(
+        subcommand,
+        after_help = "Examples:\n  primrosectl sheet check sheet.csv\n\n\
+        Exit codes: 0 ok, 1 failed, 2 input rejected."
+    )]
+    Sheet(sheets::Command),
+    /// Print a shell completion script.
+    #[command(after_help = "Examples:\n  primrosectl completions bash\n\n\
+        Exit codes: 0 printed, 2 unknown shell.")]
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+}
+
+/// Runs the command line and returns the exit code of the process.
+pub(crate) fn main() -> ExitCode {
+    let args = Args::parse();
+    let out = Output::new(args.json);
+    let result = match &args.command {
+        Command::Sheet(command) => sheets::run(command, out),
+        Command::Completions { shell } => {
+            let mut command = Args::command();
+            let mut stdout = std::io::stdout();
+            clap_complete::generate(*shell, &mut command, "primrosectl", &mut stdout);
+            Ok(Exit::Ok)
+        }
+    };
+    match result {
+        Ok(exit) => exit.into(),
+        Err(err) => {
+            out.error(&err);
+            err.exit.into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/file.rs
@@ -0,0 +1,29 @@
+//! Reading and writing files of bounded size.
+
+use std::io::Read;
+use std::path::Path;
+
+use crate::output::Error;
+
+/// Reads a file of at most `most` bytes.
+pub(crate) fn read(path: &Path, most: usize) -> Result<Vec<u8>, Error> {
+    let name = path.display();
+    let unreadable = |err| Error::rejected(format!("{name}: cannot be read: {err}"));
+    let file = std::fs::File::open(path).map_err(unreadable)?;
+    let mut bytes = Vec::new();
+    // One byte more tells a file that is too large.
+    let limit = u64::try_from(most).unwrap_or(u64::MAX).saturating_add(1);
+    let mut reader = file.take(limit);
+    reader.read_to_end(&mut bytes).map_err(unreadable)?;
+    if bytes.len() > most {
+        return Err(Error::rejected(format!(
+            "{name}: is larger than {most} bytes"
+        )));
+    }
+    Ok(bytes)
+}
+
+pub(crate) fn write(path: &Path, bytes: &[u8]) -> Result<(), Error> {
+    std::fs::write(path, bytes)
+        .map_err(|err| Error::failed(format!("{}: cannot be written: {err}", path.display())))
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,3 +1,12 @@
-//! Command line for operators of primrosechute.
+//! Command line of primrosechute for operators.
 
-fn main() {}
+#![forbid(unsafe_code)]
+
+mod command;
+mod file;
+mod output;
+mod sheets;
+
+fn main() -> std::process::ExitCode {
+    command::main()
+}
--- /dev/null
+++ b/crates/ctl/src/output.rs
@@ -0,0 +1,135 @@
+//! Exit codes, errors, colour and tables on the terminal.
+
+use std::fmt::Write as _;
+use std::io::{self, IsTerminal, Write as _};
+use std::process::ExitCode;
+
+/// How a command ended, with its exit code. The codes are part of the interface.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Exit {
+    Ok = 0,
+    Failed = 1,
+    Rejected = 2,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        ExitCode::from(exit as u8)
+    }
+}
+
+/// An error that ends a command.
+#[derive(Debug)]
+pub(crate) struct Error {
+    pub(crate) exit: Exit,
+    pub(crate) text: String,
+}
+
+impl Error {
+    /// The command could not do its work.
+    pub(crate) fn failed(text: impl Into<String>) -> Self {
+        Error {
+            exit: Exit::Failed,
+            text: text.into(),
+        }
+    }
+
+    /// The command's input is wrong.
+    pub(crate) fn rejected(text: impl Into<String>) -> Self {
+        Error {
+            exit: Exit::Rejected,
+            text: text.into(),
+        }
+    }
+}
+
+/// Colours of the terminal, as ANSI codes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Colour {
+    Bold = 1,
+    Red = 31,
+    Green = 32,
+    Yellow = 33,
+}
+
+/// Writes the results of a command to standard output.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Output {
+    pub(crate) json: bool,
+    colour: bool,
+}
+
+impl Output {
+    /// Output with colour only on a terminal and only without `NO_COLOR`.
+    pub(crate) fn new(json: bool) -> Self {
+        let refused = std::env::var_os("NO_COLOR").is_some_and(|value| !value.is_empty());
+        Output {
+            json,
+            colour: !refused && io::stdout().is_terminal(),
+        }
+    }
+
+    pub(crate) fn paint(self, colour: Colour, text: &str) -> String {
+        if self.colour {
+            format!("\x1b[{}m{text}\x1b[0m", colour as u8)
+        } else {
+            text.to_owned()
+        }
+    }
+
+    /// Prints a line. A reader that closed the pipe is no error.
+    #[expect(clippy::unused_self, reason = "shows that a command prints results")]
+    pub(crate) fn line(self, text: &str) {
+        let _ = writeln!(io::stdout(), "{text}");
+    }
+
+    pub(crate) fn json(self, value: &impl serde::Serialize) {
+        match serde_json::to_string_pretty(value) {
+            Ok(text) => self.line(&text),
+            Err(err) => error(&format!("the result is not JSON: {err}")),
+        }
+    }
+
+    /// Prints a table whose first row is the header.
+    pub(crate) fn table(self, rows: &[Vec<String>]) {
+        for (at, line) in layout(rows).iter().enumerate() {
+            if at == 0 {
+                self.line(&self.paint(Colour::Bold, line));
+            } else {
+                self.line(line);
+            }
+        }
+    }
+
+    /// Prints an error as text, or as the only JSON value.
+    pub(crate) fn error(self, err: &Error) {
+        if self.json {
+            self.json(&serde_json::json!({ "ok": false, "error": err.text }));
+        } else {
+            error(&err.text);
+        }
+    }
+}
+
+/// Prints an error to standard error.
+pub(crate) fn error(text: &str) {
+    let _ = writeln!(io::stderr(), "error: {text}");
+}
+
+fn layout(rows: &[Vec<String>]) -> Vec<String> {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..columns).map(width).collect();
+    let lines = rows.iter().map(|row| {
+        let mut line = String::new();
+        for (cell, width) in row.iter().zip(&widths) {
+            // Writing to a string never fails.
+            let _ = write!(line, "{cell:<width$}  ");
+        }
+        line.trim_end().to_owned()
+    });
+    lines.collect()
+}
