Follow the answers of the ownership rules

Cause: the ownership rules distinguish five answers to a question for a hand-over; two flags of the message could not carry them. Change: an answer code in Handover; relayed lists are taken with their transit time. Measured: compiles without lints; fleet tests follow.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -13,7 +13,7 @@
 use sched::{InFlight, PermitId, TargetPhase, TargetSpec};
 use sheet::{Name, Settings, Sheet};
 use tokio::time::{MissedTickBehavior, interval};
-use wire::{Body, HandoverAsk, HandoverRun};
+use wire::{Body, HandoverAnswer, HandoverAsk, HandoverRun};
 
 use crate::node::Node;
 use crate::owner::{Msg, Source, micros};
@@ -84,6 +84,11 @@
         self.lock().view.on_list(now, list, age)
     }
 
+    /// Takes a VM list that a peer relayed. Returns whether it was fresher.
+    pub(crate) fn on_list_push(&self, now: Duration, list: VmList, age: Duration) -> bool {
+        self.lock().view.on_list_push(now, list, age)
+    }
+
     pub(crate) fn on_hello(
         &self,
         vm: &Name,
@@ -283,35 +288,35 @@
         let from = (&peer.vm, peer.incarnation);
         ownership.on_ask(node.now(), view, &target, from, ask.list_generation)
     };
-    let reply = |given, phase: wire::TargetPhase| wire::Handover {
-        target: target.to_string(),
-        given,
-        phase: phase.into(),
-        limit: 0,
-        runs: Vec::new(),
+    let reply = |answer: HandoverAnswer| {
+        Some(Body::Handover(wire::Handover {
+            target: target.to_string(),
+            answer: answer.into(),
+            phase: wire::TargetPhase::Cold.into(),
+            limit: 0,
+            runs: Vec::new(),
+        }))
     };
     match answer {
         Answer::Given => {
             node.fleet.lock().owned.remove(&target);
-            let handover = give_up(node, &target).await;
             log::info!("owner: target {target} handed over to {}", peer.vm);
-            Some(Body::Handover(match handover {
-                Some(handover) => handover_message(&handover),
+            match give_up(node, &target).await {
+                Some(handover) => Some(Body::Handover(handover_message(&handover))),
                 // Given before and asked again, as the first reply was lost.
-                None => reply(true, wire::TargetPhase::Cold),
-            }))
-        }
-        Answer::StillMine => Some(Body::Handover(reply(false, wire::TargetPhase::Cold))),
-        Answer::NeverOwned => Some(Body::Handover(reply(false, wire::TargetPhase::Unknown))),
-        Answer::Clear => Some(Body::Handover(reply(true, wire::TargetPhase::Unknown))),
-        Answer::Wait => {
-            // The rules may have stopped the target without giving it.
-            if node.fleet.grants(node.now(), &target) == Grants::None {
-                node.fleet.lock().owned.remove(&target);
-                give_up(node, &target).await;
+                None => reply(HandoverAnswer::Given),
             }
+        }
+        Answer::GivenUp => {
+            node.fleet.lock().owned.remove(&target);
+            give_up(node, &target).await;
             None
         }
+        Answer::StillMine => reply(HandoverAnswer::StillMine),
+        Answer::NeverOwned => reply(HandoverAnswer::NeverOwned),
+        Answer::Clear => reply(HandoverAnswer::Clear),
+        Answer::Yours => reply(HandoverAnswer::Yours),
+        Answer::Wait => None,
     }
 }
 
@@ -420,21 +425,22 @@
     let sheet = node.sheet();
     let now = node.now();
     let mut state = node.fleet.lock();
-    if handover.given && handover.phase() != wire::TargetPhase::Unknown {
-        let handed = handover_of(&handover);
-        state.handed.insert(target.clone(), handed);
+    let answer = handover.answer();
+    if answer == HandoverAnswer::Given {
+        state.handed.insert(target.clone(), handover_of(&handover));
     }
     let State {
         view, ownership, ..
     } = &mut *state;
-    let actions = match (handover.given, handover.phase()) {
-        (true, wire::TargetPhase::Unknown) => {
-            ownership.on_clear(now, view, &target, &from, generation)
-        }
-        (false, wire::TargetPhase::Unknown) => {
+    let actions = match answer {
+        HandoverAnswer::None => return,
+        HandoverAnswer::Given => ownership.on_handover(now, view, &target, true, generation),
+        HandoverAnswer::StillMine => ownership.on_handover(now, view, &target, false, generation),
+        HandoverAnswer::NeverOwned => {
             ownership.on_never_owned(now, view, &target, &from, generation)
         }
-        (given, _) => ownership.on_handover(now, view, &target, given, generation),
+        HandoverAnswer::Clear => ownership.on_clear(now, view, &target, &from, generation),
+        HandoverAnswer::Yours => ownership.on_yours(now, view, &target, generation),
     };
     carry_out(&node, &mut state, &sheet, actions);
 }
@@ -449,7 +455,7 @@
     };
     wire::Handover {
         target: handover.target.to_string(),
-        given: true,
+        answer: HandoverAnswer::Given.into(),
         phase: phase.into(),
         limit: handover.limit,
         runs: handover
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -206,12 +206,24 @@
     pub(crate) fn on_list(self: &Arc<Self>, list: VmList, age: Duration) {
         let (generation, vms) = (list.generation, list.vms.len());
         if self.fleet.on_list(self.now(), list, age) {
-            log::info!("config: VM list generation {generation} with {vms} VMs");
-            self.sync();
-            self.announce();
+            self.apply_list(generation, vms);
         }
     }
 
+    /// Takes a VM list that a peer relayed.
+    fn on_list_push(self: &Arc<Self>, list: VmList, age: Duration) {
+        let (generation, vms) = (list.generation, list.vms.len());
+        if self.fleet.on_list_push(self.now(), list, age) {
+            self.apply_list(generation, vms);
+        }
+    }
+
+    fn apply_list(self: &Arc<Self>, generation: u64, vms: usize) {
+        log::info!("config: VM list generation {generation} with {vms} VMs");
+        self.sync();
+        self.announce();
+    }
+
     /// Applies sheet and list to links, ownership, owners of pools and shares.
     fn sync(self: &Arc<Self>) {
         self.sync_links();
@@ -400,7 +412,7 @@
             Body::ListAsk(generation) => self.push_list(peer, generation),
             Body::ListPush(push) => {
                 if let Some(list) = list_of(&push) {
-                    self.on_list(list, Duration::from_micros(push.age_us));
+                    self.on_list_push(list, Duration::from_micros(push.age_us));
                 }
             }
             Body::PartMoves(moves) => take_moves(self, &peer.vm, peer.incarnation, &moves),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,8 +10,8 @@
 
 pub use codec::{Codec, FrameError, MAX_FRAME};
 pub use message::{
-    Body, Digest, Frame, Grant, Handover, HandoverAsk, HandoverRun, Heartbeat, Hello, ListPush,
-    Offer, OfferReply, OutcomeAsk, OutcomeReply, PROTOCOL_VERSION, PartAck, PartAsk, PartClaim,
-    PartClaims, PartMove, PartMoves, PartQuery, Release, Shed, SheetPush, Suspect, TargetPhase,
-    Verdict, VmRow, Withdraw,
+    Body, Digest, Frame, Grant, Handover, HandoverAnswer, HandoverAsk, HandoverRun, Heartbeat,
+    Hello, ListPush, Offer, OfferReply, OutcomeAsk, OutcomeReply, PROTOCOL_VERSION, PartAck,
+    PartAsk, PartClaim, PartClaims, PartMove, PartMoves, PartQuery, Release, Shed, SheetPush,
+    Suspect, TargetPhase, Verdict, VmRow, Withdraw,
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -376,7 +376,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
 pub enum TargetPhase {
-    /// Unknown to the sender, who never owned the target in this incarnation.
+    /// Not given.
     Unknown = 0,
     /// Bears only its cold limit.
     Cold = 1,
@@ -390,15 +390,33 @@
     Out = 5,
 }
 
+/// Answer to a question for a hand-over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum HandoverAnswer {
+    /// Not given.
+    None = 0,
+    /// The sender stopped granting to the target; its state follows.
+    Given = 1,
+    /// The sender owns the target by a fresher list.
+    StillMine = 2,
+    /// The sender never owned the target and knows no earlier owner.
+    NeverOwned = 3,
+    /// The sender does not hold the target.
+    Clear = 4,
+    /// For longer than a hold-down no list gave the target to another VM than the asker's.
+    Yours = 5,
+}
+
 /// State of a target, from its old owner.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Handover {
     /// Target.
     #[prost(string, tag = "1")]
     pub target: String,
-    /// Whether the old owner gave it up. False if it still owns it by a fresher list.
-    #[prost(bool, tag = "2")]
-    pub given: bool,
+    /// What the sender has to do with the target.
+    #[prost(enumeration = "HandoverAnswer", tag = "2")]
+    pub answer: i32,
     /// Warm-up state.
     #[prost(enumeration = "TargetPhase", tag = "3")]
     pub phase: i32,
