--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -23,6 +23,9 @@
 
 /// Daemons, their platform and the proxies between them.
 ///
+/// The ports of a daemon stay reserved while it is down, and refuse connections. A daemon listens
+/// on them with `SO_REUSEADDR`, the default of `tokio` and `std`.
+///
 /// Dropping it kills all daemons that it started. While a test panics, it prints the last lines of
 /// each daemon's log.
 ///
