--- a/crates/testkit/src/engine/api.rs
+++ b/crates/testkit/src/engine/api.rs
@@ -27,6 +27,7 @@
 }
 
 pub(crate) async fn handle(core: Arc<Core>, req: Request<Incoming>, conn: Conn) -> Answer {
+    note_headers(&core, &req);
     let mut stalled = core.stalled.subscribe();
     let _ = stalled.wait_for(|stalled| !stalled).await;
     if !core.stats.borrow().up {
@@ -47,6 +48,15 @@
     }
 }
 
+fn note_headers(core: &Core, req: &Request<Incoming>) {
+    let mut names = core.header_names.lock();
+    for name in req.headers().keys() {
+        if !names.contains(name.as_str()) {
+            names.insert(name.as_str().to_owned());
+        }
+    }
+}
+
 async fn generate(core: &Core, req: Request<Incoming>, conn: Conn, chat: bool) -> Answer {
     let (head, body) = req.into_parts();
     let Ok(body) = body.collect().await else {
--- a/crates/testkit/src/engine/core.rs
+++ b/crates/testkit/src/engine/core.rs
@@ -1,4 +1,4 @@
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, LazyLock};
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -86,6 +86,8 @@
     pub(crate) stats: watch::Sender<EngineStats>,
     pub(crate) stalled: watch::Sender<bool>,
     pub(crate) wake: Notify,
+    /// Names of all headers of all requests.
+    pub(crate) header_names: Mutex<BTreeSet<String>>,
     /// Woken when the engine falls over by itself.
     pub(crate) fallen: Notify,
     /// Counts crashes, stops and restarts by the test, which end a recovery in progress.
@@ -114,6 +116,7 @@
             stats: watch::Sender::default(),
             stalled: watch::Sender::new(false),
             wake: Notify::new(),
+            header_names: Mutex::default(),
             fallen: Notify::new(),
             interventions: AtomicU64::new(0),
         }
--- a/crates/testkit/src/engine/mod.rs
+++ b/crates/testkit/src/engine/mod.rs
@@ -11,7 +11,7 @@
 };
 pub use self::run::answer_text;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -107,6 +107,12 @@
         runs
     }
 
+    /// Names of all headers of all requests on any path, refused ones included.
+    #[must_use]
+    pub fn header_names(&self) -> BTreeSet<String> {
+        self.core.header_names.lock().clone()
+    }
+
     /// All orders received.
     #[must_use]
     pub fn orders(&self) -> Vec<OrderRecord> {
--- a/crates/testkit/tests/engine.rs
+++ b/crates/testkit/tests/engine.rs
@@ -299,6 +299,23 @@
     assert_eq!(engine.runs_by_id()["a-1"], 2);
 }
 
+#[tokio::test]
+async fn header_names_cover_requests_without_a_run() {
+    // Guards against a key that leaks with a cancel or a refused request.
+    for (call, unavailable) in [
+        (Call::get("/load"), false),
+        (Call::get("/v1/requests/a-1"), false),
+        (ask("a-1", 1), true),
+    ] {
+        let (engine, client) = start(quick()).await;
+        engine.set_unavailable(unavailable);
+
+        client.call(call.key("secret")).await.unwrap();
+
+        assert!(engine.header_names().contains("authorization"));
+    }
+}
+
 #[tokio::test]
 async fn load_report_shows_the_past() {
     // Guards against reports that are fresher than the lag allows.
