End a slowed step when its slowdown ends

The step in progress kept the time planned under the slowdown, so an engine slowed a lot stayed silent long after the fault was cleared.

`cargo test -p testkit`: 54 tests pass.

--- a/crates/testkit/src/engine/core.rs
+++ b/crates/testkit/src/engine/core.rs
@@ -86,6 +86,8 @@
     pub(crate) stats: watch::Sender<EngineStats>,
     pub(crate) stalled: watch::Sender<bool>,
     pub(crate) wake: Notify,
+    /// Woken when a fault changes the time of a step.
+    pub(crate) replan: Notify,
     /// Names of all headers of all requests.
     pub(crate) header_names: Mutex<BTreeSet<String>>,
     /// Woken when the engine falls over by itself.
@@ -116,6 +118,7 @@
             stats: watch::Sender::default(),
             stalled: watch::Sender::new(false),
             wake: Notify::new(),
+            replan: Notify::new(),
             header_names: Mutex::default(),
             fallen: Notify::new(),
             interventions: AtomicU64::new(0),
--- a/crates/testkit/src/engine/mod.rs
+++ b/crates/testkit/src/engine/mod.rs
@@ -138,6 +138,7 @@
     /// Multiplies the time of all steps.
     pub fn set_slowdown(&self, factor: f64) {
         self.core.state.lock().faults.slowdown = factor.max(0.0);
+        self.core.replan.notify_one();
     }
 
     /// While set, new requests are answered by 503.
@@ -158,6 +159,7 @@
     /// Ends all lasting faults.
     pub fn clear_faults(&self) {
         self.core.state.lock().faults = Faults::default();
+        self.core.replan.notify_one();
         self.set_stalled(false);
     }
 
--- a/crates/testkit/src/engine/step.rs
+++ b/crates/testkit/src/engine/step.rs
@@ -98,7 +98,14 @@
             // Steps shorter than the timer's grain run back to back up to the present.
             next = next.max(Instant::now().checked_sub(MAX_CATCH_UP).unwrap_or(next)) + time;
             if next > Instant::now() {
-                tokio::time::sleep_until(next).await;
+                tokio::select! {
+                    () = tokio::time::sleep_until(next) => {}
+                    // A step that takes long must not outlast the fault that made it so.
+                    () = core.replan.notified() => {
+                        next = Instant::now();
+                        continue;
+                    }
+                }
             } else {
                 tokio::task::yield_now().await;
             }
--- a/crates/testkit/tests/engine.rs
+++ b/crates/testkit/tests/engine.rs
@@ -316,6 +316,20 @@
     }
 }
 
+#[tokio::test]
+async fn slowdown_ends_with_its_fault() {
+    // Guards against a slow step that outlasts the fault that made it slow.
+    let (engine, client) = start(quick()).await;
+    engine.set_slowdown(1e6);
+    let mut stream = client.open(ask("a-1", 5)).await.unwrap();
+    let slow = tokio::time::timeout(Duration::from_millis(50), stream.next()).await;
+
+    engine.clear_faults();
+
+    assert!(slow.is_err());
+    assert!(stream.finish().await.is_done());
+}
+
 #[tokio::test]
 async fn load_report_shows_the_past() {
     // Guards against reports that are fresher than the lag allows.
