--- a/crates/testkit/src/engine/mod.rs
+++ b/crates/testkit/src/engine/mod.rs
@@ -11,7 +11,7 @@
 };
 pub use self::run::answer_text;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -107,6 +107,12 @@
         runs
     }
 
+    /// Names of all headers of all requests on any path, refused ones included.
+    #[must_use]
+    pub fn header_names(&self) -> BTreeSet<String> {
+        self.core.header_names.lock().clone()
+    }
+
     /// All orders received.
     #[must_use]
     pub fn orders(&self) -> Vec<OrderRecord> {
@@ -132,6 +138,7 @@
     /// Multiplies the time of all steps.
     pub fn set_slowdown(&self, factor: f64) {
         self.core.state.lock().faults.slowdown = factor.max(0.0);
+        self.core.replan.notify_one();
     }
 
     /// While set, new requests are answered by 503.
@@ -152,6 +159,7 @@
     /// Ends all lasting faults.
     pub fn clear_faults(&self) {
         self.core.state.lock().faults = Faults::default();
+        self.core.replan.notify_one();
         self.set_stalled(false);
     }
 
@@ -191,8 +199,10 @@
     if core.stats.borrow().up {
         return Ok(());
     }
+    // Whoever waits for `up` finds the port open.
+    host.restart()?;
     core.begin(true);
-    host.restart()
+    Ok(())
 }
 
 /// Restarts the engine a while after each fall-over.
--- a/crates/testkit/tests/engine.rs
+++ b/crates/testkit/tests/engine.rs
@@ -123,8 +123,7 @@
     assert_eq!((stats.overloads, stats.peak_cold, stats.reset), (1, 3, 3));
     assert!(stats.cold);
 
-    // The port opens shortly after the state says so.
-    while client.call(ask("a-4", 1)).await.is_err() {}
+    client.call(ask("a-4", 1)).await.unwrap();
     client.call(ask("a-5", 1)).await.unwrap();
     let stats = engine.wait_for(|stats| !stats.cold).await;
     assert_eq!(stats.overloads, 1);
@@ -299,6 +298,37 @@
     assert_eq!(engine.runs_by_id()["a-1"], 2);
 }
 
+#[tokio::test]
+async fn header_names_cover_requests_without_a_run() {
+    // Guards against a key that leaks with a cancel or a refused request.
+    for (call, unavailable) in [
+        (Call::get("/load"), false),
+        (Call::get("/v1/requests/a-1"), false),
+        (ask("a-1", 1), true),
+    ] {
+        let (engine, client) = start(quick()).await;
+        engine.set_unavailable(unavailable);
+
+        client.call(call.key("secret")).await.unwrap();
+
+        assert!(engine.header_names().contains("authorization"));
+    }
+}
+
+#[tokio::test]
+async fn slowdown_ends_with_its_fault() {
+    // Guards against a slow step that outlasts the fault that made it slow.
+    let (engine, client) = start(quick()).await;
+    engine.set_slowdown(1e6);
+    let mut stream = client.open(ask("a-1", 5)).await.unwrap();
+    let slow = tokio::time::timeout(Duration::from_millis(50), stream.next()).await;
+
+    engine.clear_faults();
+
+    assert!(slow.is_err());
+    assert!(stream.finish().await.is_done());
+}
+
 #[tokio::test]
 async fn load_report_shows_the_past() {
     // Guards against reports that are fresher than the lag allows.
