--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,290 @@
+//! A site of real daemon processes with stand-in targets, after the example sheets.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use sheet::{PoolKind, Settings, Sheet};
+use testkit::client::{Answer, Call, Client, ClientError};
+use testkit::fleet::{Fleet, FleetBuilder};
+use testkit::{Engine, EngineConfig, PlainService};
+
+/// Longest wait for anything; reached only by a failing test.
+pub const LONG: Duration = Duration::from_mins(1);
+
+/// Timing that lets a new fleet hold its shares after about 8 s.
+pub fn fast_timing() -> serde_json::Value {
+    json!({
+        "heartbeat": "100ms",
+        "silent": "600ms",
+        "lease": "1s",
+        "list_lag": "200ms",
+        "list_poll": "200ms",
+        "propagation": "1s",
+        "load_poll": "200ms",
+        "redial_max": "500ms",
+    })
+}
+
+pub struct Site {
+    pub fleet: Fleet,
+    pub sheet: Sheet,
+    pub engines: BTreeMap<String, Engine>,
+    pub services: BTreeMap<String, PlainService>,
+}
+
+fn example(site: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples")
+        .join(site)
+}
+
+/// Names and zones of the VMs of an example site.
+fn vms(site: &str) -> Vec<(String, String)> {
+    let mut vms: Vec<_> = std::fs::read_dir(example(site))
+        .unwrap()
+        .map(|entry| entry.unwrap().path())
+        .filter(|path| {
+            path.extension()
+                .is_some_and(|extension| extension == "jsonc")
+        })
+        .map(|path| {
+            let text = std::fs::read_to_string(&path).unwrap();
+            let settings = Settings::parse(&text, &path.display().to_string()).unwrap();
+            (settings.vm.to_string(), settings.zone.to_string())
+        })
+        .collect();
+    vms.sort();
+    vms
+}
+
+/// A builder of the daemons of an example site, with fast timing.
+pub fn builder(site: &str) -> FleetBuilder {
+    let mut builder = Fleet::builder(env!("CARGO_BIN_EXE_primrosechute"))
+        .setting("timing", fast_timing())
+        .setting("log", json!({ "level": "debug" }))
+        .ready_timeout(LONG);
+    for (vm, zone) in vms(site) {
+        builder = builder.vm(&vm, &zone);
+    }
+    builder
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Fast engines that behave as the sheet says.
+fn engine_config(target: &sheet::Target) -> EngineConfig {
+    EngineConfig {
+        speed: target.speed,
+        time_scale: 0.05,
+        cold_limit: usize::try_from(target.cold_limit).unwrap(),
+        load_lag: Duration::from_millis(200),
+        check_fencing: target.fencing,
+        ..EngineConfig::default()
+    }
+}
+
+impl Site {
+    /// Starts targets and daemons of an example site and waits until all daemons are ready.
+    pub async fn start(site: &str) -> Site {
+        Site::start_with(site, builder(site), |_| {}).await
+    }
+
+    /// Starts a site whose sheet is changed before it is published.
+    pub async fn start_with(
+        site: &str,
+        builder: FleetBuilder,
+        change: impl FnOnce(&mut Sheet),
+    ) -> Site {
+        let csv = std::fs::read(example(site).join("sheet.csv")).unwrap();
+        let mut sheet = Sheet::parse(&csv).unwrap();
+        change(&mut sheet);
+        let mut fleet = builder.start().await.unwrap();
+        let (mut engines, mut services) = (BTreeMap::new(), BTreeMap::new());
+        let kinds = sheet.pools.clone();
+        for (name, target) in &mut sheet.targets {
+            let address = match kinds[&target.pool].kind {
+                PoolKind::Engine => {
+                    let engine = Engine::start(any(), engine_config(target)).await.unwrap();
+                    let address = engine.addr();
+                    engines.insert(name.to_string(), engine);
+                    address
+                }
+                PoolKind::Service => {
+                    let service = PlainService::start(any()).await.unwrap();
+                    let address = service.addr();
+                    services.insert(name.to_string(), service);
+                    address
+                }
+            };
+            target.address = fleet.add_target(name, address).await.unwrap();
+        }
+        let mut site = Site {
+            fleet,
+            sheet,
+            engines,
+            services,
+        };
+        site.publish();
+        site.fleet.launch_all().await.unwrap();
+        site.wait_tokens().await;
+        site
+    }
+
+    /// Waits until each workspace has a quarter of its burst: the parts of a new fleet start empty.
+    async fn wait_tokens(&self) {
+        let wait = async {
+            while !self.has_tokens().await {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::time::timeout(LONG, wait)
+            .await
+            .expect("the buckets fill");
+    }
+
+    async fn has_tokens(&self) -> bool {
+        let mut tokens: BTreeMap<String, u64> = BTreeMap::new();
+        for vm in self.fleet.names() {
+            let status = self.status(&vm).await;
+            for share in status["shares"].as_array().unwrap() {
+                let workspace = share["workspace"].as_str().unwrap();
+                *tokens.entry(workspace.to_string()).or_default() +=
+                    share["tokens"].as_u64().unwrap();
+            }
+        }
+        self.sheet.workspaces.iter().all(|(name, workspace)| {
+            tokens.get(&**name).copied().unwrap_or(0) >= workspace.burst / 4
+        })
+    }
+
+    /// Publishes the sheet as it is now.
+    pub fn publish(&self) {
+        let csv = self.sheet.to_csv();
+        self.fleet
+            .platform()
+            .sheets
+            .publish(self.sheet.revision, csv);
+    }
+
+    /// Changes the sheet and publishes it with the next revision.
+    pub fn change(&mut self, change: impl FnOnce(&mut Sheet)) {
+        change(&mut self.sheet);
+        self.sheet.revision += 1;
+        self.publish();
+    }
+
+    pub fn client(&self, vm: &str) -> Client {
+        self.fleet.client(vm)
+    }
+
+    /// Status document of a VM.
+    pub async fn status(&self, vm: &str) -> serde_json::Value {
+        let answer = self
+            .fleet
+            .admin_client(vm)
+            .call(Call::get("/status"))
+            .await
+            .unwrap();
+        answer.json()
+    }
+
+    /// Waits until the status of a VM fulfils a condition.
+    pub async fn wait_status(
+        &self,
+        vm: &str,
+        what: &str,
+        condition: impl Fn(&serde_json::Value) -> bool,
+    ) {
+        let wait = async {
+            while !condition(&self.status(vm).await) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let came = tokio::time::timeout(LONG, wait).await.is_ok();
+        assert!(
+            came,
+            "{vm} does not come to: {what}\n{}",
+            self.status(vm).await
+        );
+    }
+
+    /// Incarnation of a VM's daemon, as its entry list shows it.
+    pub async fn incarnation(&self, vm: &str) -> String {
+        let answer = self
+            .client(vm)
+            .call(Call::get("/v1/entries"))
+            .await
+            .unwrap();
+        let entries = answer.json();
+        let own = entries["entries"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .find(|entry| entry["vm"] == vm)
+            .unwrap_or_else(|| panic!("{vm} is not in its own entry list"));
+        own["incarnation"].as_str().unwrap().to_string()
+    }
+
+    /// Runs by request id over all engines and calls over all services.
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        let mut runs = BTreeMap::new();
+        let engines = self.engines.values().map(Engine::runs_by_id);
+        let services = self.services.values().map(PlainService::counts);
+        for (id, count) in engines.chain(services).flatten() {
+            // Load reports are read without an id.
+            if !id.is_empty() {
+                *runs.entry(id).or_default() += count;
+            }
+        }
+        runs
+    }
+}
+
+/// A model call with a prompt of about `bytes` bytes that no other call has.
+pub fn prompt(seed: u64, bytes: usize, tokens: u32, stream: bool) -> Call {
+    let text = format!("{seed} ").repeat(bytes / 8 + 1);
+    let body = json!({ "prompt": text, "max_tokens": tokens, "stream": stream });
+    Call::json("/v1/completions", &body).timeout(LONG)
+}
+
+/// The same as a chat call.
+pub fn chat(seed: u64, bytes: usize, tokens: u32, stream: bool) -> Call {
+    let text = format!("{seed} ").repeat(bytes / 8 + 1);
+    let message = json!({ "role": "user", "content": text });
+    let body = json!({ "messages": [message], "max_tokens": tokens, "stream": stream });
+    Call::json("/v1/chat/completions", &body).timeout(LONG)
+}
+
+/// Outcome and reason in the headers of an answer.
+pub fn outcome(answer: &Answer) -> (String, String) {
+    (
+        answer.header("x-primrosechute-outcome").to_string(),
+        answer.header("x-primrosechute-reason").to_string(),
+    )
+}
+
+/// Sends calls at once and returns the answers in the order of the calls.
+pub async fn send_all(calls: Vec<(Client, Call)>) -> Vec<Result<Answer, ClientError>> {
+    let tasks: Vec<_> = calls
+        .into_iter()
+        .map(|(client, call)| tokio::spawn(async move { client.call(call).await }))
+        .collect();
+    let mut answers = Vec::with_capacity(tasks.len());
+    for task in tasks {
+        answers.push(task.await.unwrap());
+    }
+    answers
+}
+
+/// Shares a site between tasks.
+pub fn shared(site: Site) -> Arc<Site> {
+    Arc::new(site)
+}
--- a/crates/testkit/src/client/call.rs
+++ b/crates/testkit/src/client/call.rs
@@ -57,6 +57,12 @@
         self
     }
 
+    /// Body of the call.
+    #[must_use]
+    pub fn sent_body(&self) -> &Bytes {
+        &self.body
+    }
+
     /// Adds a header.
     #[must_use]
     pub fn header(mut self, name: impl Into<String>, value: impl Into<String>) -> Self {
