sched: weigh the learned limit against a gradient and damp its growth

The limit lost 0.6 tokens per late token whatever the load, so a warming target grew far beyond what its engine served before the limit fell.

A late run now also moves an unused limit towards the tokens in flight, the loss is 0.9 per token, and growth slows down within 30% of a goal.

A gradient with set point 0.7 fell to the floor on an engine whose idle token gap is 40 ms.

--- a/crates/sched/src/limit.rs
+++ b/crates/sched/src/limit.rs
@@ -2,11 +2,13 @@
 
 use crate::num::{float, whole};
 
-/// Growth per limit's worth of completed work, as a part of the capacity.
+/// Growth per limit's worth of completed work that took all but `HEADROOM` of the goals, as a part
+/// of the capacity.
 const GROWTH: f64 = 1.0 / 32.0;
-/// Tokens that the limit loses per token of a run that missed a goal. At the capacity, growth and
-/// loss balance when 5 in 100 tokens miss: 0.95 / 32 = 0.05 * 0.6.
-const LOSS: f64 = 0.6;
+/// Growth slows down in proportion as the times come nearer than this to the goals.
+const HEADROOM: f64 = 0.3;
+/// Tokens that the limit loses per token of a run that missed a goal.
+const LOSS: f64 = 0.9;
 /// Factor on the limit when the target refuses work as overloaded.
 const OVERLOADED: f64 = 0.7;
 /// The limit never falls below the capacity divided by this.
@@ -15,8 +17,12 @@
 /// about a higher limit.
 const USED: f64 = 0.5;
 
-/// Additive increase and proportional decrease by the cost of the runs that met or missed the
-/// goals.
+/// Additive increase and decrease by the cost of the runs that met or missed the goals.
+///
+/// Trials on the engine model of `tests/learning.rs` compared it with a gradient on the ratio of
+/// goal to measured time. The best gradient served as many tokens on time and half again as many
+/// late; one with a lower set point fell to the floor on an engine that takes most of the goal
+/// even when idle.
 pub(crate) struct Limit {
     tokens: f64,
     capacity: f64,
@@ -49,17 +55,24 @@
         self.tokens = self.tokens.clamp(self.floor(), capacity);
     }
 
-    /// Learns from a run that met the goals while `in_flight` tokens ran.
-    pub(crate) fn met(&mut self, cost: u64, in_flight: u64) {
+    /// Learns from a run that met its goals while `in_flight` tokens ran. `ratio` is the largest
+    /// part of a goal that it took.
+    pub(crate) fn met(&mut self, ratio: f64, cost: u64, in_flight: u64) {
         if float(in_flight) >= self.tokens * USED {
             let share = (float(cost) / self.tokens).min(1.0);
-            self.tokens = (self.tokens + self.capacity * GROWTH * share).min(self.capacity);
+            let headroom = (1.0 - ratio).max(0.0) / HEADROOM;
+            let growth = self.capacity * GROWTH * share * headroom;
+            self.tokens = (self.tokens + growth).min(self.capacity);
         }
     }
 
-    /// Learns from a run that missed a goal.
-    pub(crate) fn missed(&mut self, cost: u64) {
-        let loss = (LOSS * float(cost)).min(self.tokens * (1.0 - OVERLOADED));
+    /// Learns from a run that missed a goal while `in_flight` tokens ran. A limit that was not
+    /// used also moves towards the tokens in flight, as these were too many already; a warming
+    /// target would grow far beyond what it can serve otherwise.
+    pub(crate) fn missed(&mut self, cost: u64, in_flight: u64) {
+        let (cost, in_flight) = (float(cost), float(in_flight.max(1)));
+        let unused = (self.tokens - in_flight).max(0.0) * (cost / in_flight).min(1.0);
+        let loss = (LOSS * cost + unused).min(self.tokens * (1.0 - OVERLOADED));
         self.tokens = (self.tokens - loss).max(self.floor());
     }
 
--- a/crates/sched/src/observe.rs
+++ b/crates/sched/src/observe.rs
@@ -122,7 +122,8 @@
     fn learn(&mut self, run: &Run, report: &RunReport, before: Option<u64>, complete: bool) {
         let target = &mut self.targets[run.target];
         let speed = target.spec.speed.max(f64::MIN_POSITIVE);
-        let mut met = true;
+        // The largest part of a goal that the run took.
+        let mut ratio = 0.0_f64;
         if let Some(first) = report.first_token {
             let seconds = first.as_secs_f64();
             target.alive = true;
@@ -132,22 +133,23 @@
                     .learn(self.now, run.prompt, seconds * speed);
             }
             let goal = self.cfg.first_token_goal.as_secs_f64();
-            met &= seconds <= goal.max(PROMPT_SLACK * target.first_token.unloaded(run.prompt));
+            let slack = PROMPT_SLACK * target.first_token.unloaded(run.prompt);
+            ratio = ratio.max(seconds / goal.max(slack));
         }
         if let Some(gap) = report.token_gap {
             target.token_gap.learn(gap.as_secs_f64());
             self.token_gap.learn(gap.as_secs_f64() * speed);
-            met &= gap <= self.cfg.token_gap_goal;
+            ratio = ratio.max(gap.as_secs_f64() / self.cfg.token_gap_goal.as_secs_f64());
         }
         if let (Some(own), Some(pool)) = (target.token_gap.get(), self.token_gap.get()) {
             target.weigh((own > 0.0).then(|| pool / own));
         }
         if let Some(before) = before {
             target.alive |= complete;
-            if !met {
-                target.limit.missed(run.cost);
+            if ratio > 1.0 {
+                target.limit.missed(run.cost, before);
             } else if complete && !self.in_doubt {
-                target.limit.met(run.cost, before);
+                target.limit.met(ratio, run.cost, before);
             }
         }
     }
