--- /dev/null
+++ b/crates/sched/tests/containment.rs
@@ -0,0 +1,178 @@
+//! Requests that crash targets.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{grants, load, report, run, secs, sheds, spec, warm, work};
+use sched::{Config, Descriptor, Name, RunEnd, Scheduler, ShedReason};
+
+const ZERO: Duration = Duration::ZERO;
+
+/// A request with the fingerprint that crashes targets.
+fn bad(id: &str) -> Descriptor {
+    Descriptor {
+        fingerprint: 666,
+        ..work(id, 0, "w", 10)
+    }
+}
+
+/// Guards against a request that crashes one target after another.
+#[test]
+fn two_crashes_on_distinct_targets_are_the_end() {
+    let mut scheduler = warm(&["a", "b", "c"], 100);
+    let first = run(&mut scheduler, ZERO, bad("r1"));
+    scheduler.release(ZERO, first.id, report(RunEnd::Reset));
+    let suspects = scheduler.suspects();
+    assert_eq!(suspects.len(), 1);
+    assert_eq!(suspects[0].crashed, *std::slice::from_ref(&first.target));
+
+    let second = run(&mut scheduler, secs(1), bad("r2"));
+    assert_ne!(first.target, second.target);
+    scheduler.release(secs(1), second.id, report(RunEnd::Reset));
+    scheduler.offer(secs(2), bad("r3"));
+    let events = scheduler.poll(secs(2));
+    assert_eq!(sheds(&events), [("r3".into(), ShedReason::Poison)]);
+    let suspects = scheduler.suspects();
+    assert_eq!(suspects[0].crashed.len(), 2);
+    assert_eq!(suspects[0].until, secs(301));
+    assert_eq!(scheduler.suspects(), []);
+
+    // Another owner refuses it as well, until the time is over.
+    let mut other = warm(&["x"], 100);
+    other.suspect(666, &suspects[0].crashed, suspects[0].until);
+    other.offer(secs(300), bad("r4"));
+    assert_eq!(sheds(&other.poll(secs(300))).len(), 1);
+    assert_eq!(other.suspects(), [], "no echo");
+    run(&mut other, secs(301), bad("r5"));
+}
+
+/// Guards against gossip that loses one of two crashes seen by different owners.
+#[test]
+fn crashes_seen_by_two_owners_add_up() {
+    let mut scheduler = warm(&["a", "b"], 100);
+    let first = run(&mut scheduler, ZERO, bad("r1"));
+    scheduler.release(ZERO, first.id, report(RunEnd::Reset));
+    scheduler.suspects();
+    scheduler.suspect(666, &[Name::from("elsewhere")], secs(400));
+    scheduler.offer(secs(1), bad("r2"));
+    assert_eq!(sheds(&scheduler.poll(secs(1))).len(), 1);
+    assert_eq!(scheduler.suspects()[0].crashed.len(), 2);
+}
+
+/// Guards against a suspect that takes other requests down with it.
+#[test]
+fn suspects_run_alone_on_an_empty_target() {
+    let mut scheduler = warm(&["a", "b"], 100);
+    scheduler.suspect(666, &[Name::from("elsewhere")], secs(1_000));
+    let left = run(&mut scheduler, ZERO, work("left", 0, "w", 10));
+    let right = run(&mut scheduler, ZERO, work("right", 0, "w", 20));
+    assert_ne!(left.target, right.target);
+    scheduler.offer(ZERO, bad("r1"));
+    assert_eq!(scheduler.poll(ZERO), [], "no target is empty");
+
+    // One target is left to run empty, the other goes on.
+    let more = run(&mut scheduler, ZERO, work("more", 0, "w", 10));
+    let (drained, busy) = if more.target == left.target {
+        (right, left)
+    } else {
+        (left, right)
+    };
+    scheduler.release(secs(1), drained.id, report(RunEnd::Complete));
+    let events = scheduler.poll(secs(1));
+    let alone = grants(&events).pop().unwrap();
+    assert_eq!(alone.target, drained.target);
+    scheduler.offer(secs(1), bad("r2"));
+    let beside = run(&mut scheduler, secs(1), work("beside", 0, "w", 10));
+    assert_eq!(beside.target, busy.target, "nothing beside the suspect");
+    scheduler.release(secs(2), beside.id, report(RunEnd::Complete));
+    scheduler.release(secs(2), more.id, report(RunEnd::Complete));
+    scheduler.release(secs(2), busy.id, report(RunEnd::Complete));
+    assert_eq!(
+        scheduler.poll(secs(2)),
+        [],
+        "one run of a suspect at a time"
+    );
+
+    // A complete run alone clears it.
+    scheduler.release(secs(3), alone.id, report(RunEnd::Complete));
+    assert_eq!(grants(&scheduler.poll(secs(3))).len(), 1);
+    assert_eq!(scheduler.suspects()[0].crashed, [] as [Name; 0]);
+    run(&mut scheduler, secs(3), bad("r3"));
+    run(&mut scheduler, secs(3), bad("r4"));
+}
+
+/// Guards against blame on requests that were not there when the target crashed, or never ran.
+#[test]
+fn one_crash_blames_its_own_runs_once() {
+    let mut scheduler = warm(&["a"], 1_000);
+    let first: Vec<_> = (0..3)
+        .map(|number| {
+            run(
+                &mut scheduler,
+                ZERO,
+                work(&format!("old-{number}"), 0, "w", 10),
+            )
+        })
+        .collect();
+    for permit in &first {
+        scheduler.release(secs(1), permit.id, report(RunEnd::Reset));
+    }
+    let suspects = scheduler.suspects();
+    assert_eq!(suspects.len(), 3, "all that ran");
+    // The target is still down and refuses connections; that proves nothing.
+    let refused = run(&mut scheduler, secs(2), work("refused", 0, "w", 10));
+    scheduler.release(secs(2), refused.id, report(RunEnd::Reset));
+    assert_eq!(scheduler.suspects(), []);
+    // A report shows it alive, and then a crash counts again.
+    scheduler.load_report(secs(10), "a", load(0, false, 2));
+    let crash = run(&mut scheduler, secs(10), work("crash", 0, "w", 10));
+    scheduler.release(secs(11), crash.id, report(RunEnd::Reset));
+    assert_eq!(scheduler.suspects().len(), 1);
+}
+
+/// Guards against crashes without blame when a load report tells of the restart first.
+#[test]
+fn restart_seen_by_report_still_blames() {
+    let mut scheduler = warm(&["a"], 1_000);
+    scheduler.load_report(ZERO, "a", load(0, false, 1));
+    let old = run(&mut scheduler, ZERO, work("old", 0, "w", 10));
+    scheduler.load_report(secs(1), "a", load(0, false, 2));
+    scheduler.release(secs(2), old.id, report(RunEnd::Reset));
+    assert_eq!(scheduler.suspects().len(), 1);
+}
+
+/// Guards against a table that grows with each crash.
+#[test]
+fn table_of_suspects_is_bounded() {
+    let mut scheduler = Scheduler::new(Config {
+        max_suspects: 2,
+        ..Config::default()
+    });
+    common::add_warm(&mut scheduler, ZERO, &spec("a", 1_000, 1));
+    scheduler.suspect(1, &["x".into(), "y".into()], secs(50));
+    for fingerprint in 2..10 {
+        scheduler.suspect(fingerprint, &["x".into()], secs(100));
+    }
+    let mut refused = bad("r");
+    refused.fingerprint = 1;
+    scheduler.offer(ZERO, refused);
+    assert_eq!(sheds(&scheduler.poll(ZERO)).len(), 1, "refused ones stay");
+}
+
+/// Guards against work larger than any limit that never runs, or runs beside other work.
+#[test]
+fn oversized_work_runs_on_an_empty_target() {
+    let mut scheduler = warm(&["a", "b"], 100);
+    let left = run(&mut scheduler, ZERO, work("left", 0, "w", 30));
+    let right = run(&mut scheduler, ZERO, work("right", 0, "w", 60));
+    scheduler.offer(ZERO, work("huge", 0, "w", 500));
+    scheduler.offer(ZERO, work("small", 0, "w", 30));
+    let small = grants(&scheduler.poll(ZERO)).pop().unwrap();
+    scheduler.release(secs(1), right.id, report(RunEnd::Complete));
+    scheduler.release(secs(1), left.id, report(RunEnd::Complete));
+    let huge = grants(&scheduler.poll(secs(1))).pop().unwrap();
+    assert_eq!(&*huge.request, "huge");
+    assert_ne!(huge.target, small.target);
+    assert_eq!(scheduler.in_flight(&huge.target), Some((1, 500)));
+}
--- /dev/null
+++ b/crates/sched/tests/queue.rs
@@ -0,0 +1,264 @@
+//! Tiers, fairness, eviction, deadlines and withdrawal.
+
+mod common;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use common::{grants, ms, report, run, secs, sheds, spec, warm, work};
+use sched::{Config, Descriptor, RunEnd, RunReport, Scheduler, ShedReason};
+
+const ZERO: Duration = Duration::ZERO;
+
+/// A scheduler whose only target is full with one run, and a queue for `max` descriptors.
+fn full(max: usize) -> (Scheduler, sched::PermitId) {
+    let mut scheduler = Scheduler::new(Config {
+        max_waiting: max,
+        ..Config::default()
+    });
+    common::add_warm(&mut scheduler, ZERO, &spec("a", 100, 1));
+    let permit = run(&mut scheduler, ZERO, work("first", 0, "w", 100));
+    (scheduler, permit.id)
+}
+
+/// Guards against a lower tier that passes a higher one.
+#[test]
+fn higher_tiers_go_first() {
+    let (mut scheduler, first) = full(10);
+    for (id, tier) in [("c", 2), ("b", 1), ("a", 0)] {
+        scheduler.offer(ZERO, work(id, tier, "w", 100));
+    }
+    let mut order = Vec::new();
+    let mut permit = first;
+    for _ in 0..3 {
+        scheduler.release(ZERO, permit, report(RunEnd::Complete));
+        let granted = grants(&scheduler.poll(ZERO));
+        assert_eq!(granted.len(), 1);
+        permit = granted[0].id;
+        order.push(granted[0].request.to_string());
+    }
+    assert_eq!(order, ["a", "b", "c"]);
+}
+
+/// Guards against small work of a lower tier that takes the room a higher one waits for.
+#[test]
+fn lower_tiers_do_not_pass_a_blocked_head() {
+    let mut scheduler = warm(&["a"], 100);
+    run(&mut scheduler, ZERO, work("first", 0, "w", 50));
+    scheduler.offer(ZERO, work("large", 0, "w", 60));
+    scheduler.offer(ZERO, work("small", 1, "w", 10));
+    assert_eq!(scheduler.poll(ZERO), []);
+}
+
+/// Guards against a full queue that sheds the wrong descriptor.
+#[test]
+fn full_queue_evicts_newest_of_lowest_tier() {
+    // Waiting as (id, tier, workspace), the arrival, and the expected shed.
+    type Case<'a> = (
+        &'a [(&'a str, u8, &'a str)],
+        (&'a str, u8, &'a str),
+        (&'a str, ShedReason),
+    );
+    let cases: [Case; 6] = [
+        // The lowest tier gives way to any higher one.
+        (
+            &[("a", 1, "w"), ("b", 3, "w"), ("c", 3, "w")],
+            ("d", 2, "w"),
+            ("c", ShedReason::Evicted),
+        ),
+        // Inside it, the workspace with most waiting.
+        (
+            &[("a", 3, "w"), ("b", 3, "w"), ("c", 3, "v")],
+            ("d", 0, "w"),
+            ("b", ShedReason::Evicted),
+        ),
+        // An arrival below all that wait is shed itself.
+        (
+            &[("a", 1, "w"), ("b", 1, "w"), ("c", 1, "w")],
+            ("d", 2, "v"),
+            ("d", ShedReason::QueueFull),
+        ),
+        // So is one of the same tier and workspace.
+        (
+            &[("a", 1, "w"), ("b", 1, "w"), ("c", 1, "w")],
+            ("d", 1, "w"),
+            ("d", ShedReason::QueueFull),
+        ),
+        // A workspace that fills the queue gives way to another one of the same tier,
+        (
+            &[("a", 1, "w"), ("b", 1, "w"), ("c", 1, "w")],
+            ("d", 1, "v"),
+            ("c", ShedReason::QueueFull),
+        ),
+        // but not if that would only swap their shares.
+        (
+            &[("a", 1, "w"), ("b", 1, "w"), ("c", 1, "v")],
+            ("d", 1, "v"),
+            ("d", ShedReason::QueueFull),
+        ),
+    ];
+    for (waiting, arrival, (shed, reason)) in cases {
+        let (mut scheduler, _) = full(3);
+        for &(id, tier, workspace) in waiting {
+            scheduler.offer(ZERO, work(id, tier, workspace, 100));
+        }
+        scheduler.offer(ZERO, work(arrival.0, arrival.1, arrival.2, 100));
+        let events = scheduler.poll(ZERO);
+        assert_eq!(
+            sheds(&events),
+            [(shed.to_string(), reason)],
+            "{waiting:?} {arrival:?}"
+        );
+        let tier = waiting
+            .iter()
+            .chain([&arrival])
+            .find(|own| own.0 == shed)
+            .unwrap()
+            .1;
+        assert_eq!(scheduler.stats().sheds(tier, reason), 1);
+    }
+}
+
+/// Guards against a workspace that gets more than its share by many or by large requests.
+#[test]
+fn backlogged_workspaces_share_by_cost() {
+    let (mut scheduler, first) = full(10_000);
+    for number in 0..600 {
+        scheduler.offer(ZERO, work(&format!("large-{number}"), 1, "large", 90));
+    }
+    for number in 0..6_000 {
+        scheduler.offer(ZERO, work(&format!("small-{number}"), 1, "small", 9));
+    }
+    scheduler.release(ZERO, first, report(RunEnd::Complete));
+    let mut served: HashMap<bool, i64> = HashMap::new();
+    for _ in 0..500 {
+        for permit in grants(&scheduler.poll(ZERO)) {
+            let large = permit.request.starts_with("large");
+            *served.entry(large).or_default() += if large { 90 } else { 9 };
+            scheduler.release(ZERO, permit.id, report(RunEnd::Complete));
+            // Deficit round robin bounds the difference by a quantum and the largest cost.
+            let difference = served.get(&true).unwrap_or(&0) - served.get(&false).unwrap_or(&0);
+            assert!(difference.abs() <= 180, "{served:?}");
+        }
+    }
+    assert!(served[&true] > 10_000, "{served:?}");
+}
+
+/// Guards against work that can't be on time but takes prefill from work that can.
+#[test]
+fn late_work_is_shed_before_prefill() {
+    let (mut scheduler, first) = full(10);
+    let mut soon = work("soon", 0, "w", 100);
+    soon.deadline = secs(2);
+    scheduler.offer(ZERO, soon.clone());
+    assert_eq!(scheduler.poll(ZERO), []);
+    assert_eq!(scheduler.next_wakeup(), Some(secs(2)));
+    assert_eq!(scheduler.poll(secs(1)), []);
+    let events = scheduler.poll(secs(2));
+    assert_eq!(sheds(&events), [("soon".into(), ShedReason::Deadline)]);
+    // The same at the offer and at the grant.
+    scheduler.offer(secs(3), soon);
+    assert_eq!(sheds(&scheduler.poll(secs(3))).len(), 1);
+    scheduler.release(secs(3), first, report(RunEnd::Complete));
+    assert_eq!(scheduler.stats().prefill_tokens(), 50);
+}
+
+/// Guards against a check of deadlines that ignores the time of the prefill.
+#[test]
+fn estimated_first_token_counts_against_the_deadline() {
+    let mut scheduler = warm(&["a"], 1_000_000);
+    // One millisecond for each prompt token.
+    for (number, prompt) in [100, 200, 400, 800, 1_600].into_iter().enumerate() {
+        let descriptor = Descriptor {
+            prompt,
+            ..work(&format!("learn-{number}"), 0, "w", 2 * prompt)
+        };
+        let permit = run(&mut scheduler, ZERO, descriptor);
+        let learned = RunReport {
+            first_token: Some(ms(prompt)),
+            ..report(RunEnd::Complete)
+        };
+        scheduler.release(ZERO, permit.id, learned);
+    }
+    // (prompt, deadline in ms, whether it can be met)
+    for (prompt, deadline, met) in [(500, 600, true), (500, 450, false), (50, 100, true)] {
+        let descriptor = Descriptor {
+            prompt,
+            deadline: ms(deadline),
+            ..work(&format!("{prompt}-{deadline}"), 0, "w", 1_000)
+        };
+        scheduler.offer(ZERO, descriptor);
+        let events = scheduler.poll(ZERO);
+        assert_eq!(
+            grants(&events).len() == 1,
+            met,
+            "{prompt} {deadline} {events:?}"
+        );
+    }
+    // Without news the estimate fades, so that it can be corrected.
+    let descriptor = Descriptor {
+        prompt: 500,
+        deadline: secs(60) + ms(450),
+        ..work("later", 0, "w", 1_000)
+    };
+    run(&mut scheduler, secs(60), descriptor);
+}
+
+/// Guards against a poll whose work grows with the queue, and a rest that nobody is woken for.
+#[test]
+fn sweep_is_bounded_and_goes_on() {
+    let (mut scheduler, _) = full(10_000);
+    for number in 0..1_000 {
+        let mut late = work(&format!("late-{number}"), 0, "w", 10);
+        late.deadline = secs(1);
+        scheduler.offer(ZERO, late);
+    }
+    assert_eq!(scheduler.poll(ZERO), []);
+    let mut shed = 0;
+    while scheduler.next_wakeup().is_some_and(|time| time <= secs(2)) {
+        let events = scheduler.poll(secs(2));
+        // The sweep, and one queue head that is checked at its grant.
+        assert!((1..=1_000).contains(&events.len()));
+        shed += events.len();
+    }
+    assert_eq!(shed, 1_000);
+}
+
+/// Guards against a withdrawn request that is decided on all the same.
+#[test]
+fn withdrawn_requests_get_no_decision() {
+    let (mut scheduler, first) = full(10);
+    scheduler.offer(ZERO, work("a", 0, "w", 100));
+    scheduler.offer(ZERO, work("b", 0, "w", 100));
+    assert!(scheduler.withdraw(ZERO, "a"));
+    assert!(!scheduler.withdraw(ZERO, "a"));
+    assert_eq!(scheduler.digest().waiting, [1, 0, 0, 0, 0]);
+    scheduler.release(ZERO, first, report(RunEnd::Complete));
+    let granted = grants(&scheduler.poll(ZERO));
+    assert_eq!(granted.len(), 1);
+    assert_eq!(&*granted[0].request, "b");
+}
+
+/// Guards against requests that wait for targets that are gone.
+#[test]
+fn without_an_open_target_all_are_shed() {
+    let (mut scheduler, _) = full(10);
+    scheduler.offer(ZERO, work("a", 0, "w", 100));
+    scheduler.set_target(ZERO, common::closed("a", 100, 1), false);
+    scheduler.offer(ZERO, work("b", 0, "w", 100));
+    let shed = sheds(&scheduler.poll(ZERO));
+    assert_eq!(shed.len(), 2);
+    assert!(
+        shed.iter()
+            .all(|(_, reason)| *reason == ShedReason::NoTarget)
+    );
+}
+
+/// Guards against resent offers that wait twice.
+#[test]
+fn a_waiting_id_is_offered_once() {
+    let (mut scheduler, _) = full(10);
+    scheduler.offer(ZERO, work("a", 0, "w", 100));
+    scheduler.offer(ZERO, work("a", 0, "w", 100));
+    assert_eq!(scheduler.digest().waiting, [1, 0, 0, 0, 0]);
+}
