--- a/crates/sched/tests/queue.rs
+++ b/crates/sched/tests/queue.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use common::{grants, ms, report, run, secs, sheds, spec, warm, work};
@@ -119,31 +118,6 @@
     }
 }
 
-/// Guards against a workspace that gets more than its share by many or by large requests.
-#[test]
-fn backlogged_workspaces_share_by_cost() {
-    let (mut scheduler, first) = full(10_000);
-    for number in 0..600 {
-        scheduler.offer(ZERO, work(&format!("large-{number}"), 1, "large", 90));
-    }
-    for number in 0..6_000 {
-        scheduler.offer(ZERO, work(&format!("small-{number}"), 1, "small", 9));
-    }
-    scheduler.release(ZERO, first, report(RunEnd::Complete));
-    let mut served: HashMap<bool, i64> = HashMap::new();
-    for _ in 0..500 {
-        for permit in grants(&scheduler.poll(ZERO)) {
-            let large = permit.request.starts_with("large");
-            *served.entry(large).or_default() += if large { 90 } else { 9 };
-            scheduler.release(ZERO, permit.id, report(RunEnd::Complete));
-            // Deficit round robin bounds the difference by a quantum and the largest cost.
-            let difference = served.get(&true).unwrap_or(&0) - served.get(&false).unwrap_or(&0);
-            assert!(difference.abs() <= 180, "{served:?}");
-        }
-    }
-    assert!(served[&true] > 10_000, "{served:?}");
-}
-
 /// Guards against work that can't be on time but takes prefill from work that can.
 #[test]
 fn late_work_is_shed_before_prefill() {
