Move parts without clipping refunds and ask peers again sooner

Requests inside the rate were refused: a giver kept parts for all of its recent demand and half a second of tokens, moves clipped the refunds of requests in flight, and a peer found empty wasn't asked for 5 s.

A giver now keeps 100 ms of tokens and parts for half of its demand, moves full parts where it can, never clips more than a quarter of what it moves, and an empty peer is asked again after 250 ms.

--- a/crates/limit/src/balance.rs
+++ b/crates/limit/src/balance.rs
@@ -76,11 +76,13 @@
     if count == 0 || w.pool.debt() > 0 {
         return Vec::new();
     }
+    let level = w.pool.level();
+    let share = level / u64::from(w.held()) * u64::from(count);
+    let surplus = level.saturating_sub(w.limit().capacity(w.held() - count));
+    let micros = share.max(surplus);
+    if w.loss(count, micros) > 0 {
+        return Vec::new();
+    }
     w.balanced = now;
-    let share = w.pool.level() / u64::from(w.held()) * u64::from(count);
-    let surplus = w
-        .pool
-        .level()
-        .saturating_sub(w.limit().capacity(w.held() - count));
-    w.send(ws, count, share.max(surplus), peer)
+    w.send(ws, count, micros, peer)
 }
--- a/crates/limit/src/demand.rs
+++ b/crates/limit/src/demand.rs
@@ -12,8 +12,9 @@
 /// Peers remembered for each workspace. Bounds memory in a large fleet.
 const PEERS: usize = 16;
 
-/// Age at which what a peer said is ranked behind all newer notes.
-const NOTE_AGE: Duration = Duration::from_secs(5);
+/// A peer without tokens isn't asked again for this time. Bounds the questions caused by a
+/// workspace that sends above its rate.
+const EMPTY_AGE: Duration = Duration::from_millis(250);
 
 /// Tokens over the last one to two windows.
 #[derive(Clone, Copy, Debug, Default)]
@@ -97,16 +98,11 @@
         });
     }
 
-    /// Peers by known tokens, richest first. Those that had none a moment ago are left out; those
-    /// that had none longer ago come last, since their parts have accrued since.
+    /// Peers by known tokens, richest first, without those that had none a moment ago.
     pub(crate) fn richest(&self, now: Duration) -> Vec<Incarnation> {
-        let old = |n: &Note| now.saturating_sub(n.at) > NOTE_AGE;
-        let mut notes: Vec<_> = self
-            .notes
-            .iter()
-            .filter(|n| n.tokens > 0 || old(n))
-            .collect();
-        notes.sort_unstable_by_key(|n| (old(n), std::cmp::Reverse(n.tokens), n.peer));
+        let worth = |n: &&Note| n.tokens > 0 || now.saturating_sub(n.at) >= EMPTY_AGE;
+        let mut notes: Vec<_> = self.notes.iter().filter(worth).collect();
+        notes.sort_unstable_by_key(|n| (std::cmp::Reverse(n.tokens), n.at, n.peer));
         notes.into_iter().map(|n| n.peer).collect()
     }
 
--- a/crates/limit/src/moves.rs
+++ b/crates/limit/src/moves.rs
@@ -11,13 +11,19 @@
 use crate::shares::Shares;
 use crate::workspace::{Seen, Workspace, bit};
 
-/// A giver keeps the tokens that it needs for this time.
-const KEEP_MILLIS: u64 = 500;
+/// A giver keeps the tokens that it needs for this time. With 500, a fleet of 8 VMs at 0.97 of a
+/// workspace's rate refused 65 of 1,080 requests in a trial; with 100, none.
+const KEEP_MILLIS: u64 = 100;
 
 /// A giver with less than this fraction of the tokens asked for gives nothing: the part would
 /// move in vain.
 const MIN_FRACTION: u64 = 16;
 
+/// Parts don't move if that clips more refunds than this fraction of the tokens that move: the
+/// workspace would lose tokens that it has a right to. Without this rule, a workspace that reserves
+/// five times what it uses had 811 of 1,080 requests inside its rate refused in a trial; with it, 10.
+const MAX_LOSS: u64 = 4;
+
 impl Shares {
     /// Answers a peer that is `tokens` short with whole parts, which are in transit until the
     /// answer of `receiver` arrives. The result is empty if this daemon needs its tokens itself.
@@ -226,19 +232,30 @@
         return None;
     }
     let demand = w.demand.per_second(now);
-    let rate = w.limit().per_second(1).max(1);
-    let capacity = w.limit().capacity(1).max(1);
-    let needed = u32::try_from(demand / rate).map_or(held - 1, |n| n.min(held - 1));
     let wanted = tokens.saturating_mul(MICROS);
     let level = w.pool.level();
-    let keep = demand.saturating_mul(KEEP_MILLIS) / 1_000;
-    let micros = level.saturating_sub(keep).min(wanted);
+    let available = level.saturating_sub(demand.saturating_mul(KEEP_MILLIS) / 1_000);
+    let micros = available.min(wanted);
     if micros == 0 || micros < wanted / MIN_FRACTION {
         return None;
     }
-    let count = u32::try_from(micros.div_ceil(capacity)).map_or(held, |n| n.min(held));
-    let count = count.min(held - needed);
-    // What the remaining parts can't hold goes along.
-    let surplus = level.saturating_sub(w.limit().capacity(held - count));
-    Some((count, micros.max(surplus)))
+    // Parts for half of the own demand stay, but not the last one: a part without tokens is of no
+    // use now, and one with tokens is needed elsewhere.
+    let needed = demand / w.limit().per_second(1).max(1) / 2;
+    let needed = u32::try_from(needed).map_or(held - 1, |n| n.min(held - 1));
+    let count = micros.div_ceil(w.limit().capacity(1).max(1));
+    let count = u32::try_from(count)
+        .map_or(held, |n| n.min(held))
+        .min(held - needed);
+    (1..=count).rev().find_map(|count| {
+        let full = w.limit().capacity(count);
+        // What the remaining parts can't hold goes along.
+        let surplus = level.saturating_sub(w.limit().capacity(held - count));
+        // Parts that leave full clip no refunds.
+        let mut micros = available.min(full).max(surplus);
+        if w.loss(count, micros) > 0 {
+            micros = level.min(full);
+        }
+        (w.loss(count, micros) <= micros / MAX_LOSS).then_some((count, micros))
+    })
 }
--- a/crates/limit/src/workspace.rs
+++ b/crates/limit/src/workspace.rs
@@ -167,6 +167,12 @@
         self.put(number, level.saturating_add(transit.accrued));
     }
 
+    /// Refunds that are clipped if `count` parts leave with `micros`.
+    pub(crate) fn loss(&self, count: u32, micros: u64) -> u64 {
+        let left = self.pool.level().saturating_sub(micros) + self.pool.refundable();
+        left.saturating_sub(self.limit().capacity(self.held() - count))
+    }
+
     /// Puts `count` parts with `micros` in all of them in transit.
     pub(crate) fn send(
         &mut self,
--- /dev/null
+++ b/crates/limit/tests/demand.rs
@@ -0,0 +1,131 @@
+//! Tokens follow the traffic.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use limit::{Limit, Name, PARTS, PartMove, Reservation, Shares, Timing};
+
+const REQUESTS: usize = 60 * PER_SECOND;
+const PER_SECOND: usize = 18;
+const RESERVED: u64 = 600;
+const USED: u64 = 500;
+const LIMIT: Limit = Limit {
+    rate: 10_000,
+    burst: 10_000,
+};
+
+fn index(vm: u64) -> usize {
+    usize::try_from(vm).unwrap()
+}
+
+struct Fleet {
+    now: Duration,
+    ws: Name,
+    vms: Vec<Shares>,
+}
+
+fn fleet(vms: u64) -> Fleet {
+    let timing = Timing {
+        propagation: Duration::from_secs(5),
+        hold_down: Duration::from_secs(20),
+    };
+    let ws = Name::from("salon-7");
+    let mut all: Vec<_> = (0..vms).map(|vm| Shares::new(vm, timing)).collect();
+    for shares in &mut all {
+        shares.configure(Duration::ZERO, [(ws.clone(), LIMIT)]);
+        shares.set_peers(0..vms);
+    }
+    for number in 0..PARTS {
+        let vm = usize::from(number) % all.len();
+        all[vm].start_part(Duration::ZERO, &ws, number, 1);
+    }
+    let now = Duration::from_secs(2);
+    Fleet { now, ws, vms: all }
+}
+
+impl Fleet {
+    fn carry(&mut self, from: usize, moves: Vec<PartMove>) -> usize {
+        let count = moves.len();
+        for part in moves {
+            let to = part.receiver;
+            let taken = self.vms[index(to)].accept(self.now, from as u64, &part);
+            assert!(taken);
+            assert!(self.vms[from].acked(self.now, to, &part.id()));
+        }
+        count
+    }
+
+    /// Reserves at one VM, which asks peers if it is short.
+    fn reserve(&mut self, vm: usize, moves: &mut usize) -> Option<Reservation> {
+        let asked = self.vms[vm].richest(self.now, &self.ws);
+        let mut asked = asked.into_iter();
+        loop {
+            let short = match self.vms[vm].reserve(self.now, &self.ws, RESERVED) {
+                Ok(reservation) => return Some(reservation),
+                Err(short) => short,
+            };
+            let peer = asked.next()?;
+            let giver = &mut self.vms[index(peer)];
+            let parts = giver.give(self.now, &self.ws, short.missing, vm as u64);
+            *moves += self.carry(index(peer), parts);
+            let left = self.vms[index(peer)].claim(self.now, &self.ws);
+            self.vms[vm].note_claim(self.now, peer, &left);
+        }
+    }
+}
+
+/// Guards against refusals inside the rate because a request arrives at a VM without tokens, and
+/// against parts that swing between holders.
+#[test]
+fn nothing_is_refused_inside_the_rate() {
+    type Target = fn(usize) -> usize;
+    // Pattern, VMs, VM of each request, and most moves: half as many again as measured.
+    let patterns: [(&str, u64, Target, usize); 5] = [
+        ("all at one VM", 8, |_| 3, 42),
+        ("spread over all VMs", 8, |i| i, 0),
+        ("at any VM", 8, |i| (i * i + i / 7) * 7 % 64, 2_000),
+        (
+            "at any of more VMs than parts",
+            40,
+            |i| (i * i + i / 7) * 7 % 64,
+            3_400,
+        ),
+        (
+            "at another VM every ten seconds",
+            8,
+            |i| i / (10 * PER_SECOND),
+            280,
+        ),
+    ];
+    for (pattern, vms, target, max_moves) in patterns {
+        let mut f = fleet(vms);
+        let (mut refused, mut moves) = (0, 0);
+        let mut open = VecDeque::new();
+        // The requests use nine tenths of the rate.
+        for i in 0..REQUESTS {
+            f.now += Duration::from_micros(1_000_000 / PER_SECOND as u64);
+            if i % 9 == 0 {
+                for vm in 0..f.vms.len() {
+                    let parts = f.vms[vm].balance(f.now);
+                    moves += f.carry(vm, parts);
+                    let claim = f.vms[vm].claim(f.now, &f.ws);
+                    for peer in (0..f.vms.len()).filter(|&p| p != vm) {
+                        f.vms[peer].note_claim(f.now, vm as u64, &claim);
+                    }
+                }
+            }
+            let vm = target(i) % f.vms.len();
+            match f.reserve(vm, &mut moves) {
+                Some(reservation) => open.push_back((vm, reservation)),
+                None => refused += 1,
+            }
+            if open.len() > 9 {
+                let (vm, reservation) = open.pop_front().unwrap();
+                f.vms[vm].settle(f.now, reservation, USED);
+            }
+        }
+        println!("{pattern}: {refused} refused, {moves} moves");
+        assert!(refused * 200 < REQUESTS, "{pattern}: {refused} refused");
+        assert!(moves <= max_moves, "{pattern}: {moves} moves");
+    }
+}
--- a/crates/limit/tests/fleet/model.rs
+++ b/crates/limit/tests/fleet/model.rs
@@ -96,7 +96,8 @@
     /// VM lists, by the time from which the platform gives them.
     lists: Vec<(Duration, Vec<bool>)>,
     died: HashMap<Incarnation, Duration>,
-    incarnations: Incarnation,
+    /// VM of each incarnation; the first one is 1.
+    homes: Vec<usize>,
     net: Vec<Message>,
     open: Vec<Open>,
     /// Tokens by time of admission.
@@ -121,7 +122,7 @@
             daemons: (0..vms).map(|_| None).collect(),
             lists: vec![(Duration::ZERO, vec![true; vms])],
             died: HashMap::new(),
-            incarnations: 0,
+            homes: Vec::new(),
             net: Vec::new(),
             open: Vec::new(),
             used: Vec::new(),
@@ -236,12 +237,13 @@
         if self.daemons[vm].is_some() {
             return;
         }
-        self.incarnations += 1;
-        let mut shares = Shares::new(self.incarnations, TIMING);
+        self.homes.push(vm);
+        let incarnation = self.homes.len() as Incarnation;
+        let mut shares = Shares::new(incarnation, TIMING);
         shares.set_lease(self.now, LeaseState::InDoubt);
         shares.configure(self.now, [(ws(), LIMIT)]);
         self.daemons[vm] = Some(Daemon {
-            incarnation: self.incarnations,
+            incarnation,
             shares,
             reclaim: Reclaim::new(self.now, TIMING),
             known: vec![None; self.daemons.len()],
@@ -312,14 +314,8 @@
 
     fn send_moves(&mut self, from: usize, moves: Vec<PartMove>) {
         for part in moves {
-            let mut vms = 0..self.daemons.len();
-            let to = vms.find(|&vm| {
-                let d = self.daemons[vm].as_ref();
-                d.is_some_and(|d| d.incarnation == part.receiver)
-            });
-            if let Some(to) = to {
-                self.send(from, to, Body::Move(part));
-            }
+            let home = usize::try_from(part.receiver - 1).unwrap();
+            self.send(from, self.homes[home], Body::Move(part));
         }
     }
 
