ctl: add entries and status

Operators had to read GET /v1/entries and GET /status by hand. entries asks the addresses in turn; status asks all daemons at once, each with a timeout, and warns when sheet revisions, hashes or list generations differ.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -4,8 +4,8 @@
 
 use clap::{CommandFactory, Parser, Subcommand};
 
-use crate::output::{Exit, Output};
-use crate::sheets;
+use crate::output::{Error, Exit, Output};
+use crate::{entries, sheets, status};
 
 /// Checks, watches and exercises a site of primrosechute.
 #[derive(Debug, Parser)]
@@ -14,7 +14,8 @@
     version,
     about,
     after_help = "Examples:\n  \
-        primrosectl sheet check sheet.csv\n\n\
+        primrosectl sheet check sheet.csv\n  \
+        primrosectl status 127.0.0.1:21101 127.0.0.1:21102\n\n\
         Exit codes: 0 ok, 1 failed, 2 input rejected, 3 partial result."
 )]
 struct Args {
@@ -34,6 +35,10 @@
         Exit codes: 0 ok, 1 failed, 2 input rejected."
     )]
     Sheet(sheets::Command),
+    /// Show which addresses callers may use.
+    Entries(entries::Entries),
+    /// Show the state of daemons side by side and warn of differences.
+    Status(status::StatusArgs),
     /// Print a shell completion script.
     #[command(after_help = "Examples:\n  primrosectl completions bash\n\n\
         Exit codes: 0 printed, 2 unknown shell.")]
@@ -49,6 +54,8 @@
     let out = Output::new(args.json);
     let result = match &args.command {
         Command::Sheet(command) => sheets::run(command, out),
+        Command::Entries(args) => block_on(entries::run(args, out)),
+        Command::Status(args) => block_on(status::run(args, out)),
         Command::Completions { shell } => {
             let mut command = Args::command();
             let mut stdout = std::io::stdout();
@@ -64,3 +71,11 @@
         }
     }
 }
+
+fn block_on(run: impl Future<Output = Result<Exit, Error>>) -> Result<Exit, Error> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|err| Error::failed(format!("cannot start the runtime: {err}")))?
+        .block_on(run)
+}
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -10,6 +10,7 @@
     Ok = 0,
     Failed = 1,
     Rejected = 2,
+    Partial = 3,
 }
 
 impl From<Exit> for ExitCode {
@@ -116,6 +117,11 @@
     let _ = writeln!(io::stderr(), "error: {text}");
 }
 
+/// Prints a warning to standard error.
+pub(crate) fn warn(text: &str) {
+    let _ = writeln!(io::stderr(), "warning: {text}");
+}
+
 fn layout(rows: &[Vec<String>]) -> Vec<String> {
     let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
     let width = |column: usize| {
--- /dev/null
+++ b/crates/ctl/src/status.rs
@@ -0,0 +1,162 @@
+//! `status`: the state of daemons side by side.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use clap::Args;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+
+use crate::http::Client;
+use crate::output::{self, Error, Exit, Output};
+
+#[derive(Debug, Args)]
+#[command(after_help = "Examples:\n  \
+    primrosectl status 127.0.0.1:21101 127.0.0.1:21102\n  \
+    primrosectl status --timeout 500ms 127.0.0.1:21101\n\n\
+    Exit codes: 0 all answered, 1 none answered, 2 bad arguments, 3 some did not answer.")]
+pub(crate) struct StatusArgs {
+    /// Admin addresses of daemons.
+    #[arg(required = true, value_name = "ADMIN_ADDRESS")]
+    addresses: Vec<SocketAddr>,
+    /// Time in which each daemon must answer.
+    #[arg(long, default_value = "2s", value_parser = humantime::parse_duration)]
+    timeout: std::time::Duration,
+}
+
+/// The fields of `GET /status` that the table shows.
+#[derive(Debug, Deserialize)]
+struct Status {
+    vm: String,
+    zone: String,
+    phase: String,
+    lease: String,
+    sheet: SheetVersion,
+    list_generation: u64,
+    owned: Vec<Value>,
+    running: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct SheetVersion {
+    revision: u64,
+    hash: String,
+}
+
+/// A daemon's answer; the document as it came and the fields of the table.
+type Answer = Result<(Value, Status), String>;
+
+pub(crate) async fn run(args: &StatusArgs, out: Output) -> Result<Exit, Error> {
+    let answers = ask_all(args).await;
+    let known: Vec<&Status> = answers
+        .iter()
+        .filter_map(|(_, answer)| answer.as_ref().ok().map(|(_, status)| status))
+        .collect();
+    let warnings = warnings(&known);
+    if out.json {
+        print_json(&answers, &warnings, out);
+    } else {
+        print_table(&answers, out);
+        for warning in &warnings {
+            output::warn(warning);
+        }
+    }
+    Ok(match known.len() {
+        0 => Exit::Failed,
+        count if count < answers.len() => Exit::Partial,
+        _ => Exit::Ok,
+    })
+}
+
+/// Asks all daemons at once. The answers are in the order of the addresses.
+async fn ask_all(args: &StatusArgs) -> Vec<(SocketAddr, Answer)> {
+    let client = Client::new();
+    let mut tasks = JoinSet::new();
+    for (at, &address) in args.addresses.iter().enumerate() {
+        let (client, wait) = (client.clone(), args.timeout);
+        tasks.spawn(async move {
+            let document: Result<Value, _> = client.document(address, "/status", wait).await;
+            let answer = document.and_then(|document| {
+                let status = Status::deserialize(&document).map_err(|err| {
+                    format!("{address}: GET /status: the answer is not as expected: {err}")
+                })?;
+                Ok((document, status))
+            });
+            (at, address, answer)
+        });
+    }
+    let mut answers = tasks.join_all().await;
+    answers.sort_by_key(|(at, ..)| *at);
+    answers
+        .into_iter()
+        .map(|(_, address, answer)| (address, answer))
+        .collect()
+}
+
+/// Differences between daemons that should agree. They are normal only for seconds after a change.
+fn warnings(known: &[&Status]) -> Vec<String> {
+    let revisions: BTreeSet<u64> = known.iter().map(|s| s.sheet.revision).collect();
+    let hashes: BTreeSet<_> = known
+        .iter()
+        .map(|s| (s.sheet.revision, s.sheet.hash.as_str()))
+        .collect();
+    let generations: BTreeSet<u64> = known.iter().map(|s| s.list_generation).collect();
+    let mut warnings = Vec::new();
+    if revisions.len() > 1 {
+        warnings.push(format!("sheet revisions differ: {}", list(&revisions)));
+    }
+    if hashes.len() > revisions.len() {
+        warnings.push("sheets of the same revision have different hashes".into());
+    }
+    if generations.len() > 1 {
+        warnings.push(format!("list generations differ: {}", list(&generations)));
+    }
+    warnings
+}
+
+fn list(numbers: &BTreeSet<u64>) -> String {
+    let numbers: Vec<String> = numbers.iter().map(u64::to_string).collect();
+    numbers.join(", ")
+}
+
+fn print_json(answers: &[(SocketAddr, Answer)], warnings: &[String], out: Output) {
+    let daemons: Vec<Value> = answers
+        .iter()
+        .map(|(address, answer)| match answer {
+            Ok((document, _)) => json!({ "address": address, "ok": true, "status": document }),
+            Err(err) => json!({ "address": address, "ok": false, "error": err }),
+        })
+        .collect();
+    out.json(&json!({ "daemons": daemons, "warnings": warnings }));
+}
+
+fn print_table(answers: &[(SocketAddr, Answer)], out: Output) {
+    let header = [
+        "address", "vm", "zone", "phase", "lease", "sheet", "list", "owned", "running",
+    ];
+    let mut rows = vec![header.map(String::from).to_vec()];
+    let mut errors = Vec::new();
+    for (address, answer) in answers {
+        match answer {
+            Ok((_, s)) => rows.push(vec![
+                address.to_string(),
+                s.vm.clone(),
+                s.zone.clone(),
+                s.phase.clone(),
+                s.lease.clone(),
+                s.sheet.revision.to_string(),
+                s.list_generation.to_string(),
+                s.owned.len().to_string(),
+                s.running.to_string(),
+            ]),
+            Err(err) => errors.push(err),
+        }
+    }
+    if rows.len() > 1 {
+        out.table(&rows);
+    }
+    for err in errors {
+        output::error(err);
+    }
+}
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses some of the helpers")]
 
+pub mod server;
+
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
