ctl: add send

An entry that refuses the connection is passed over under a new id, since nothing was sent. The key comes from a file or PRIMROSECTL_KEY and is never printed.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -5,7 +5,7 @@
 use clap::{CommandFactory, Parser, Subcommand};
 
 use crate::output::{Error, Exit, Output};
-use crate::{entries, sheets, status};
+use crate::{entries, send, sheets, status};
 
 /// Checks, watches and exercises a site of primrosechute.
 #[derive(Debug, Parser)]
@@ -39,6 +39,8 @@
     Entries(entries::Entries),
     /// Show the state of daemons side by side and warn of differences.
     Status(status::StatusArgs),
+    /// Send one request and print its answer and outcome.
+    Send(Box<send::Send>),
     /// Print a shell completion script.
     #[command(after_help = "Examples:\n  primrosectl completions bash\n\n\
         Exit codes: 0 printed, 2 unknown shell.")]
@@ -56,6 +58,7 @@
         Command::Sheet(command) => sheets::run(command, out),
         Command::Entries(args) => block_on(entries::run(args, out)),
         Command::Status(args) => block_on(status::run(args, out)),
+        Command::Send(args) => block_on(send::run(args, out)),
         Command::Completions { shell } => {
             let mut command = Args::command();
             let mut stdout = std::io::stdout();
--- a/crates/ctl/src/file.rs
+++ b/crates/ctl/src/file.rs
@@ -23,6 +23,12 @@
     Ok(bytes)
 }
 
+/// Reads a text file of at most `most` bytes.
+pub(crate) fn read_text(path: &Path, most: usize) -> Result<String, Error> {
+    String::from_utf8(read(path, most)?)
+        .map_err(|_| Error::rejected(format!("{}: is not UTF-8 text", path.display())))
+}
+
 pub(crate) fn write(path: &Path, bytes: &[u8]) -> Result<(), Error> {
     std::fs::write(path, bytes)
         .map_err(|err| Error::failed(format!("{}: cannot be written: {err}", path.display())))
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -58,6 +58,8 @@
 pub(crate) struct Output {
     pub(crate) json: bool,
     colour: bool,
+    /// Colour on standard error.
+    error_colour: bool,
 }
 
 impl Output {
@@ -67,15 +69,18 @@
         Output {
             json,
             colour: !refused && io::stdout().is_terminal(),
+            error_colour: !refused && io::stderr().is_terminal(),
         }
     }
 
+    /// Colours text for standard output.
     pub(crate) fn paint(self, colour: Colour, text: &str) -> String {
-        if self.colour {
-            format!("\x1b[{}m{text}\x1b[0m", colour as u8)
-        } else {
-            text.to_owned()
-        }
+        paint(self.colour, colour, text)
+    }
+
+    /// Colours text for standard error.
+    pub(crate) fn paint_error(self, colour: Colour, text: &str) -> String {
+        paint(self.error_colour, colour, text)
     }
 
     /// Prints a line. A reader that closed the pipe is no error.
@@ -112,14 +117,27 @@
     }
 }
 
+fn paint(wanted: bool, colour: Colour, text: &str) -> String {
+    if wanted {
+        format!("\x1b[{}m{text}\x1b[0m", colour as u8)
+    } else {
+        text.to_owned()
+    }
+}
+
+/// Prints a line to standard error.
+pub(crate) fn note(text: &str) {
+    let _ = writeln!(io::stderr(), "{text}");
+}
+
 /// Prints an error to standard error.
 pub(crate) fn error(text: &str) {
-    let _ = writeln!(io::stderr(), "error: {text}");
+    note(&format!("error: {text}"));
 }
 
 /// Prints a warning to standard error.
 pub(crate) fn warn(text: &str) {
-    let _ = writeln!(io::stderr(), "warning: {text}");
+    note(&format!("warning: {text}"));
 }
 
 fn layout(rows: &[Vec<String>]) -> Vec<String> {
--- /dev/null
+++ b/crates/ctl/src/send.rs
@@ -0,0 +1,329 @@
+//! `send`: one request, with its answer and outcome.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use bytes::Bytes;
+use clap::Args;
+use http::{HeaderValue, Method};
+use rand::seq::SliceRandom;
+use serde_json::{Map, Value, json};
+
+use crate::call::{self, Ask, Ended, NotSent, Outcome};
+use crate::entries::{self, Entry};
+use crate::http::Client;
+use crate::output::{self, Colour, Error, Exit, Output};
+use crate::{file, key};
+
+/// Largest body of a request.
+const MAX_BODY: usize = 16 << 20;
+/// Path of chat requests.
+const CHAT: &str = "/v1/chat/completions";
+
+#[derive(Debug, Args)]
+#[command(after_help = "Examples:\n  \
+    primrosectl send --entry 127.0.0.1:21001 --key-file key.txt --prompt 'Mix 6/3 at 20 vol'\n  \
+    primrosectl send --entry 127.0.0.1:21001 --key-file key.txt --stream --tier quick \
+    --deadline 410ms --max-tokens 32 --prompt hello\n  \
+    primrosectl send --entry 127.0.0.1:21001 --path /catalogue\n  \
+    PRIMROSECTL_KEY=$(cat key.txt) primrosectl send --entry 127.0.0.1:21001 \
+    --path /orders --body @order.json\n\n\
+    The answer goes to standard output, the request id and the outcome to standard error; with \
+    --json, all of it goes to standard output. The request is sent again only with the same id to \
+    the same process. With --id of a process that is gone, only the outcome is looked up.\n\n\
+    Exit codes: 0 served, 1 not served or outcome unknown, 2 input rejected.")]
+pub(crate) struct Send {
+    /// Addresses for callers; the first that answers tells the entries of the site.
+    #[arg(long = "entry", required = true, value_name = "ADDRESS", num_args = 1..)]
+    entries: Vec<SocketAddr>,
+    /// File with the key; else the key is read from `PRIMROSECTL_KEY`, if set.
+    #[arg(long, value_name = "FILE")]
+    key_file: Option<PathBuf>,
+    /// Path of the route.
+    #[arg(long, default_value = CHAT)]
+    path: String,
+    /// HTTP method; POST with a body, else GET.
+    #[arg(long)]
+    method: Option<Method>,
+    /// Body as text, or @FILE to read it from a file.
+    #[arg(long, conflicts_with = "prompt", value_name = "TEXT|@FILE")]
+    body: Option<String>,
+    /// Prompt; the body of a model call is made of it.
+    #[arg(long)]
+    prompt: Option<String>,
+    /// Model that the body names with --prompt.
+    #[arg(long, requires = "prompt")]
+    model: Option<String>,
+    /// Most output tokens.
+    #[arg(long, value_name = "N")]
+    max_tokens: Option<u64>,
+    /// Ask for a stream and print the answer as it comes.
+    #[arg(long)]
+    stream: bool,
+    /// Tier; the route's default without it.
+    #[arg(long, value_parser = header_value)]
+    tier: Option<HeaderValue>,
+    /// Longest time to the first byte of the answer, for example 410ms.
+    #[arg(long, value_name = "DURATION", value_parser = deadline)]
+    deadline: Option<HeaderValue>,
+    /// Request id of an earlier attempt, <incarnation>-<random>.
+    #[arg(long, value_parser = request_id)]
+    id: Option<String>,
+    /// Time after which the request is given up with an unknown outcome.
+    #[arg(long, default_value = "10m", value_parser = humantime::parse_duration)]
+    timeout: Duration,
+}
+
+pub(crate) fn header_value(text: &str) -> Result<HeaderValue, String> {
+    HeaderValue::from_str(text).map_err(|_| "can't be sent in a header".into())
+}
+
+/// Checks a deadline as daemons do.
+pub(crate) fn deadline(text: &str) -> Result<HeaderValue, String> {
+    // humantime 2.4 panics on some numbers of 20 digits.
+    const MAX_TEXT: usize = 16;
+    let parsed = (text.len() <= MAX_TEXT)
+        .then(|| humantime::parse_duration(text).ok())
+        .flatten();
+    match parsed {
+        Some(deadline) if !deadline.is_zero() => header_value(text),
+        _ => Err("not a duration above 0; write a number and a unit, for example 410ms".into()),
+    }
+}
+
+/// Checks the form of a request id, so that it fits into a path and a header.
+fn request_id(text: &str) -> Result<String, String> {
+    let valid = text.split_once('-').is_some_and(|(incarnation, random)| {
+        incarnation.len() == 16
+            && incarnation
+                .bytes()
+                .all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
+            && (1..=64).contains(&random.len())
+            && random
+                .bytes()
+                .all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_')
+    });
+    if valid {
+        return Ok(text.to_owned());
+    }
+    Err("not a request id; write 16 hex digits, \"-\" and up to 64 letters or digits".into())
+}
+
+pub(crate) async fn run(args: &Send, out: Output) -> Result<Exit, Error> {
+    let ask = ask(args)?;
+    let client = Client::new();
+    let found = entries::find(&client, &args.entries).await?;
+    for err in &found.errors {
+        output::warn(err);
+    }
+    let mut text = String::new();
+    let mut show = |event: &crate::sse::Event| {
+        let piece = answer_text(&event.data).unwrap_or_default();
+        if out.json {
+            text.push_str(&piece);
+        } else {
+            let mut stdout = std::io::stdout();
+            let _ = stdout.write_all(piece.as_bytes());
+            let _ = stdout.flush();
+        }
+    };
+    let sending = send(args, &client, &ask, found.list.entries, &mut show);
+    let Ok(sent) = tokio::time::timeout(args.timeout, sending).await else {
+        let wait = humantime::format_duration(args.timeout);
+        return Err(Error::failed(format!(
+            "no answer within {wait}; the outcome is unknown"
+        )));
+    };
+    let sent = sent?;
+    print(args, &sent, text, out);
+    let served = sent.ended.outcome == Outcome::Served && sent.ended.whole;
+    Ok(if served { Exit::Ok } else { Exit::Failed })
+}
+
+fn ask(args: &Send) -> Result<Ask, Error> {
+    if !args.path.starts_with('/') || args.path.parse::<http::uri::PathAndQuery>().is_err() {
+        return Err(Error::rejected(format!(
+            "--path: {:?} is not a path; start it with \"/\"",
+            args.path
+        )));
+    }
+    let body = body(args)?;
+    let method = args.method.clone().unwrap_or(if body.is_empty() {
+        Method::GET
+    } else {
+        Method::POST
+    });
+    Ok(Ask {
+        method,
+        path: args.path.clone(),
+        body,
+        key: key::read(args.key_file.as_deref())?,
+        tier: args.tier.clone(),
+        deadline: args.deadline.clone(),
+    })
+}
+
+fn body(args: &Send) -> Result<Bytes, Error> {
+    let mut fields = match (&args.body, &args.prompt) {
+        (_, Some(prompt)) => prompt_fields(args, prompt),
+        (Some(text), None) => {
+            let bytes = match text.strip_prefix('@') {
+                Some(path) => file::read(Path::new(path), MAX_BODY)?,
+                None => text.clone().into_bytes(),
+            };
+            if !args.stream && args.max_tokens.is_none() {
+                return Ok(bytes.into());
+            }
+            serde_json::from_slice(&bytes).map_err(|err| {
+                Error::rejected(format!(
+                    "--body: --stream and --max-tokens need a JSON object: {err}"
+                ))
+            })?
+        }
+        (None, None) if args.stream || args.max_tokens.is_some() => {
+            return Err(Error::rejected(
+                "--stream and --max-tokens need --prompt or --body",
+            ));
+        }
+        (None, None) => return Ok(Bytes::new()),
+    };
+    if args.stream {
+        fields.insert("stream".into(), true.into());
+    }
+    if let Some(most) = args.max_tokens {
+        fields.insert("max_tokens".into(), most.into());
+    }
+    Ok(Value::Object(fields).to_string().into())
+}
+
+fn prompt_fields(args: &Send, prompt: &str) -> Map<String, Value> {
+    let mut fields = Map::new();
+    if let Some(model) = &args.model {
+        fields.insert("model".into(), model.as_str().into());
+    }
+    if args.path == CHAT {
+        let message = json!({ "role": "user", "content": prompt });
+        fields.insert("messages".into(), json!([message]));
+    } else {
+        fields.insert("prompt".into(), prompt.into());
+    }
+    fields
+}
+
+/// A request that was sent or looked up.
+struct Sent {
+    id: String,
+    entry: Option<Entry>,
+    ended: Ended,
+}
+
+async fn send(
+    args: &Send,
+    client: &Client,
+    ask: &Ask,
+    mut entries: Vec<Entry>,
+    show: &mut impl FnMut(&crate::sse::Event),
+) -> Result<Sent, Error> {
+    entries.shuffle(&mut rand::rng());
+    if let Some(id) = &args.id {
+        let named = entries.iter().find(|e| id.starts_with(&e.incarnation));
+        let entry = named.cloned();
+        if let Some(entry) = &entry {
+            // An earlier attempt may have arrived, so no other entry may get the request.
+            match call::run(client, entry.address, id, ask, show).await {
+                Ok(ended) => return finish(id.clone(), entry.clone(), Ok(ended)),
+                Err(NotSent(text)) => output::warn(&text),
+            }
+        }
+        let addresses: Vec<SocketAddr> = entries.iter().map(|e| e.address).collect();
+        let (outcome, reason) = call::look_up(client, &addresses, id).await;
+        let (id, ended) = (id.clone(), Ended::looked_up(outcome, reason));
+        return Ok(Sent { id, entry, ended });
+    }
+    let mut last = "the site lists no entries".to_owned();
+    for entry in entries {
+        let id = call::mint(&entry.incarnation);
+        match call::run(client, entry.address, &id, ask, &mut *show).await {
+            // Nothing was sent, so another entry may get the request under a new id.
+            Err(NotSent(text)) => {
+                output::warn(&text);
+                last = text;
+            }
+            ended => return finish(id, entry, ended),
+        }
+    }
+    Err(Error::failed(format!("no entry takes the request: {last}")))
+}
+
+fn finish(id: String, entry: Entry, ended: Result<Ended, NotSent>) -> Result<Sent, Error> {
+    let ended = ended.map_err(|NotSent(text)| Error::failed(text))?;
+    let entry = Some(entry);
+    Ok(Sent { id, entry, ended })
+}
+
+fn print(args: &Send, sent: &Sent, streamed: String, out: Output) {
+    let Sent { id, entry, ended } = sent;
+    let body = String::from_utf8_lossy(&ended.body);
+    let served = ended.outcome == Outcome::Served;
+    if out.json {
+        let answer = match serde_json::from_str::<Value>(&body) {
+            _ if ended.events > 0 => streamed.into(),
+            Ok(value) => value,
+            Err(_) => body.as_ref().into(),
+        };
+        out.json(&json!({
+            "request_id": id,
+            "answered_request_id": ended.answered_id,
+            "vm": entry.as_ref().map(|entry| &entry.vm),
+            "entry": entry.as_ref().map(|entry| entry.address),
+            "status": ended.status,
+            "outcome": ended.outcome,
+            "reason": ended.reason,
+            "whole": ended.whole,
+            "events": ended.events,
+            "resends": ended.resends,
+            "resumes": ended.resumes,
+            "answer": answer,
+        }));
+        return;
+    }
+    if ended.events > 0 {
+        out.line("");
+    } else if served && ended.whole {
+        let text = answer_text(&body).unwrap_or_else(|| body.into_owned());
+        out.line(text.trim_end_matches('\n'));
+    }
+    let colour = if served { Colour::Green } else { Colour::Red };
+    let mut line = format!("outcome {}", out.paint_error(colour, ended.outcome.label()));
+    if !ended.reason.is_empty() {
+        line = format!("{line} ({})", ended.reason);
+    }
+    if served && !ended.whole {
+        line.push_str(", but the answer is not whole");
+    }
+    output::note(&format!("request {id}"));
+    output::note(&line);
+    if ended.resends + ended.resumes > 0 {
+        output::note(&format!(
+            "sent again {} times, resumed {} times",
+            ended.resends, ended.resumes
+        ));
+    }
+    if ended.answered_id.as_ref().is_some_and(|other| other != id) {
+        output::error("the answer names another request id");
+    }
+    if args.id.is_some() && entry.is_none() {
+        output::warn("no entry has the incarnation of the id; nothing was sent");
+    }
+}
+
+/// Text of a model's answer or event; `None` if it is none.
+fn answer_text(data: &str) -> Option<String> {
+    let value: Value = serde_json::from_str(data).ok()?;
+    let choice = value.get("choices")?.get(0)?;
+    let paths = ["/delta/content", "/message/content", "/text"];
+    let mut texts = paths.iter().filter_map(|path| choice.pointer(path));
+    texts.next()?.as_str().map(str::to_owned)
+}
--- /dev/null
+++ b/crates/ctl/src/sse.rs
@@ -0,0 +1,73 @@
+//! Parsing of server-sent events.
+
+/// One event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Event {
+    /// The `event:` line; empty when absent.
+    pub(crate) kind: String,
+    /// The `data:` lines, joined by line ends.
+    pub(crate) data: String,
+}
+
+impl Event {
+    /// Whether this is the event that ends a whole stream.
+    pub(crate) fn is_done(&self) -> bool {
+        self.kind.is_empty() && self.data == "[DONE]"
+    }
+
+    /// Whether the daemon ends an incomplete stream with this event.
+    pub(crate) fn is_error(&self) -> bool {
+        self.kind == "error"
+    }
+}
+
+/// Splits a byte stream into events. A parser serves one connection.
+#[derive(Debug, Default)]
+pub(crate) struct Parser {
+    line: Vec<u8>,
+    event: Event,
+    has_data: bool,
+}
+
+impl Parser {
+    /// Adds received bytes and returns the events that they complete.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Vec<Event> {
+        let mut events = Vec::new();
+        let mut rest = bytes;
+        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+            self.line.extend_from_slice(&rest[..end]);
+            rest = &rest[end + 1..];
+            let line = std::mem::take(&mut self.line);
+            let line = line.strip_suffix(b"\r").unwrap_or(&line);
+            events.extend(self.take(&String::from_utf8_lossy(line)));
+        }
+        self.line.extend_from_slice(rest);
+        events
+    }
+
+    /// Bytes kept for the event that is not complete yet.
+    pub(crate) fn kept(&self) -> usize {
+        self.line.len() + self.event.data.len()
+    }
+
+    fn take(&mut self, line: &str) -> Option<Event> {
+        if line.is_empty() {
+            let event = std::mem::take(&mut self.event);
+            return std::mem::take(&mut self.has_data).then_some(event);
+        }
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "event" => value.clone_into(&mut self.event.kind),
+            "data" => {
+                if std::mem::replace(&mut self.has_data, true) {
+                    self.event.data.push('\n');
+                }
+                self.event.data.push_str(value);
+            }
+            // The offset of an event is its place in the stream; comments only keep it alive.
+            _ => {}
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/send.rs
@@ -0,0 +1,246 @@
+//! `send` against a small server that plays an entry.
+
+mod common;
+
+use common::server::{Seen, Server, closed, cut, entries, reply};
+use common::{Run, command, finish, run, write};
+
+const INCARNATION: &str = "00000000000000aa";
+const STREAM: &str = "content-type: text/event-stream\r\nx-primrosechute-outcome: streaming\r\n";
+
+/// Plays an entry: `answer` gets each request but those for the entries, and their count.
+fn site(answer: impl Fn(&Seen, usize) -> String + Send + Sync + 'static) -> Server {
+    Server::start(move |addr, seen, before| match seen.line.as_str() {
+        "GET /v1/entries" => entries(addr, INCARNATION),
+        _ => answer(seen, before - 1),
+    })
+}
+
+fn send(server: &Server, more: &[&str]) -> Run {
+    let entry = server.addr.to_string();
+    let args = ["send", "--entry", &entry, "--json"];
+    run(&[&args, more].concat())
+}
+
+fn served(seen: &Seen, body: &str) -> String {
+    let id = seen.header("x-request-id").unwrap();
+    let headers = format!("x-request-id: {id}\r\nx-primrosechute-outcome: served\r\n");
+    reply("200 OK", &headers, body)
+}
+
+fn event(at: usize, text: &str) -> String {
+    format!("id: {at}\ndata: {{\"choices\":[{{\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n")
+}
+
+#[test]
+fn a_request_carries_its_id_key_tier_and_deadline() {
+    let server = site(|seen, _| served(seen, r#"{"choices":[{"message":{"content":"hello"}}]}"#));
+    let dir = tempfile::tempdir().unwrap();
+    let key = write(&dir, "key", "demo-key\n");
+
+    let done = finish(
+        command(&[
+            "send",
+            "--entry",
+            &server.addr.to_string(),
+            "--key-file",
+            &key,
+        ])
+        .args(["--prompt", "hi", "--tier", "quick", "--deadline", "410ms"])
+        .args(["--max-tokens", "8"])
+        .output()
+        .unwrap(),
+    );
+
+    let sent = server.seen().pop().unwrap();
+    let id = sent.header("x-request-id").unwrap();
+    assert_eq!(sent.line, "POST /v1/chat/completions");
+    assert_eq!(sent.header("authorization"), Some("Bearer demo-key"));
+    assert_eq!(sent.header("x-primrosechute-tier"), Some("quick"));
+    assert_eq!(sent.header("x-primrosechute-deadline"), Some("410ms"));
+    let body = r#"{"max_tokens":8,"messages":[{"content":"hi","role":"user"}]}"#;
+    assert_eq!(sent.body, body);
+    assert!(id.starts_with(INCARNATION) && id.len() == 49, "{id}");
+    assert_eq!((done.code, done.out.as_str()), (Some(0), "hello\n"));
+    assert_eq!(done.err, format!("request {id}\noutcome served\n"));
+}
+
+/// A broken stream must be resumed where it broke, not sent again.
+#[test]
+fn a_broken_stream_is_resumed_at_its_next_event() {
+    let server = site(|seen, before| {
+        if before == 0 {
+            // The third event is cut in the middle and must come again as a whole.
+            let parts = [
+                &event(0, "a"),
+                ": keepalive\n\n",
+                &event(1, "b"),
+                "id: 2\nda",
+            ];
+            return cut(STREAM, &parts.concat());
+        }
+        assert!(seen.line.ends_with("?offset=2"), "{}", seen.line);
+        let rest = event(2, "c") + "id: 3\ndata: [DONE]\n\n";
+        reply("200 OK", STREAM, &rest)
+    });
+
+    let done = send(&server, &["--prompt", "x", "--stream"]);
+
+    let (result, seen) = (done.json(), server.seen());
+    assert_eq!(done.code, Some(0), "{result}");
+    assert_eq!(result["answer"], "abc");
+    assert_eq!(
+        (&result["events"], &result["resumes"]),
+        (&4.into(), &1.into())
+    );
+    let id = seen[1].header("x-request-id").unwrap();
+    assert_eq!(seen[2].line, format!("GET /v1/streams/{id}?offset=2"));
+    assert_eq!(seen.len(), 3);
+}
+
+/// A stream that ends with an error event is not a whole answer.
+#[test]
+fn an_error_event_ends_a_stream_as_failed() {
+    let server = site(|_, _| {
+        let problem = r#"{"outcome":"failed","reason":"incomplete"}"#;
+        let body = format!("{}event: error\ndata: {problem}\n\n", event(0, "a"));
+        reply("200 OK", STREAM, &body)
+    });
+
+    let done = send(&server, &["--prompt", "x", "--stream"]);
+
+    assert_eq!(done.code, Some(1));
+    let result = done.json();
+    assert_eq!(
+        (&result["outcome"], &result["whole"]),
+        (&"failed".into(), &false.into())
+    );
+    assert_eq!(result["reason"], "incomplete");
+}
+
+/// A request whose answer was lost joins its run: same id, same entry, same body.
+#[test]
+fn a_lost_answer_is_asked_for_again_with_the_same_id() {
+    let server = site(|seen, before| match before {
+        0 => String::new(),
+        1 => cut("", "{"),
+        _ => served(seen, r#"{"n":1}"#),
+    });
+
+    let done = send(&server, &["--path", "/orders", "--body", r#"{"item":7}"#]);
+
+    let (result, seen) = (done.json(), server.seen());
+    assert_eq!(done.code, Some(0), "{result}");
+    assert_eq!(
+        (&result["resends"], &result["answer"]["n"]),
+        (&2.into(), &1.into())
+    );
+    let ids: Vec<_> = seen[1..].iter().map(|s| s.header("x-request-id")).collect();
+    assert!(ids.iter().all(|id| *id == ids[0]), "{ids:?}");
+    assert!(seen[1..].iter().all(|s| s.body == r#"{"item":7}"#));
+}
+
+/// A request that may have run must not be sent anew.
+#[test]
+fn unknown_is_final() {
+    let server = site(|_, _| {
+        let headers = "x-primrosechute-outcome: unknown\r\nx-primrosechute-reason: unknown\r\n";
+        reply("409 Conflict", headers, r#"{"outcome":"unknown"}"#)
+    });
+
+    let done = send(&server, &["--prompt", "x"]);
+
+    assert_eq!(done.code, Some(1));
+    assert_eq!(done.json()["outcome"], "unknown");
+    assert_eq!(server.seen().len(), 2);
+}
+
+#[test]
+fn an_id_of_another_incarnation_is_only_looked_up() {
+    let server = site(|_, _| reply("200 OK", "", r#"{"outcome":"served","reason":""}"#));
+    let id = "00000000000000bb-1";
+
+    let done = send(&server, &["--prompt", "x", "--id", id]);
+
+    assert_eq!(server.seen()[1].line, format!("GET /v1/outcomes/{id}"));
+    assert_eq!(done.json()["outcome"], "served");
+    // The answer itself is not there.
+    assert_eq!(done.code, Some(1));
+}
+
+#[test]
+fn a_refusal_is_printed_with_its_reason() {
+    let server = site(|_, _| {
+        let headers = "x-primrosechute-outcome: refused\r\nx-primrosechute-reason: rate\r\n";
+        reply("429 Too Many Requests", headers, "{}")
+    });
+
+    let done = run(&["send", "--entry", &server.addr.to_string(), "--prompt", "x"]);
+
+    assert_eq!((done.code, done.out.as_str()), (Some(1), ""));
+    assert!(
+        done.err.ends_with("\noutcome refused (rate)\n"),
+        "{}",
+        done.err
+    );
+}
+
+/// When no connection can be opened nothing was sent, so another entry may get the request.
+#[test]
+fn a_dead_entry_is_passed_over() {
+    let dead = closed();
+    let server = Server::start(move |addr, seen, _| match seen.line.as_str() {
+        "GET /v1/entries" => {
+            let entry = |vm, addr, incarnation| {
+                format!(
+                    r#"{{"vm":"{vm}","zone":"a","address":"{addr}","incarnation":"{incarnation}"}}"#
+                )
+            };
+            let (a, b) = (
+                entry("a", dead, "00000000000000bb"),
+                entry("b", addr, INCARNATION),
+            );
+            reply(
+                "200 OK",
+                "",
+                &format!(r#"{{"ttl_seconds":5,"entries":[{a},{b}]}}"#),
+            )
+        }
+        _ => served(seen, "ok"),
+    });
+
+    let done = send(&server, &["--path", "/catalogue"]);
+
+    let sent = server.seen().pop().unwrap();
+    assert_eq!(done.code, Some(0), "{}", done.err);
+    assert_eq!(sent.line, "GET /catalogue");
+    assert!(
+        sent.header("x-request-id")
+            .unwrap()
+            .starts_with(INCARNATION)
+    );
+}
+
+/// Error texts about a key must not repeat it.
+#[test]
+fn rejected_input_is_named_without_the_key() {
+    let dir = tempfile::tempdir().unwrap();
+    let key = write(&dir, "key", "secret one");
+    let base = ["send", "--entry", "127.0.0.1:1"];
+    let cases: [(&[&str], String); 4] = [
+        (&["--prompt", "x", "--key-file", &key], format!(
+            "error: {key}: the key has other characters than visible ASCII; write one key on one line\n"
+        )),
+        (&["--path", "orders"], "error: --path: \"orders\" is not a path; start it with \"/\"\n".into()),
+        (&["--body", "text", "--stream"],
+            "error: --body: --stream and --max-tokens need a JSON object: expected ident at line 1 column 2\n".into()),
+        (&["--prompt", "x", "--deadline", "410"],
+            "error: invalid value '410' for '--deadline <DURATION>': not a duration above 0; \
+             write a number and a unit, for example 410ms\n\nFor more information, try '--help'.\n".into()),
+    ];
+    for (more, expected) in cases {
+        let done = run(&[&base[..], more].concat());
+
+        assert_eq!((done.code, done.err), (Some(2), expected));
+    }
+}
