--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -1,8 +1,11 @@
 //! The answer of one run, kept so that several callers can read it, from any offset.
+//!
+//! It is kept in segments of its own: slices of the connection's read buffers would keep those
+//! buffers alive, several times the size of the answer.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, StatusCode};
 use tokio::sync::watch;
 
@@ -20,10 +23,15 @@
     pub(crate) events: bool,
 }
 
-/// Complete events, or a part of a plain body.
+/// Size from which a segment is closed.
+const SEGMENT: usize = 16 << 10;
+
+/// A closed part of the answer that begins with a whole event.
 #[derive(Clone, Debug)]
-struct Chunk {
-    /// Number of events before this chunk.
+struct Segment {
+    /// Number of bytes before this segment.
+    start: usize,
+    /// Number of events before this segment.
     first: u64,
     bytes: Bytes,
 }
@@ -31,13 +39,68 @@
 #[derive(Debug, Default)]
 struct State {
     head: Option<Head>,
-    chunks: Vec<Chunk>,
+    segments: Vec<Segment>,
+    /// The part that still grows, with its bytes and events before it.
+    open: BytesMut,
+    open_start: usize,
+    open_first: u64,
     events: u64,
-    bytes: usize,
     outcome: Option<Outcome>,
     readers: usize,
 }
 
+impl State {
+    fn len(&self) -> usize {
+        self.open_start + self.open.len()
+    }
+
+    fn push(&mut self, bytes: &[u8], events: u64) {
+        self.open.extend_from_slice(bytes);
+        self.events += events;
+        if self.open.len() >= SEGMENT {
+            self.close();
+        }
+    }
+
+    fn close(&mut self) {
+        let bytes = self.open.split().freeze();
+        let length = bytes.len();
+        self.segments.push(Segment {
+            start: self.open_start,
+            first: self.open_first,
+            bytes,
+        });
+        self.open_start += length;
+        self.open_first = self.events;
+        self.open = BytesMut::new();
+    }
+
+    /// Byte position of an event that is there or comes next.
+    fn position(&self, event: u64) -> usize {
+        if event >= self.open_first {
+            let skipped = skip_events(&self.open, event - self.open_first);
+            return self.open_start + skipped;
+        }
+        let after = self.segments.partition_point(|s| s.first <= event);
+        let segment = &self.segments[after - 1];
+        segment.start + skip_events(&segment.bytes, event - segment.first)
+    }
+
+    /// Bytes from a position on, at least one if there are any.
+    fn read(&self, position: usize) -> Option<Bytes> {
+        if position >= self.len() {
+            return None;
+        }
+        if position >= self.open_start {
+            let rest = &self.open[position - self.open_start..];
+            return Some(Bytes::copy_from_slice(rest));
+        }
+        let after = self.segments.partition_point(|s| s.start <= position);
+        let segment = &self.segments[after - 1];
+        Some(segment.bytes.slice(position - segment.start..))
+    }
+}
+
 /// Answer of a run, written by the run and read by callers.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -76,18 +139,13 @@
     }
 
     /// Appends bytes that hold `events` whole events. Returns false if the answer is too large.
-    pub(crate) fn push(&self, bytes: Bytes, events: u64) -> bool {
+    pub(crate) fn push(&self, bytes: &[u8], events: u64) -> bool {
         let fits = self.with(|state| {
-            if state.bytes + bytes.len() > MAX_ANSWER {
-                return false;
+            let fits = state.len() + bytes.len() <= MAX_ANSWER;
+            if fits {
+                state.push(bytes, events);
             }
-            state.bytes += bytes.len();
-            state.chunks.push(Chunk {
-                first: state.events,
-                bytes,
-            });
-            state.events += events;
-            true
+            fits
         });
         self.wake();
         fits
@@ -111,7 +169,7 @@
     }
 
     pub(crate) fn size(&self) -> usize {
-        self.with(|state| state.bytes)
+        self.with(|state| state.len())
     }
 
     /// Waits for the head, or for an outcome without one.
@@ -154,7 +212,7 @@
         Reader {
             answer: Arc::clone(self),
             changes: self.changed.subscribe(),
-            next: None,
+            position: None,
             offset,
         }
     }
@@ -165,8 +223,8 @@
 pub(crate) struct Reader {
     answer: Arc<Answer>,
     changes: watch::Receiver<u64>,
-    /// Index of the next chunk; `None` until the chunk with `offset` is known.
-    next: Option<usize>,
+    /// Position of the next byte; `None` until the event with `offset` is known.
+    position: Option<usize>,
     offset: u64,
 }
 
@@ -189,38 +247,19 @@
         self.changes.mark_unchanged();
         let Reader {
             answer,
-            next,
+            position,
             offset,
             ..
         } = self;
         answer.with(|state| {
-            let at = match *next {
-                Some(at) => at,
-                None if *offset <= state.events => {
-                    let at = state
-                        .chunks
-                        .partition_point(|chunk| chunk.first <= *offset)
-                        .saturating_sub(1);
-                    let Some(chunk) = state.chunks.get(at) else {
-                        return state.outcome.clone().map(Piece::End);
-                    };
-                    let skip = *offset - chunk.first;
-                    let rest = skip_events(&chunk.bytes, skip);
-                    *next = Some(at + 1);
-                    if !rest.is_empty() {
-                        return Some(Piece::Bytes(rest));
-                    }
-                    at + 1
-                }
-                None => return state.outcome.clone().map(Piece::End),
-            };
-            match state.chunks.get(at) {
-                Some(chunk) => {
-                    *next = Some(at + 1);
-                    Some(Piece::Bytes(chunk.bytes.clone()))
-                }
-                None => state.outcome.clone().map(Piece::End),
+            if position.is_none() && *offset <= state.events {
+                *position = Some(state.position(*offset));
             }
+            let Some(bytes) = position.and_then(|at| state.read(at)) else {
+                return state.outcome.clone().map(Piece::End);
+            };
+            *position = position.map(|at| at + bytes.len());
+            Some(Piece::Bytes(bytes))
         })
     }
 }
@@ -232,20 +271,18 @@
     }
 }
 
-/// Drops the first `count` events of a chunk of whole events. Comments don't count.
-fn skip_events(bytes: &Bytes, count: u64) -> Bytes {
-    let mut rest = bytes.clone();
+/// Length of the first `count` events, with the comments between them.
+fn skip_events(bytes: &[u8], count: u64) -> usize {
+    let mut at = 0;
     let mut left = count;
     while left > 0 {
-        let Some(end) = event_end(&rest) else {
-            return Bytes::new();
+        let Some(length) = event_end(&bytes[at..]) else {
+            break;
         };
-        let event = rest.split_to(end);
-        if is_event(&event) {
-            left -= 1;
-        }
+        left -= u64::from(is_event(&bytes[at..at + length]));
+        at += length;
     }
-    rest
+    at
 }
 
 /// Length of the first block of a stream of server-sent events, with its blank line.
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -119,7 +119,7 @@
     }
     seen.usage = usage(&whole);
     let failed = head.status.is_server_error();
-    answer.push(whole.freeze(), 0);
+    answer.push(&whole, 0);
     answer.start(head);
     if failed {
         return Err(Failure::TargetError);
@@ -199,7 +199,7 @@
             seen.last = Some(now);
             seen.events += whole.count;
         }
-        if !whole.bytes.is_empty() && !answer.push(whole.bytes, whole.count) {
+        if !whole.bytes.is_empty() && !answer.push(&whole.bytes, whole.count) {
             return Part::TooLarge;
         }
         if whole.done {
