Announce new epochs before parts are started

Reclaim now has two rounds. The second one announces the new epochs, so that every listed daemon denies older ones before the part starts; it also settles two successors with different lists, which replaces the wait of a new successor. Moves are sent again only with a lease. The remainder of accrual is kept while refunds can be clipped for it.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -18,5 +18,5 @@
     CLAIM_AGE, Claim, Incarnation, LeaseState, Limit, MoveId, Name, PARTS, PartMove, Reason,
     Refused, Reservation, Short, Status, Timing,
 };
-pub use reclaim::{Reclaim, Started, Wait};
+pub use reclaim::{Query, Reclaim, Round, Started, Wait};
 pub use shares::Shares;
--- a/crates/limit/src/moves.rs
+++ b/crates/limit/src/moves.rs
@@ -118,6 +118,24 @@
 
     /// The receiver `from` denied the part, which is held again with the level it had and what it
     /// would have accrued. Returns whether the part was in transit to it.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use limit::{Limit, Name, Shares, Timing};
+    /// # let s = Duration::from_secs;
+    /// # let mut shares = Shares::new(1, Timing { propagation: s(5), hold_down: s(20) });
+    /// # let ws = Name::from("salon-7");
+    /// # shares.configure(s(0), [(ws.clone(), Limit { rate: 320, burst: 3_200 })]);
+    /// shares.start_part(s(0), &ws, 7, 1);
+    /// shares.set_peers([2]);
+    /// let part = shares.give(s(4), &ws, 40, 2).remove(0);
+    /// assert_eq!((part.number, part.level_millis), (7, 40_000));
+    /// assert_eq!(shares.claim(s(5), &ws).tokens, 0);
+    ///
+    /// assert!(!shares.denied(s(6), 3, &part.id()), "3 is not the receiver");
+    /// assert!(shares.denied(s(6), 2, &part.id()));
+    /// assert_eq!(shares.claim(s(6), &ws).tokens, 60);
+    /// ```
     pub fn denied(&mut self, now: Duration, from: Incarnation, id: &MoveId) -> bool {
         let Some(w) = self.in_transit_to(now, from, id) else {
             return false;
@@ -126,10 +144,13 @@
         true
     }
 
-    /// Parts in transit, to be sent again when the link to their receiver was replaced.
-    pub fn in_transit(&self) -> impl Iterator<Item = PartMove> {
+    /// Parts in transit, to be sent again when the link to their receiver was replaced. None
+    /// without a lease.
+    pub fn in_transit(&self, now: Duration) -> impl Iterator<Item = PartMove> {
+        let movable = self.movable(now);
         self.workspaces
             .iter()
+            .filter(move |_| movable)
             .flat_map(|(name, w)| w.transits.iter().map(|t| w.part_move(name, t)))
     }
 
@@ -172,13 +193,12 @@
             .collect()
     }
 
-    /// Notes what a peer claims. Parts that it has in a higher epoch are dropped here.
+    /// Notes what a peer claims, asked for or not. Parts that it has or starts in a higher epoch
+    /// are dropped here, and no longer taken in a lower one.
     pub fn note_claim(&mut self, now: Duration, peer: Incarnation, claim: &Claim) {
         self.note_peer(now, &claim.workspace, peer, claim.tokens);
         let accruing = self.accruing(now);
-        let Some(w) = self.live(&claim.workspace) else {
-            return;
-        };
+        let w = self.workspace_or_removed(now, &claim.workspace);
         for &(number, epoch) in &claim.parts {
             if number < PARTS && epoch > w.seen(number).epoch {
                 w.advance(now, accruing);
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -87,11 +87,15 @@
     pub(crate) fn fit(&mut self, capacity: u64) {
         self.level = self.level.min(capacity);
         let sum = self.level.saturating_add(self.refunds.total);
-        if sum >= capacity {
-            // The remainder would be accrual above the capacity.
+        if sum < capacity {
+            return;
+        }
+        // The remainder of accrual counts as one more.
+        let excess = sum - capacity + u64::from(self.rest > 0);
+        if excess > self.refunds.total {
             self.rest = 0;
-            self.refunds.clip(sum - capacity);
         }
+        self.refunds.clip(excess);
     }
 
     /// Takes tokens that can be refunded under the returned number, or nothing.
--- a/crates/limit/src/reclaim.rs
+++ b/crates/limit/src/reclaim.rs
@@ -13,7 +13,7 @@
 /// Time between rounds without a cause, which find parts that were dropped by live daemons.
 const AUDIT: Duration = Duration::from_secs(30);
 
-/// Least time between rounds for each listed VM: bounds the questions that a daemon sends to five
+/// Least time between searches for each listed VM: bounds the questions that a daemon sends to five
 /// a second in any fleet.
 const ROUND_PER_VM: Duration = Duration::from_millis(200);
 
@@ -41,35 +41,75 @@
     Nothing,
 }
 
-#[derive(Debug)]
-struct Answer {
+/// Identity of a query, to be passed back with its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Round {
+    number: u64,
     asked: Duration,
-    /// Mask of the claimed parts.
-    claimed: HashMap<Name, u32>,
 }
 
-/// Parts of a workspace of which this daemon is the successor.
-#[derive(Debug, Default)]
-struct Succession {
-    parts: u32,
-    /// When the last part was added.
-    since: Duration,
+/// What to send to peers: on one link and in this order, the claims as `PartClaim`s and a
+/// `PartQuery` for all workspaces.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Query {
+    /// Identity of the query.
+    pub round: Round,
+    /// Peers to send it to; may be empty.
+    pub peers: Vec<Incarnation>,
+    /// Parts that this daemon is about to start.
+    pub claims: Vec<Claim>,
+}
+
+#[derive(Debug)]
+struct Answer {
+    asked: Duration,
+    claims: HashMap<Name, Vec<(u16, u64)>>,
 }
 
 /// Starts parts that nobody claims.
 ///
-/// A part is started only when (1) every listed VM has answered within [`CLAIM_AGE`] and none
-/// claims it, (2) each incarnation that left has been gone for the hold-down before the first of
-/// these answers, so that it neither spends nor moves the part any more, and (3) this daemon has
-/// been the part's successor for the hold-down before it, so that no other daemon with an older
-/// list starts the part as well.
+/// Rounds begin when each incarnation that left has been gone for the hold-down, so that it neither
+/// spends nor moves a part any more, and need the answers of all listed VMs. The first round finds
+/// the parts that nobody claims. The second one announces their new epochs: a daemon that answers
+/// it has dropped any older epoch and takes none from a late message, and starts nothing in the
+/// same epoch itself if its list names another successor. Then the parts start.
+///
+/// ```
+/// use std::time::Duration;
+/// use limit::{Limit, Name, Reclaim, Shares, Timing, Wait};
+///
+/// let s = Duration::from_secs;
+/// let timing = Timing { propagation: s(5), hold_down: s(20) };
+/// let mut shares = Shares::new(1, timing);
+/// let mut reclaim = Reclaim::new(s(0), timing);
+/// let ws = Name::from("salon-7");
+/// shares.configure(s(0), [(ws.clone(), Limit { rate: 320, burst: 3_200 })]);
+/// reclaim.set_listed(s(0), &mut shares, [(Name::from("vm-2"), Some(2))]);
+/// reclaim.set_successor(s(0), &ws, 0b101);
+///
+/// assert_eq!(reclaim.wait(s(19)), Wait::HoldDown(s(20)));
+/// let find = reclaim.ask(s(20), &mut shares);
+/// assert!(reclaim.poll(s(20), &mut shares, 0).is_empty(), "the answer is missing");
+/// reclaim.answered(find.round, 2, &[]);
+/// assert!(reclaim.poll(s(21), &mut shares, 0).is_empty(), "not announced");
+/// let announce = reclaim.ask(s(21), &mut shares);
+/// assert_eq!(announce.peers, [2]);
+/// assert_eq!(announce.claims[0].parts, [(0, 1), (2, 1)]);
+/// reclaim.answered(announce.round, 2, &[]);
+/// assert_eq!(reclaim.poll(s(22), &mut shares, 0).len(), 2);
+/// ```
 #[derive(Debug)]
 pub struct Reclaim {
     timing: Timing,
     listed: BTreeMap<Name, Option<Incarnation>>,
     /// End of the hold-down of all incarnations that left so far.
     held_down: Duration,
-    successions: HashMap<Name, Succession>,
+    /// Masks of the parts of which this daemon is the successor.
+    successions: HashMap<Name, u32>,
+    /// Parts that the round announces, with their new epochs.
+    announced: HashMap<Name, Vec<(u16, u64)>>,
+    /// Number of the round.
+    round: u64,
     answers: HashMap<Incarnation, Answer>,
     asked: HashMap<Incarnation, Duration>,
     due: Duration,
@@ -87,6 +127,8 @@
             listed: BTreeMap::new(),
             held_down,
             successions: HashMap::new(),
+            announced: HashMap::new(),
+            round: 0,
             answers: HashMap::new(),
             asked: HashMap::new(),
             due: held_down,
@@ -130,46 +172,57 @@
     /// Sets the parts of a workspace of which this daemon is the rendezvous successor: bit `i` for
     /// part `i`.
     pub fn set_successor(&mut self, now: Duration, ws: &Name, parts: u32) {
+        let old = self.successions.insert(ws.clone(), parts).unwrap_or(0);
+        if parts & !old != 0 {
+            self.request(now);
+        }
         if parts == 0 {
             self.successions.remove(ws);
-            return;
-        }
-        let succession = self.successions.entry(ws.clone()).or_default();
-        let added = parts & !succession.parts != 0;
-        succession.parts = parts;
-        if added {
-            succession.since = now;
-            self.request(now + self.timing.hold_down);
         }
     }
 
-    /// Peers to send a `PartQuery` for all workspaces to.
-    pub fn ask(&mut self, now: Duration) -> Vec<Incarnation> {
-        if !matches!(self.wait(now), Wait::Answers(_)) {
-            return Vec::new();
+    /// Whom to query now. Peers that don't answer are named again after a second.
+    pub fn ask(&mut self, now: Duration, shares: &mut Shares) -> Query {
+        let mut peers = Vec::new();
+        if matches!(self.wait(now), Wait::Answers(_)) {
+            peers.extend(self.listed.values().filter_map(|&i| i));
         }
-        let mut peers: Vec<_> = self.listed.values().filter_map(|&i| i).collect();
         peers.retain(|peer| {
             let recent = |at: &Duration| now.saturating_sub(*at) < RETRY;
             !self.fresh(now, *peer) && !self.asked.get(peer).is_some_and(recent)
         });
-        for &peer in &peers {
-            self.asked.insert(peer, now);
+        self.asked.extend(peers.iter().map(|&peer| (peer, now)));
+        let claims = self.announced.iter().map(|(ws, parts)| Claim {
+            workspace: ws.clone(),
+            parts: parts.clone(),
+            tokens: shares.claim(now, ws).tokens,
+        });
+        Query {
+            round: Round {
+                number: self.round,
+                asked: now,
+            },
+            claims: claims.filter(|_| !peers.is_empty()).collect(),
+            peers,
         }
-        peers
     }
 
-    /// Takes the complete answer of a peer to a query that was sent at `asked`.
-    pub fn answered(&mut self, asked: Duration, peer: Incarnation, claims: &[Claim]) {
-        let claimed = claims.iter().map(|claim| {
-            let numbers = claim.parts.iter().filter(|(n, _)| *n < PARTS);
-            let mask = numbers.fold(0, |mask, &(n, _)| mask | bit(n));
-            (claim.workspace.clone(), mask)
-        });
-        let claimed = claimed.collect();
-        let newer = self.answers.get(&peer).is_none_or(|a| a.asked < asked);
-        if newer && self.listed.values().any(|&i| i == Some(peer)) {
-            self.answers.insert(peer, Answer { asked, claimed });
+    /// Takes the complete answer of a peer, made after it noted the claims of the query.
+    pub fn answered(&mut self, round: Round, peer: Incarnation, claims: &[Claim]) {
+        let newer = self
+            .answers
+            .get(&peer)
+            .is_none_or(|a| a.asked < round.asked);
+        let listed = self.listed.values().any(|&i| i == Some(peer));
+        if round.number == self.round && newer && listed {
+            let claims = claims
+                .iter()
+                .map(|claim| (claim.workspace.clone(), claim.parts.clone()));
+            let answer = Answer {
+                asked: round.asked,
+                claims: claims.collect(),
+            };
+            self.answers.insert(peer, answer);
         }
     }
 
@@ -204,22 +257,31 @@
         if !shares.movable(now) || self.wait(now) != Wait::Nothing {
             return Vec::new();
         }
-        let first = self.answers.values().map(|a| a.asked).min().unwrap_or(now);
+        let started = self.start(now, shares);
+        if started.is_none() {
+            self.announced = self.unclaimed(now, shares, floor);
+        }
+        self.round += 1;
+        self.answers.clear();
+        self.asked.clear();
+        if self.announced.is_empty() {
+            self.last_round = Some(now);
+            self.due = now + AUDIT.max(self.spacing() * 2);
+        }
+        started.unwrap_or_default()
+    }
+
+    /// Starts the announced parts, if there are any.
+    fn start(&mut self, now: Duration, shares: &mut Shares) -> Option<Vec<Started>> {
+        if self.announced.is_empty() {
+            return None;
+        }
         let mut started = Vec::new();
-        let mut due = now + AUDIT.max(self.spacing() * 2);
-        for (ws, succession) in &self.successions {
-            let settled = succession.since + self.timing.hold_down;
-            if settled > first {
-                due = due.min(settled.max(now));
-                continue;
-            }
-            let mut unclaimed = succession.parts & !shares.claimed_mask(now, ws);
-            for answer in self.answers.values() {
-                unclaimed &= !answer.claimed.get(ws).copied().unwrap_or(0);
-            }
-            for number in (0..PARTS).filter(|&n| unclaimed & bit(n) != 0) {
-                let epoch = floor.max(shares.epoch(ws, number) + 1);
-                if shares.start_part(now, ws, number, epoch) {
+        for (ws, parts) in std::mem::take(&mut self.announced) {
+            for (number, epoch) in parts {
+                if self.claims(&ws, number).is_none_or(|e| e < epoch)
+                    && shares.start_part(now, &ws, number, epoch)
+                {
                     started.push(Started {
                         workspace: ws.clone(),
                         number,
@@ -228,11 +290,35 @@
                 }
             }
         }
-        self.answers.clear();
-        self.asked.clear();
-        self.last_round = Some(now);
-        self.due = due.max(now + self.spacing());
-        started
+        Some(started)
+    }
+
+    /// Parts of this daemon's succession that nobody claims, with new epochs.
+    fn unclaimed(
+        &self,
+        now: Duration,
+        shares: &mut Shares,
+        floor: u64,
+    ) -> HashMap<Name, Vec<(u16, u64)>> {
+        let mut found = HashMap::new();
+        for (ws, mask) in &self.successions {
+            let own = shares.claimed_mask(now, ws);
+            let parts: Vec<_> = (0..PARTS)
+                .filter(|&n| mask & !own & bit(n) != 0 && self.claims(ws, n).is_none())
+                .map(|n| (n, floor.max(shares.epoch(ws, n) + 1)))
+                .collect();
+            if !parts.is_empty() && shares.live(ws).is_some() {
+                found.insert(ws.clone(), parts);
+            }
+        }
+        found
+    }
+
+    /// Highest epoch in which a peer claims a part.
+    fn claims(&self, ws: &Name, number: u16) -> Option<u64> {
+        let claims = self.answers.values().filter_map(|a| a.claims.get(ws));
+        let epochs = claims.flatten().filter(|(n, _)| *n == number);
+        epochs.map(|&(_, epoch)| epoch).max()
     }
 
     /// Makes a round due at `at`, or later if the last one was a moment ago.
--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -76,6 +76,20 @@
 
     /// Puts the limits of a new sheet in force: decreases at once, increases after the propagation
     /// time. Parts of workspaces that aren't named are dropped.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use limit::{Limit, Name, Shares, Timing};
+    /// # let s = Duration::from_secs;
+    /// # let mut shares = Shares::new(1, Timing { propagation: s(5), hold_down: s(20) });
+    /// let ws = Name::from("salon-7");
+    /// let limit = |rate, burst| [(ws.clone(), Limit { rate, burst })];
+    /// shares.configure(s(0), limit(100, 1_000));
+    /// shares.configure(s(10), limit(50, 2_000));
+    /// let at = |shares: &mut Shares, now| shares.status(now).next().unwrap().limit;
+    /// assert_eq!(at(&mut shares, s(14)), Limit { rate: 50, burst: 1_000 });
+    /// assert_eq!(at(&mut shares, s(15)), Limit { rate: 50, burst: 2_000 });
+    /// ```
     pub fn configure(&mut self, now: Duration, limits: impl IntoIterator<Item = (Name, Limit)>) {
         let limits: HashMap<_, _> = limits.into_iter().collect();
         let accruing = self.accruing(now);
--- a/crates/limit/tests/fleet/main.rs
+++ b/crates/limit/tests/fleet/main.rs
@@ -23,25 +23,24 @@
 
 /// Settlements use up to `quarters` of four quarters of a reservation.
 fn ops(quarters: u64) -> impl Strategy<Value = Vec<Op>> {
-    let (vm, any) = (0..9_usize, 0..64_usize);
+    let (vm, index) = (0..9_usize, 0..64_usize);
     let op = prop_oneof![
         12 => (1..1_500_u64).prop_map(Op::Time),
         12 => (vm.clone(), 1..=5_u64).prop_map(|(v, q)| Op::Reserve(v, q)),
         3 => Just(Op::ReserveAll),
-        10 => (any.clone(), 0..=quarters).prop_map(|(i, q)| Op::Settle(i, q)),
+        10 => (index.clone(), 0..=quarters).prop_map(|(i, q)| Op::Settle(i, q)),
         2 => (0..=quarters).prop_map(Op::SettleAll),
         8 => (vm.clone(), vm.clone(), 1..200_u64).prop_map(|(v, w, t)| Op::Ask(v, w, t)),
         2 => vm.clone().prop_map(Op::Balance),
         1 => (vm.clone(), vm.clone()).prop_map(|(v, w)| Op::GiveAll(v, w)),
-        8 => any.clone().prop_map(Op::Deliver),
+        8 => index.clone().prop_map(Op::Deliver),
         8 => Just(Op::Flush),
-        3 => any.clone().prop_map(Op::Duplicate),
-        2 => any.prop_map(Op::Lose),
+        3 => index.clone().prop_map(Op::Duplicate),
+        2 => index.prop_map(Op::Lose),
         3 => vm.clone().prop_map(Op::Resend),
         1 => vm.clone().prop_map(Op::Crash),
         3 => vm.clone().prop_map(Op::Start),
-        1 => vm.clone().prop_map(Op::Pause),
-        2 => vm.clone().prop_map(Op::Unpause),
+        3 => (vm.clone(), any::<bool>()).prop_map(|(v, p)| Op::Pause(v, p)),
         2 => (vm.clone(), reach()).prop_map(|(v, r)| Op::Cut(v, r)),
         1 => vm.prop_map(Op::List),
     ];
--- a/crates/limit/tests/fleet/model.rs
+++ b/crates/limit/tests/fleet/model.rs
@@ -1,11 +1,10 @@
 //! A fleet of holders on a lossy network, with a VM list that lags.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use limit::{
     Claim, Incarnation, LeaseState, Limit, MoveId, Name, PARTS, PartMove, Reclaim, Reservation,
-    Shares, Timing,
+    Round, Shares, Timing,
 };
 
 pub const LIMIT: Limit = Limit {
@@ -39,8 +38,7 @@
     Resend(usize),
     Crash(usize),
     Start(usize),
-    Pause(usize),
-    Unpause(usize),
+    Pause(usize, bool),
     Cut(usize, Reach),
     List(usize),
 }
@@ -58,17 +56,12 @@
     Ask(u64),
     Move(PartMove),
     Answer(MoveId, bool),
-    Query(Duration),
-    Claims(Duration, Vec<Claim>),
+    Query(Round, Vec<Claim>),
+    Claims(Round, Vec<Claim>),
 }
 
-#[derive(Clone, Debug)]
-struct Message {
-    from: usize,
-    incarnation: Incarnation,
-    to: usize,
-    body: Body,
-}
+/// Sender, its incarnation, receiver and body.
+type Message = (usize, Incarnation, usize, Body);
 
 struct Daemon {
     incarnation: Incarnation,
@@ -83,19 +76,14 @@
     suspended: bool,
 }
 
-struct Open {
-    vm: usize,
-    incarnation: Incarnation,
-    entry: usize,
-    reservation: Reservation,
-}
+/// VM, incarnation, index in the list of used tokens, and reservation.
+type Open = (usize, Incarnation, usize, Reservation);
 
 pub struct Fleet {
     now: Duration,
     daemons: Vec<Option<Daemon>>,
     /// VM lists, by the time from which the platform gives them.
     lists: Vec<(Duration, Vec<bool>)>,
-    died: HashMap<Incarnation, Duration>,
     /// VM of each incarnation; the first one is 1.
     homes: Vec<usize>,
     net: Vec<Message>,
@@ -121,7 +109,6 @@
             now: Duration::ZERO,
             daemons: (0..vms).map(|_| None).collect(),
             lists: vec![(Duration::ZERO, vec![true; vms])],
-            died: HashMap::new(),
             homes: Vec::new(),
             net: Vec::new(),
             open: Vec::new(),
@@ -142,7 +129,7 @@
                 self.step(&Op::List(vm));
             }
             self.step(&Op::Start(vm));
-            self.step(&Op::Unpause(vm));
+            self.step(&Op::Pause(vm, false));
             self.step(&Op::Cut(vm, Reach::All));
         }
         for _ in 0..seconds {
@@ -169,17 +156,11 @@
                 (0..self.open.len()).for_each(|_| self.settle(0, quarters));
             }
             Op::Ask(from, to, tokens) => self.send(from % vms, to % vms, Body::Ask(tokens)),
-            Op::Balance(vm) => {
-                let now = self.now;
-                let moves = self.running(vm % vms).map(|d| d.shares.balance(now));
-                self.send_moves(vm % vms, moves.unwrap_or_default());
-            }
+            Op::Balance(vm) => self.moves(vm % vms, |d, now| d.shares.balance(now)),
             Op::GiveAll(from, to) => {
-                let now = self.now;
-                let receiver = self.daemons[to % vms].as_ref().map(|d| d.incarnation);
-                let moves = self.running(from % vms).zip(receiver);
-                let moves = moves.map(|(d, to)| d.shares.give_all(now, &ws(), to));
-                self.send_moves(from % vms, moves.unwrap_or_default());
+                if let Some(to) = self.daemons[to % vms].as_ref().map(|d| d.incarnation) {
+                    self.moves(from % vms, |d, now| d.shares.give_all(now, &ws(), to));
+                }
             }
             Op::Deliver(i) => self.deliver(i),
             Op::Flush => {
@@ -196,22 +177,15 @@
                     self.net.swap_remove(i % self.net.len());
                 }
             }
-            Op::Resend(vm) => {
-                let moves = self
-                    .running(vm % vms)
-                    .map(|d| d.shares.in_transit().collect());
-                self.send_moves(vm % vms, moves.unwrap_or_default());
-            }
+            Op::Resend(vm) => self.moves(vm % vms, |d, now| d.shares.in_transit(now).collect()),
             Op::Crash(vm) => self.crash(vm % vms),
             Op::Start(vm) => self.launch(vm % vms),
-            Op::Pause(vm) => {
-                if let Some(d) = self.running(vm % vms) {
-                    d.paused = true;
-                }
-            }
-            Op::Unpause(vm) => {
-                if let Some(d) = self.daemons[vm % vms].as_mut().filter(|d| d.paused) {
-                    d.paused = false;
+            Op::Pause(vm, pause) => {
+                if let Some(d) = self.daemons[vm % vms]
+                    .as_mut()
+                    .filter(|d| d.paused != pause)
+                {
+                    d.paused = pause;
                     d.suspended = true;
                     d.shares.suspend();
                 }
@@ -257,7 +231,6 @@
 
     fn crash(&mut self, vm: usize) {
         if let Some(mut d) = self.daemons[vm].take() {
-            self.died.insert(d.incarnation, self.now);
             self.lost_debt += d.shares.status(self.now).map(|s| s.debt).sum::<u64>();
         }
     }
@@ -272,12 +245,7 @@
         if let Ok(reservation) = d.shares.reserve(now, &ws(), tokens.max(1)) {
             let incarnation = d.incarnation;
             self.used.push((now, reservation.tokens()));
-            self.open.push(Open {
-                vm,
-                incarnation,
-                entry,
-                reservation,
-            });
+            self.open.push((vm, incarnation, entry, reservation));
         }
     }
 
@@ -285,16 +253,13 @@
         if self.open.is_empty() {
             return;
         }
-        let o = self.open.swap_remove(i % self.open.len());
+        let (vm, incarnation, entry, reservation) = self.open.swap_remove(i % self.open.len());
         let now = self.now;
-        let tokens = o.reservation.tokens();
+        let tokens = reservation.tokens();
         let used = tokens * quarters / 4;
-        if let Some(d) = self
-            .running(o.vm)
-            .filter(|d| d.incarnation == o.incarnation)
-        {
-            d.shares.settle(now, o.reservation, used);
-            self.used[o.entry].1 = used.min(tokens);
+        if let Some(d) = self.running(vm).filter(|d| d.incarnation == incarnation) {
+            d.shares.settle(now, reservation, used);
+            self.used[entry].1 = used.min(tokens);
             if used > tokens {
                 self.used.push((now, used - tokens));
             }
@@ -303,17 +268,13 @@
 
     fn send(&mut self, from: usize, to: usize, body: Body) {
         if let Some(incarnation) = self.running(from).map(|d| d.incarnation) {
-            self.net.push(Message {
-                from,
-                incarnation,
-                to,
-                body,
-            });
+            self.net.push((from, incarnation, to, body));
         }
     }
 
-    fn send_moves(&mut self, from: usize, moves: Vec<PartMove>) {
-        for part in moves {
+    fn moves(&mut self, from: usize, f: impl Fn(&mut Daemon, Duration) -> Vec<PartMove>) {
+        let now = self.now;
+        for part in self.running(from).map(|d| f(d, now)).unwrap_or_default() {
             let home = usize::try_from(part.receiver - 1).unwrap();
             self.send(from, self.homes[home], Body::Move(part));
         }
@@ -338,12 +299,13 @@
             d.shares.set_lease(now, LeaseState::InDoubt);
         }
         d.reclaim.poll(now, &mut d.shares, 0);
-        let ask = d.reclaim.ask(now);
+        let query = d.reclaim.ask(now, &mut d.shares);
         let known = d.known.clone();
         let (incarnation, silent) = (d.incarnation, d.reach == Reach::Nothing);
         for (to, peer) in known.into_iter().enumerate() {
-            if peer.is_some_and(|i| ask.contains(&i)) {
-                self.send(vm, to, Body::Query(now));
+            if peer.is_some_and(|i| query.peers.contains(&i)) {
+                let body = Body::Query(query.round, query.claims.clone());
+                self.send(vm, to, body);
             }
             let d = self
                 .running(to)
@@ -359,44 +321,38 @@
             return;
         }
         let m = self.net.remove(i % self.net.len());
-        let (now, to, from) = (self.now, m.to, m.from);
+        let now = self.now;
+        let (from, sender, to, body) = m.clone();
         let cut = |d: &Option<Daemon>| d.as_ref().is_some_and(|d| d.reach == Reach::Nothing);
         let waits = self.daemons[to].as_ref().is_some_and(|d| d.paused);
         if waits || cut(&self.daemons[from]) || cut(&self.daemons[to]) {
             self.net.push(m);
             return;
         }
-        // The link of a dead process is closed before the hold-down is over.
-        let late = self.died.get(&m.incarnation);
-        if late.is_some_and(|&died| now >= died + LAG + LEASE) {
-            return;
-        }
         let Some(d) = self.daemons[to].as_mut() else {
             return;
         };
-        match m.body {
+        match body {
             Body::Ask(tokens) => {
-                let moves = d.shares.give(now, &ws(), tokens, m.incarnation);
-                self.send_moves(to, moves);
+                self.moves(to, |d, now| d.shares.give(now, &ws(), tokens, sender));
             }
             Body::Move(part) => {
-                let taken = d.shares.accept(now, m.incarnation, &part);
+                let taken = d.shares.accept(now, sender, &part);
                 self.send(to, from, Body::Answer(part.id(), taken));
             }
-            Body::Answer(id, true) => {
-                d.shares.acked(now, m.incarnation, &id);
-            }
-            Body::Answer(id, false) => {
-                d.shares.denied(now, m.incarnation, &id);
-            }
-            Body::Query(asked) => {
+            Body::Answer(id, true) => drop(d.shares.acked(now, sender, &id)),
+            Body::Answer(id, false) => drop(d.shares.denied(now, sender, &id)),
+            Body::Query(round, announced) => {
+                for claim in &announced {
+                    d.shares.note_claim(now, sender, claim);
+                }
                 let claims = d.shares.claims(now);
-                self.send(to, from, Body::Claims(asked, claims));
+                self.send(to, from, Body::Claims(round, claims));
             }
-            Body::Claims(asked, claims) => {
-                d.reclaim.answered(asked, m.incarnation, &claims);
+            Body::Claims(round, claims) => {
+                d.reclaim.answered(round, sender, &claims);
                 for claim in &claims {
-                    d.shares.note_claim(now, m.incarnation, claim);
+                    d.shares.note_claim(now, sender, claim);
                 }
             }
         }
@@ -432,12 +388,10 @@
         (max, sum)
     }
 
-    /// Debt that accrual hasn't paid, in tokens x nanoseconds.
+    /// Ends the fleet; debt that accrual hasn't paid, in tokens x nanoseconds.
     pub fn debt(&mut self) -> u128 {
-        let now = self.now;
-        let debt = |d: &mut Daemon| d.shares.status(now).map(|s| s.debt).sum::<u64>();
-        let held: u64 = self.daemons.iter_mut().flatten().map(debt).sum();
-        scaled(held + self.lost_debt)
+        (0..self.daemons.len()).for_each(|vm| self.crash(vm));
+        scaled(self.lost_debt)
     }
 }
 
