member: answer Yours only by a list as fresh as the asker's

A peer that was paused for longer than the hold-down answered Yours by a list older than the asker's, in which the asker's VM had not left and come back. The fleet test found it after 192 cases, once it cut single VMs off from peers and platform together: vm-0 and vm-1 both granted to t-1.

--- a/crates/member/src/answer.rs
+++ b/crates/member/src/answer.rs
@@ -67,7 +67,8 @@
                 && gift.generation == generation;
             return if again { Answer::Given } else { Answer::Wait };
         }
-        if self.owner.as_ref() == Some(from) && self.claims.none_but(from, cx.now) {
+        let knows = self.generation >= generation && self.owner.as_ref() == Some(from);
+        if knows && self.claims.none_but(from, cx.now) {
             return Answer::Yours;
         }
         if self.held || !recent(self.created) {
--- a/crates/member/tests/world/mod.rs
+++ b/crates/member/tests/world/mod.rs
@@ -38,6 +38,11 @@
         vm: usize,
         cut: bool,
     },
+    /// Cuts all links of a VM and its way to the platform.
+    Strand {
+        vm: usize,
+        cut: bool,
+    },
     PlatformDown(bool),
     Pause {
         vm: usize,
@@ -187,8 +192,12 @@
             }
             Op::Boot(vm) => self.boot(vm),
             Op::Cut { vm, with, cut } => self.cut(vm, with, cut),
-            Op::Isolate { vm, cut } => (0..VMS).for_each(|with| self.cut(vm, with, cut)),
+            Op::Isolate { vm, cut } => self.isolate(vm, cut),
             Op::CutPlatform { vm, cut } => self.slots[vm].cut_platform = cut && vm != 0,
+            Op::Strand { vm, cut } => {
+                self.isolate(vm, cut);
+                self.slots[vm].cut_platform = cut && vm != 0;
+            }
             Op::PlatformDown(down) => {
                 let newest = self.lists.last().unwrap().1.generation;
                 let bridge = self.slots[0].daemon.as_ref();
@@ -218,6 +227,10 @@
         self.slots[with].cut[vm] = cut && vm != with;
     }
 
+    fn isolate(&mut self, vm: usize, cut: bool) {
+        (0..VMS).for_each(|with| self.cut(vm, with, cut));
+    }
+
     fn publish(&mut self, vm: usize, state: Option<VmState>) {
         let mut list = self.lists.last().unwrap().1.clone();
         let old = list.vms.iter().find(|row| row.name == name(vm));
