ctl: add load

Nothing outside the test harness could put a load on real daemons. load sends the requests of a mix file with Poisson arrivals from a seed, keeps to the plan while answers are slow, and counts latencies from the planned arrival. It checks that each answer is whole and belongs to its request, and writes counts by reason, percentiles and goodput by workload, tier and workspace.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -5,7 +5,7 @@
 use clap::{CommandFactory, Parser, Subcommand};
 
 use crate::output::{Error, Exit, Output};
-use crate::{entries, send, sheets, status};
+use crate::{entries, load, send, sheets, status};
 
 /// Checks, watches and exercises a site of primrosechute.
 #[derive(Debug, Parser)]
@@ -41,6 +41,8 @@
     Status(status::StatusArgs),
     /// Send one request and print its answer and outcome.
     Send(Box<send::Send>),
+    /// Put an open-loop load on a site and measure how it is served.
+    Load(load::Load),
     /// Print a shell completion script.
     #[command(after_help = "Examples:\n  primrosectl completions bash\n\n\
         Exit codes: 0 printed, 2 unknown shell.")]
@@ -59,6 +61,7 @@
         Command::Entries(args) => block_on(entries::run(args, out)),
         Command::Status(args) => block_on(status::run(args, out)),
         Command::Send(args) => block_on(send::run(args, out)),
+        Command::Load(args) => block_on(load::run(args, out)),
         Command::Completions { shell } => {
             let mut command = Args::command();
             let mut stdout = std::io::stdout();
--- /dev/null
+++ b/crates/ctl/src/jsonc.rs
@@ -0,0 +1,159 @@
+//! JSON with comments, with the line and column of each error.
+
+use std::borrow::Cow;
+use std::collections::HashMap;
+use std::io::Read;
+use std::time::Duration;
+
+use json_comments::CommentSettings;
+use serde::de::{DeserializeOwned, Error as _};
+use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
+
+/// Longest text of a duration. humantime 2.4 panics on some numbers of 20 digits.
+const MAX_DURATION_TEXT: usize = 16;
+
+/// A document that was parsed, kept to find the places of its fields.
+pub(crate) struct Document<'a> {
+    file: &'a str,
+    json: String,
+}
+
+impl<'a> Document<'a> {
+    /// Removes the comments of a text. The error is ready to print, as all errors of a document.
+    pub(crate) fn new(file: &'a str, text: &str) -> Result<Self, String> {
+        match strip_comments(text) {
+            Ok(json) => Ok(Document { file, json }),
+            Err(offset) => {
+                let json = text.to_owned();
+                let fault = "a comment or string is not closed, or \"/\" begins no comment";
+                Err(Document { file, json }.error_at(offset, fault))
+            }
+        }
+    }
+
+    pub(crate) fn parse<T: DeserializeOwned>(&self) -> Result<T, String> {
+        let mut reader = serde_json::Deserializer::from_str(&self.json);
+        let value = serde_path_to_error::deserialize(&mut reader).map_err(|err| {
+            let path = err.path().to_string();
+            let err = err.into_inner();
+            let offset = self.offset_of(err.line(), err.column());
+            let reason = reason(&err);
+            if !err.is_data() {
+                return self.error_at(offset, &reason);
+            }
+            let offset = match quoted(&reason, "unknown field `") {
+                // The reader stops at the quote that ends the key.
+                Some(key) => self
+                    .json
+                    .get(..=offset)
+                    .and_then(|read| read.rfind(&format!("\"{key}\""))),
+                None => locate(&self.json, &path),
+            }
+            .unwrap_or(offset);
+            self.error_at(offset, &named(&path, &reason))
+        })?;
+        let end = reader.end();
+        end.map_err(|err| {
+            let offset = self.offset_of(err.line(), err.column());
+            self.error_at(offset, &reason(&err))
+        })?;
+        Ok(value)
+    }
+
+    /// An error of the value at a path such as `workloads[2].rate`.
+    pub(crate) fn error(&self, path: &str, fault: &str) -> String {
+        let offset = locate(&self.json, path).unwrap_or(0);
+        self.error_at(offset, &named(path, fault))
+    }
+
+    fn error_at(&self, offset: usize, fault: &str) -> String {
+        let mut offset = offset.min(self.json.len());
+        while !self.json.is_char_boundary(offset) {
+            offset -= 1;
+        }
+        let before = &self.json[..offset];
+        let start = before.rfind('\n').map_or(0, |end| end + 1);
+        let line = before.matches('\n').count() + 1;
+        let column = before[start..].chars().count() + 1;
+        format!("{}:{line}:{column}: {fault}", self.file)
+    }
+
+    /// The offset of a line and a column in bytes, both from 1.
+    fn offset_of(&self, line: usize, column: usize) -> usize {
+        let lines = self.json.split_inclusive('\n').take(line.saturating_sub(1));
+        let offset = lines.map(str::len).sum::<usize>() + column.saturating_sub(1);
+        offset.min(self.json.len())
+    }
+}
+
+/// Replaces comments by blanks, so that offsets stay the same; the offset of the error otherwise.
+#[expect(clippy::unbuffered_bytes, reason = "the source is in memory")]
+fn strip_comments(text: &str) -> Result<String, usize> {
+    let source = text.as_bytes();
+    let mut json = Vec::with_capacity(source.len());
+    let stripped = CommentSettings::c_style().strip_comments(source);
+    for (offset, byte) in stripped.bytes().enumerate() {
+        let byte = byte.map_err(|_| offset)?;
+        // json_comments blanks the line breaks of block comments, too.
+        json.push(if source[offset] == b'\n' { b'\n' } else { byte });
+    }
+    // serde_json refuses a byte-order mark.
+    if json.starts_with("\u{feff}".as_bytes()) {
+        json[..3].fill(b' ');
+    }
+    String::from_utf8(json).map_err(|err| err.utf8_error().valid_up_to())
+}
+
+/// The offset of the value at a path.
+fn locate(json: &str, path: &str) -> Option<usize> {
+    let mut value = json;
+    for step in path.split(['.', '[']).filter(|step| !step.is_empty()) {
+        value = if let Some(at) = step.strip_suffix(']') {
+            let items: Vec<&RawValue> = serde_json::from_str(value).ok()?;
+            items.get(at.parse::<usize>().ok()?)?.get()
+        } else {
+            let fields: HashMap<Cow<'_, str>, &RawValue> = serde_json::from_str(value).ok()?;
+            fields.get(step)?.get()
+        };
+    }
+    // `value` is a part of `json`.
+    let offset = (value.as_ptr() as usize).checked_sub(json.as_ptr() as usize)?;
+    (offset <= json.len()).then_some(offset)
+}
+
+/// The message of an error without the place that `serde_json` appends.
+fn reason(err: &serde_json::Error) -> String {
+    let text = err.to_string();
+    let place = format!(" at line {} column {}", err.line(), err.column());
+    text.strip_suffix(&place).unwrap_or(&text).to_owned()
+}
+
+fn quoted<'a>(text: &'a str, before: &str) -> Option<&'a str> {
+    text.strip_prefix(before)?.split('`').next()
+}
+
+fn named(path: &str, fault: &str) -> String {
+    match path {
+        "" | "." => fault.to_owned(),
+        path => format!("{path}: {fault}"),
+    }
+}
+
+/// Deserializes a duration with a unit.
+pub(crate) fn duration<'de, D: Deserializer<'de>>(d: D) -> Result<Duration, D::Error> {
+    let text = String::deserialize(d)?;
+    (text.len() <= MAX_DURATION_TEXT)
+        .then(|| humantime::parse_duration(&text).ok())
+        .flatten()
+        .ok_or_else(|| {
+            D::Error::custom(format!(
+                "{text:?} is not a duration; write a number and a unit, for example 410ms or 5s"
+            ))
+        })
+}
+
+/// Deserializes an optional duration with a unit.
+pub(crate) fn some_duration<'de, D: Deserializer<'de>>(d: D) -> Result<Option<Duration>, D::Error> {
+    duration(d).map(Some)
+}
--- /dev/null
+++ b/crates/ctl/src/load.rs
@@ -0,0 +1,326 @@
+//! `load`: an open-loop load on a site.
+
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use clap::Args;
+use http::{HeaderMap, HeaderValue, Method};
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::call::{self, Ask, NotSent, Outcome};
+use crate::check::{self, Seen};
+use crate::file;
+use crate::http::Message;
+use crate::mix::{Action, Mix, Vms, Workload};
+use crate::output::{self, Error, Exit, Output};
+use crate::plan::{Plan, Planned};
+use crate::result::{EventResult, FORMAT, Generator, LoadResult};
+use crate::site::Site;
+use crate::table;
+use crate::tally::{Record, Tally};
+
+/// Most requests in flight. Those above it are not sent, which the result shows.
+const MAX_IN_FLIGHT: u32 = 20_000;
+/// Time between the start of the program and the start of the load.
+const LEAD: Duration = Duration::from_millis(100);
+/// Time for an event's request.
+const EVENT_WAIT: Duration = Duration::from_secs(5);
+/// Entries that a request tries while they refuse the connection.
+const MAX_ENTRIES: usize = 3;
+
+#[derive(Debug, Args)]
+#[command(after_help = "Examples:\n  \
+    primrosectl load --mix mix.jsonc -o result.json\n  \
+    primrosectl load --mix mix.jsonc --seed 7 --commit $(git rev-parse --short HEAD) --json\n\n\
+    A mix file (JSON with comments):\n  \
+    {\n    \
+      \"duration\": \"30s\", \"warm_up\": \"5s\", \"seed\": 1,\n    \
+      \"entries\": [\"127.0.0.1:21001\"],\n    \
+      \"rate\": 100,                      // requests/s of the workloads with a share\n    \
+      \"vms\": \"even\",                    // or \"one\", or {\"moving\": \"10s\"}\n    \
+      \"answer_ids\": true,               // targets name the request id, as stand-ins do\n    \
+      \"workloads\": [{\n      \
+        \"name\": \"quick\", \"share\": 0.8,  // or \"rate\": requests/s\n      \
+        \"path\": \"/v1/chat/completions\", \"stream\": true,\n      \
+        \"workspace\": \"salon-chain\", \"key_file\": \"key.txt\",\n      \
+        \"tier\": \"quick\", \"deadline\": \"410ms\",\n      \
+        \"prompt_tokens\": {\"lognormal\": {\"median\": 200, \"sigma\": 0.7, \"max\": 2000}},\n      \
+        \"output_tokens\": {\"uniform\": {\"min\": 16, \"max\": 64}},\n      \
+        \"prefix\": {\"groups\": 20, \"tokens\": 256}\n    \
+      }, {\n      \
+        \"name\": \"look-up\", \"share\": 0.2, \"path\": \"/catalogue\"  // no model call\n    \
+      }],\n    \
+      \"events\": [\n      \
+        {\"at\": \"10s\", \"action\": {\"rate\": {\"workload\": \"quick\", \"factor\": 10}}},\n      \
+        {\"at\": \"20s\", \"action\": {\"http\": {\"address\": \"127.0.0.1:21401\",\n        \
+          \"method\": \"POST\", \"path\": \"/orders\", \"body\": {}}}}\n    \
+      ]\n  \
+    }\n\
+    Distributions: {\"constant\": N}, {\"uniform\": {min, max}}, {\"lognormal\": {median, sigma, \
+    max}}, {\"pareto\": {min, shape, max}}; prompt tokens come after the shared prefix. A key file \
+    is found from the folder of the mix. Times count from the planned arrival of a request. \
+    Served in time means: first byte within the deadline, or no deadline.\n\n\
+    Exit codes: 0 done, 1 failed or nothing was served, 2 mix rejected, 3 requests were left out \
+    or an event failed.")]
+pub(crate) struct Load {
+    /// The mix file.
+    #[arg(long, value_name = "FILE")]
+    mix: PathBuf,
+    /// Seed, instead of the one of the mix.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Commit of the daemons, for the result.
+    #[arg(long)]
+    commit: Option<String>,
+    /// File for the result, JSON.
+    #[arg(short, long, value_name = "FILE")]
+    output: Option<PathBuf>,
+    /// Time for requests in flight at the end.
+    #[arg(long, default_value = "60s", value_parser = humantime::parse_duration)]
+    drain: Duration,
+}
+
+/// A load that runs.
+struct Running {
+    mix: Mix,
+    site: Arc<Site>,
+    start: Instant,
+    tally: Mutex<Tally>,
+    in_flight: Arc<Semaphore>,
+}
+
+pub(crate) async fn run(args: &Load, out: Output) -> Result<Exit, Error> {
+    let mut mix = Mix::read(&args.mix)?;
+    mix.seed = args.seed.unwrap_or(mix.seed);
+    let site = Site::start(&mix.entries).await?;
+    let running = Arc::new(Running {
+        tally: Mutex::new(Tally::new(&mix)),
+        mix,
+        site,
+        start: Instant::now() + LEAD,
+        in_flight: Arc::new(Semaphore::new(MAX_IN_FLIGHT as usize)),
+    });
+    let events = tokio::spawn(run_events(Arc::clone(&running)));
+    let mut workloads = JoinSet::new();
+    for at in 0..running.mix.workloads.len() {
+        workloads.spawn(send_all(Arc::clone(&running), at));
+    }
+    let over_limit: u64 = workloads.join_all().await.iter().sum();
+    let all = running.in_flight.acquire_many(MAX_IN_FLIGHT);
+    // Requests that are still in flight then are counted as unknown.
+    let _ = tokio::time::timeout(args.drain, all).await;
+    let events = events.await.map_err(|err| Error::failed(err.to_string()))?;
+    let result = running.result(args, events, over_limit);
+    if let Some(path) = &args.output {
+        let text = serde_json::to_string_pretty(&result)
+            .map_err(|err| Error::failed(format!("the result is not JSON: {err}")))?;
+        file::write(path, text.as_bytes())?;
+    }
+    if out.json {
+        out.json(&result);
+    } else {
+        let name = std::slice::from_ref(&result.mix);
+        table::print(name, std::slice::from_ref(&result), out);
+    }
+    Ok(exit(&result))
+}
+
+/// File name of the mix without its folder.
+fn name(path: &Path) -> String {
+    path.file_name()
+        .unwrap_or_default()
+        .to_string_lossy()
+        .into()
+}
+
+fn exit(result: &LoadResult) -> Exit {
+    for event in &result.events {
+        if let Some(err) = &event.error {
+            output::warn(&format!("event {}: {err}", event.action));
+        }
+    }
+    if result.generator.over_limit > 0 {
+        output::warn(&format!(
+            "{} requests were not sent because {MAX_IN_FLIGHT} were in flight",
+            result.generator.over_limit
+        ));
+    }
+    if result.total.served() == 0 {
+        Exit::Failed
+    } else if result.generator.over_limit > 0 || result.events.iter().any(|e| e.error.is_some()) {
+        Exit::Partial
+    } else {
+        Exit::Ok
+    }
+}
+
+impl Running {
+    fn with_tally<T>(&self, work: impl FnOnce(&mut Tally) -> T) -> T {
+        work(&mut self.tally.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn result(&self, args: &Load, events: Vec<EventResult>, over_limit: u64) -> LoadResult {
+        let mix = &self.mix;
+        let tally = self.with_tally(|tally| std::mem::replace(tally, Tally::new(mix)));
+        let rows = tally.finish(mix.duration);
+        LoadResult {
+            format: FORMAT,
+            mix: name(&args.mix),
+            seed: mix.seed,
+            warm_up_seconds: mix.warm_up.as_secs_f64(),
+            duration_seconds: mix.duration.as_secs_f64(),
+            commit: args.commit.clone(),
+            total: rows.total,
+            workloads: rows.workloads,
+            tiers: rows.tiers,
+            workspaces: rows.workspaces,
+            worst_workspace: rows.worst_workspace,
+            generator: Generator {
+                send_lag_seconds: rows.send_lag_seconds,
+                over_limit,
+            },
+            events,
+        }
+    }
+}
+
+/// Sends all requests of a workload as planned. Returns how many were left out.
+async fn send_all(running: Arc<Running>, workload: usize) -> u64 {
+    let mut over_limit = 0;
+    for planned in Plan::new(&running.mix, workload) {
+        tokio::time::sleep_until(running.start + planned.at).await;
+        let measured = planned.at >= running.mix.warm_up;
+        let Ok(permit) = Arc::clone(&running.in_flight).try_acquire_owned() else {
+            over_limit += 1;
+            continue;
+        };
+        let lag = running.start.elapsed().saturating_sub(planned.at);
+        if measured {
+            running.with_tally(|tally| tally.sent(workload, lag));
+        }
+        let running = Arc::clone(&running);
+        tokio::spawn(async move {
+            let record = send_one(&running, workload, planned).await;
+            if measured {
+                running.with_tally(|tally| tally.ended(&record));
+            }
+            drop(permit);
+        });
+    }
+    over_limit
+}
+
+async fn send_one(running: &Running, workload: usize, planned: Planned) -> Record {
+    let mix = &running.mix;
+    let row = &mix.workloads[workload];
+    let ask = ask(row, &planned);
+    let arrival = running.start + planned.at;
+    let mut record = Record {
+        workload,
+        outcome: Outcome::Failed,
+        reason: "not_sent".into(),
+        first: None,
+        gaps: Vec::new(),
+        tokens: 0,
+        resends: 0,
+        resumes: 0,
+    };
+    for attempt in 0..MAX_ENTRIES {
+        // Another entry under a new id is allowed, because nothing was sent.
+        let (vms, choice) = match attempt {
+            0 => (row.vms.unwrap_or(mix.vms), planned.choice),
+            _ => (Vms::Even, planned.choice.wrapping_add(attempt as u64)),
+        };
+        let entry = running.site.choose(vms, planned.at, choice);
+        let id = call::mint(&entry.incarnation);
+        let mut seen = Seen::default();
+        let ended = call::run(&running.site.client, entry.address, &id, &ask, |event| {
+            seen.take(&event.data, mix.answer_ids.then_some(&id));
+        })
+        .await;
+        let ended = match ended {
+            Ok(ended) => ended,
+            Err(NotSent(_)) => continue,
+        };
+        let end = Instant::now();
+        (record.outcome, record.reason) = check::judge(&ended, &id, &seen, mix.answer_ids);
+        record.first = Some(seen.first.unwrap_or(end).saturating_duration_since(arrival));
+        record.tokens = match ended.events {
+            0 => check::usage(&ended.body).unwrap_or(0),
+            _ => seen.usage.unwrap_or(seen.events),
+        };
+        record.gaps = seen.gaps;
+        (record.resends, record.resumes) = (ended.resends, ended.resumes);
+        break;
+    }
+    record
+}
+
+fn ask(workload: &Workload, planned: &Planned) -> Ask {
+    let value = |text: &str| HeaderValue::from_str(text).ok();
+    let method = workload.method.as_ref().and_then(|m| m.parse().ok());
+    Ask {
+        method: method.unwrap_or(if planned.body.is_empty() {
+            Method::GET
+        } else {
+            Method::POST
+        }),
+        path: workload.path.clone(),
+        body: planned.body.clone(),
+        key: workload.authorization.clone(),
+        tier: workload.tier.as_deref().and_then(value),
+        deadline: workload
+            .deadline
+            .and_then(|deadline| value(&format!("{}ms", deadline.as_millis().max(1)))),
+    }
+}
+
+/// Runs the HTTP events of the mix. Changes of rates are part of the plans.
+async fn run_events(running: Arc<Running>) -> Vec<EventResult> {
+    let mut tasks = JoinSet::new();
+    for event in running.mix.events.clone() {
+        let Action::Http {
+            address,
+            method,
+            path,
+            body,
+        } = event.action
+        else {
+            continue;
+        };
+        let running = Arc::clone(&running);
+        tasks.spawn(async move {
+            tokio::time::sleep_until(running.start + event.at).await;
+            let json = HeaderValue::from_static("application/json");
+            let headers = HeaderMap::from_iter([(http::header::CONTENT_TYPE, json)]);
+            let message = Message {
+                method: method.parse().unwrap_or(Method::GET),
+                path: path.clone(),
+                headers,
+                body: body.map(|body| body.to_string()).unwrap_or_default().into(),
+            };
+            let sent = running
+                .site
+                .client
+                .send(address, &message, EVENT_WAIT)
+                .await;
+            let status = sent.map(|response| response.status().as_u16());
+            EventResult {
+                at_seconds: event.at.as_secs_f64(),
+                action: format!("{method} {address}{path}"),
+                error: match &status {
+                    Ok(status) if *status < 400 => None,
+                    Ok(status) => Some(format!("was answered with {status}")),
+                    Err(err) => Some(err.text().to_owned()),
+                },
+                status: status.ok(),
+            }
+        });
+    }
+    let mut results = tasks.join_all().await;
+    results.sort_by(|a, b| a.at_seconds.total_cmp(&b.at_seconds));
+    results
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -3,16 +3,26 @@
 #![forbid(unsafe_code)]
 
 mod call;
+mod check;
 mod command;
+mod dist;
 mod entries;
 mod file;
 mod http;
+mod jsonc;
 mod key;
+mod load;
+mod mix;
 mod output;
+mod plan;
+mod result;
 mod send;
 mod sheets;
+mod site;
 mod sse;
 mod status;
+mod table;
+mod tally;
 
 fn main() -> std::process::ExitCode {
     command::main()
--- /dev/null
+++ b/crates/ctl/src/mix.rs
@@ -0,0 +1,335 @@
+//! The mix file of `load`.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use http::{HeaderValue, Method};
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::dist::{Dist, MAX_TOKENS};
+use crate::jsonc::{self, Document};
+use crate::output::Error;
+use crate::{file, key, send};
+
+/// Largest mix file.
+const MAX_MIX_BYTES: usize = 1 << 18;
+/// Longest warm-up and longest measured time.
+const MAX_TIME: Duration = Duration::from_hours(24);
+/// Highest rate of a workload in requests/s, its rate events included.
+const MAX_RATE: f64 = 100_000.0;
+/// Most workloads, and most events.
+const MAX_ROWS: usize = 1000;
+/// Most shared prefixes of a workload.
+const MAX_GROUPS: u64 = 1 << 20;
+
+/// A load on a site.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Mix {
+    /// Time whose requests are measured, after the warm-up.
+    #[serde(deserialize_with = "jsonc::duration")]
+    pub(crate) duration: Duration,
+    #[serde(default, deserialize_with = "jsonc::duration")]
+    pub(crate) warm_up: Duration,
+    pub(crate) seed: u64,
+    pub(crate) entries: Vec<SocketAddr>,
+    /// Requests/s of all workloads that have a share.
+    pub(crate) rate: Option<f64>,
+    #[serde(default)]
+    pub(crate) vms: Vms,
+    /// Whether the targets name the request id in the `id` field of their answers, as the
+    /// stand-ins do. Then an answer to another request is told by it.
+    #[serde(default)]
+    pub(crate) answer_ids: bool,
+    pub(crate) workloads: Vec<Workload>,
+    #[serde(default)]
+    pub(crate) events: Vec<Event>,
+}
+
+/// Which VMs get the requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Vms {
+    /// All alike, at random.
+    #[default]
+    Even,
+    /// The first by name.
+    One,
+    /// One after the other, each for this time.
+    Moving(#[serde(deserialize_with = "jsonc::duration")] Duration),
+}
+
+/// Requests of one kind.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Workload {
+    pub(crate) name: String,
+    pub(crate) rate: Option<f64>,
+    pub(crate) share: Option<f64>,
+    pub(crate) path: String,
+    /// Name for the results; the key decides what the site takes it for.
+    pub(crate) workspace: Option<String>,
+    pub(crate) key: Option<String>,
+    pub(crate) key_file: Option<String>,
+    pub(crate) tier: Option<String>,
+    #[serde(default, deserialize_with = "jsonc::some_duration")]
+    pub(crate) deadline: Option<Duration>,
+    pub(crate) prompt_tokens: Option<Dist>,
+    pub(crate) output_tokens: Option<Dist>,
+    pub(crate) prefix: Option<Prefix>,
+    #[serde(default)]
+    pub(crate) stream: bool,
+    /// Method and body of requests that are no model calls.
+    pub(crate) method: Option<String>,
+    pub(crate) body: Option<Value>,
+    pub(crate) vms: Option<Vms>,
+    /// The authorization header, read from `key` or `key_file`.
+    #[serde(skip)]
+    pub(crate) authorization: Option<HeaderValue>,
+}
+
+/// Prompts that share their beginnings.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Prefix {
+    pub(crate) groups: u64,
+    pub(crate) tokens: u64,
+}
+
+/// Something that happens while the load runs.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Event {
+    /// Time since the start of the warm-up.
+    #[serde(deserialize_with = "jsonc::duration")]
+    pub(crate) at: Duration,
+    pub(crate) action: Action,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub(crate) enum Action {
+    /// From now on a workload has its first rate times the factor.
+    Rate { workload: String, factor: f64 },
+    /// One HTTP request, for example an order to an engine.
+    Http {
+        address: SocketAddr,
+        method: String,
+        path: String,
+        body: Option<Value>,
+    },
+}
+
+impl Mix {
+    /// Requests/s of a workload at the start.
+    pub(crate) fn rate(&self, workload: &Workload) -> f64 {
+        let share = |share: f64| share * self.rate.unwrap_or(0.0);
+        workload.rate.or(workload.share.map(share)).unwrap_or(0.0)
+    }
+
+    /// Reads and checks a mix file and the key files that it names.
+    pub(crate) fn read(path: &Path) -> Result<Mix, Error> {
+        let text = file::read_text(path, MAX_MIX_BYTES)?;
+        let name = path.display().to_string();
+        let document = Document::new(&name, &text).map_err(Error::rejected)?;
+        let mut mix: Mix = document.parse().map_err(Error::rejected)?;
+        mix.check()
+            .map_err(|(path, fault)| Error::rejected(document.error(&path, &fault)))?;
+        let folder = path.parent().unwrap_or(Path::new(""));
+        for workload in &mut mix.workloads {
+            workload.authorization = match (&workload.key, &workload.key_file) {
+                (None, None) => None,
+                (Some(text), _) => Some(key::authorization(text, &name)?),
+                (None, Some(file)) => key::read(Some(&folder.join(file)))?,
+            };
+        }
+        Ok(mix)
+    }
+
+    /// Checks what the types don't say. The error has the path of the value.
+    fn check(&self) -> Result<(), (String, String)> {
+        require(
+            !self.duration.is_zero() && self.duration <= MAX_TIME,
+            "duration",
+            "is not above 0 and up to 24h",
+        )?;
+        require(self.warm_up <= MAX_TIME, "warm_up", "is longer than 24h")?;
+        require(!self.entries.is_empty(), "entries", "names no address")?;
+        let count = self.workloads.len();
+        require(
+            (1..=MAX_ROWS).contains(&count),
+            "workloads",
+            "has no row or more than 1000",
+        )?;
+        require(
+            self.events.len() <= MAX_ROWS,
+            "events",
+            "has more than 1000 rows",
+        )?;
+        require(is_valid_choice(self.vms), "vms", "moves after no time")?;
+        let mut names = HashSet::new();
+        for (at, workload) in self.workloads.iter().enumerate() {
+            let path = |field: &str| format!("workloads[{at}].{field}");
+            require(
+                names.insert(workload.name.as_str()) && !workload.name.is_empty(),
+                &path("name"),
+                "is empty or given twice",
+            )?;
+            self.check_rate(workload, &path)?;
+            workload.check(&path)?;
+        }
+        for (at, event) in self.events.iter().enumerate() {
+            let path = |field: &str| format!("events[{at}].action.{field}");
+            match &event.action {
+                Action::Rate { workload, factor } => {
+                    let found = self.workloads.iter().find(|w| w.name == *workload);
+                    let Some(found) = found else {
+                        let fault = format!("{workload:?} is no name of a workload");
+                        return Err((path("rate.workload"), fault));
+                    };
+                    let rate = self.rate(found) * factor;
+                    let valid = (0.0..=MAX_RATE).contains(&rate);
+                    require(
+                        valid,
+                        &path("rate.factor"),
+                        "gives no rate from 0 to 100000/s",
+                    )?;
+                }
+                Action::Http {
+                    method, path: to, ..
+                } => {
+                    require(
+                        is_path(to),
+                        &path("http.path"),
+                        "is not a path that starts with \"/\"",
+                    )?;
+                    require(
+                        method.parse::<Method>().is_ok(),
+                        &path("http.method"),
+                        "is not a method",
+                    )?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn check_rate(
+        &self,
+        workload: &Workload,
+        path: &impl Fn(&str) -> String,
+    ) -> Result<(), (String, String)> {
+        let field = match (workload.rate, workload.share) {
+            (Some(_), None) => "rate",
+            (None, Some(_)) => "share",
+            _ => return Err((path("name"), "needs either \"rate\" or \"share\"".into())),
+        };
+        if workload.share.is_some() && self.rate.is_none() {
+            let fault = "needs \"rate\" of the mix; set it or give the workload a rate";
+            return Err((path("share"), fault.into()));
+        }
+        let rate = self.rate(workload);
+        require(
+            rate > 0.0 && rate <= MAX_RATE,
+            &path(field),
+            "gives no rate above 0 and up to 100000/s",
+        )
+    }
+}
+
+impl Workload {
+    pub(crate) fn tier_label(&self) -> &str {
+        self.tier.as_deref().unwrap_or("default")
+    }
+
+    pub(crate) fn workspace_label(&self) -> &str {
+        self.workspace.as_deref().unwrap_or("none")
+    }
+
+    fn check(&self, path: &impl Fn(&str) -> String) -> Result<(), (String, String)> {
+        require(
+            is_path(&self.path),
+            &path("path"),
+            "is not a path that starts with \"/\"",
+        )?;
+        let one_key = self.key.is_none() || self.key_file.is_none();
+        require(
+            one_key,
+            &path("key"),
+            "is given beside \"key_file\"; remove one",
+        )?;
+        if let Some(tier) = &self.tier {
+            require(
+                send::header_value(tier).is_ok(),
+                &path("tier"),
+                "can't be sent in a header",
+            )?;
+        }
+        if let Some(deadline) = self.deadline {
+            require(!deadline.is_zero(), &path("deadline"), "is zero")?;
+        }
+        require(
+            self.vms.is_none_or(is_valid_choice),
+            &path("vms"),
+            "moves after no time",
+        )?;
+        let method = self.method.as_ref();
+        let valid = method.is_none_or(|method| method.parse::<Method>().is_ok());
+        require(valid, &path("method"), "is not a method")?;
+        for (field, dist) in [
+            ("prompt_tokens", &self.prompt_tokens),
+            ("output_tokens", &self.output_tokens),
+        ] {
+            if let Some(Err(fault)) = dist.as_ref().map(Dist::sampler) {
+                return Err((path(field), fault));
+            }
+        }
+        let is_model = self.prompt_tokens.is_some();
+        if is_model {
+            require(
+                self.output_tokens.is_some(),
+                &path("prompt_tokens"),
+                "needs \"output_tokens\"",
+            )?;
+            require(
+                self.body.is_none(),
+                &path("body"),
+                "is given beside \"prompt_tokens\"; remove one",
+            )?;
+        } else {
+            let only = [
+                ("output_tokens", self.output_tokens.is_none()),
+                ("prefix", self.prefix.is_none()),
+                ("stream", !self.stream),
+            ];
+            for (field, absent) in only {
+                require(absent, &path(field), "needs \"prompt_tokens\"")?;
+            }
+        }
+        if let Some(prefix) = self.prefix {
+            let groups = (1..=MAX_GROUPS).contains(&prefix.groups);
+            require(groups, &path("prefix.groups"), "is not from 1 to 1048576")?;
+            let tokens = (1..=MAX_TOKENS).contains(&prefix.tokens);
+            require(tokens, &path("prefix.tokens"), "is not from 1 to 1048576")?;
+        }
+        Ok(())
+    }
+}
+
+fn require(valid: bool, path: &str, fault: &str) -> Result<(), (String, String)> {
+    if valid {
+        return Ok(());
+    }
+    Err((path.into(), fault.into()))
+}
+
+fn is_path(text: &str) -> bool {
+    text.starts_with('/') && text.parse::<http::uri::PathAndQuery>().is_ok()
+}
+
+fn is_valid_choice(vms: Vms) -> bool {
+    vms != Vms::Moving(Duration::ZERO)
+}
