ctl: keep open routes out of the workspaces of a load

Requests without a workspace were counted as workspace "none", which could be named as the worst-served one. They are now counted by workload and tier only.

--- a/crates/ctl/src/mix.rs
+++ b/crates/ctl/src/mix.rs
@@ -245,10 +245,6 @@
         self.tier.as_deref().unwrap_or("default")
     }
 
-    pub(crate) fn workspace_label(&self) -> &str {
-        self.workspace.as_deref().unwrap_or("none")
-    }
-
     fn check(&self, path: &impl Fn(&str) -> String) -> Result<(), (String, String)> {
         require(
             is_path(&self.path),
--- a/crates/ctl/src/tally.rs
+++ b/crates/ctl/src/tally.rs
@@ -142,7 +142,8 @@
 struct Labels {
     name: String,
     tier: String,
-    workspace: String,
+    /// `None` on open routes.
+    workspace: Option<String>,
     deadline: Option<Duration>,
 }
 
@@ -151,19 +152,19 @@
         let labels = mix.workloads.iter().map(|workload| Labels {
             name: workload.name.clone(),
             tier: workload.tier_label().to_owned(),
-            workspace: workload.workspace_label().to_owned(),
+            workspace: workload.workspace.clone(),
             deadline: workload.deadline,
         });
         let labels: Vec<Labels> = labels.collect();
-        let groups = |label: fn(&Labels) -> &String| {
-            let names = labels.iter().map(label).cloned();
+        let groups = |label: fn(&Labels) -> Option<&String>| {
+            let names = labels.iter().filter_map(label).cloned();
             names.map(|name| (name, Group::new())).collect()
         };
         Tally {
             total: Group::new(),
             workloads: labels.iter().map(|_| Group::new()).collect(),
-            tiers: groups(|labels| &labels.tier),
-            workspaces: groups(|labels| &labels.workspace),
+            tiers: groups(|labels| Some(&labels.tier)),
+            workspaces: groups(|labels| labels.workspace.as_ref()),
             send_lag: Times::new(),
             labels,
         }
@@ -187,7 +188,10 @@
             Some(&mut self.total),
             self.workloads.get_mut(workload),
             self.tiers.get_mut(&labels.tier),
-            self.workspaces.get_mut(&labels.workspace),
+            labels
+                .workspace
+                .as_ref()
+                .and_then(|name| self.workspaces.get_mut(name)),
         ];
         for group in groups.into_iter().flatten() {
             change(group, labels.deadline);
--- a/crates/ctl/tests/load.rs
+++ b/crates/ctl/tests/load.rs
@@ -130,6 +130,9 @@
         assert!(row["sent"].as_u64().unwrap() > 0, "{name}");
         assert_eq!(row.pointer(path), Some(&row["sent"]), "{name}: {row}");
     }
+    // Open routes have no workspace that could be served worse than another.
+    assert_eq!(result["workspaces"], serde_json::json!({}));
+    assert!(result["worst_workspace"].is_null());
 }
 
 #[test]
