ctl: add report

Results of loads could only be read one at a time. report shows several side by side with ratios to the first, as a table or JSON, and draws the goodput and the first-token percentiles by tier as SVG.

cargo test -p ctl: 29 passed. The SVG of two trial results parses as XML; it was not viewed in a browser.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -5,7 +5,7 @@
 use clap::{CommandFactory, Parser, Subcommand};
 
 use crate::output::{Error, Exit, Output};
-use crate::{entries, load, send, sheets, status};
+use crate::{entries, load, report, send, sheets, status};
 
 /// Checks, watches and exercises a site of primrosechute.
 #[derive(Debug, Parser)]
@@ -43,6 +43,8 @@
     Send(Box<send::Send>),
     /// Put an open-loop load on a site and measure how it is served.
     Load(load::Load),
+    /// Show results of loads side by side.
+    Report(report::Report),
     /// Print a shell completion script.
     #[command(after_help = "Examples:\n  primrosectl completions bash\n\n\
         Exit codes: 0 printed, 2 unknown shell.")]
@@ -62,6 +64,7 @@
         Command::Status(args) => block_on(status::run(args, out)),
         Command::Send(args) => block_on(send::run(args, out)),
         Command::Load(args) => block_on(load::run(args, out)),
+        Command::Report(args) => report::run(args, out),
         Command::Completions { shell } => {
             let mut command = Args::command();
             let mut stdout = std::io::stdout();
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -15,12 +15,14 @@
 mod mix;
 mod output;
 mod plan;
+mod report;
 mod result;
 mod send;
 mod sheets;
 mod site;
 mod sse;
 mod status;
+mod svg;
 mod table;
 mod tally;
 
--- /dev/null
+++ b/crates/ctl/src/report.rs
@@ -0,0 +1,106 @@
+//! `report`: results of loads side by side.
+
+use std::path::{Path, PathBuf};
+
+use clap::Args;
+use serde_json::{Value, json};
+
+use crate::output::{Error, Exit, Output};
+use crate::result::{FORMAT, LoadResult};
+use crate::{file, svg, table};
+
+/// Largest result file.
+const MAX_RESULT_BYTES: usize = 4 << 20;
+/// Most results in one report.
+const MAX_RESULTS: usize = 16;
+
+#[derive(Debug, Args)]
+#[command(after_help = "Examples:\n  \
+    primrosectl report result.json\n  \
+    primrosectl report baseline.json result.json --svg report.svg\n\n\
+    Each result is a column; the numbers in brackets are ratios to the first one. Rows that are \
+    zero in all results are left out.\n\n\
+    Exit codes: 0 printed, 1 the SVG can't be written, 2 a file is rejected.")]
+pub(crate) struct Report {
+    /// Results of `load`.
+    #[arg(required = true, value_name = "RESULT")]
+    files: Vec<PathBuf>,
+    /// Write charts of the goodput by tier and of the latency percentiles.
+    #[arg(long, value_name = "FILE")]
+    svg: Option<PathBuf>,
+}
+
+pub(crate) fn run(args: &Report, out: Output) -> Result<Exit, Error> {
+    if args.files.len() > MAX_RESULTS {
+        return Err(Error::rejected(format!(
+            "a report has at most {MAX_RESULTS} results"
+        )));
+    }
+    let results: Vec<LoadResult> = args
+        .files
+        .iter()
+        .map(|f| read(f))
+        .collect::<Result<_, _>>()?;
+    let names: Vec<String> = args.files.iter().zip(&results).map(name).collect();
+    if let Some(path) = &args.svg {
+        file::write(path, svg::draw(&names, &results).as_bytes())?;
+    }
+    if out.json {
+        out.json(&document(&names, &results));
+    } else {
+        table::print(&names, &results, out);
+    }
+    Ok(Exit::Ok)
+}
+
+fn read(path: &Path) -> Result<LoadResult, Error> {
+    let text = file::read_text(path, MAX_RESULT_BYTES)?;
+    let rejected = |fault: String| Error::rejected(format!("{}: {fault}", path.display()));
+    let value: Value =
+        serde_json::from_str(&text).map_err(|err| rejected(format!("is not JSON: {err}")))?;
+    match value.get("format").and_then(Value::as_u64) {
+        Some(format) if format == u64::from(FORMAT) => {}
+        Some(format) => return Err(rejected(format!("has format {format}, not {FORMAT}"))),
+        None => return Err(rejected("is not a result of load: it has no format".into())),
+    }
+    serde_json::from_str(&text).map_err(|err| rejected(format!("is not a result of load: {err}")))
+}
+
+fn name((path, result): (&PathBuf, &LoadResult)) -> String {
+    let stem = path.file_stem().unwrap_or_default().to_string_lossy();
+    match &result.commit {
+        Some(commit) => format!("{stem}@{commit}"),
+        None => stem.into_owned(),
+    }
+}
+
+fn document(names: &[String], results: &[LoadResult]) -> Value {
+    let metrics: Vec<Value> = table::metrics(results)
+        .iter()
+        .map(|metric| {
+            let ratios: Vec<_> = (0..results.len()).map(|at| metric.ratio(at)).collect();
+            json!({
+                "group": metric.group,
+                "metric": metric.name,
+                "values": metric.values,
+                "ratios": ratios,
+            })
+        })
+        .collect();
+    let runs: Vec<Value> = names
+        .iter()
+        .zip(results)
+        .map(|(name, result)| {
+            json!({
+                "name": name,
+                "mix": result.mix,
+                "seed": result.seed,
+                "duration_seconds": result.duration_seconds,
+                "commit": result.commit,
+                "worst_workspace": result.worst_workspace,
+                "generator": result.generator,
+            })
+        })
+        .collect();
+    json!({ "results": runs, "metrics": metrics })
+}
