Announce new part epochs before parts start

Cause: the reclaim rule of the limit package now has two rounds: peers first note the new epochs, so that an old holder drops its part before the new one is spent. Change: the query for claims carries the announced parts; the lease of the shares ends by itself when the process is paused.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -233,7 +233,11 @@
         }
         let (fresh, leaving) = (state.view.is_fresh(), state.view.is_leaving());
         drop(state);
-        node.holder.set_lease(now, share_lease(lease));
+        let timing = &node.settings.timing;
+        let margin = timing
+            .hold_down()
+            .saturating_sub(timing.list_lag + timing.lease);
+        node.holder.set_lease(now, share_lease(lease), margin);
         if fresh {
             node.holder.resume();
         }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -359,7 +359,7 @@
                 if let Greeting::Restarted { old } = greeting {
                     self.owner.send(Msg::EntryGone(old));
                 }
-                let moves = self.holder.in_transit_to(incarnation);
+                let moves = self.holder.in_transit_to(now, incarnation);
                 if !moves.moves.is_empty() {
                     self.peers.send(vm, Body::PartMoves(moves));
                 }
@@ -432,7 +432,10 @@
             Body::Offer(offer) => self.offer(offer, peer.incarnation).await.ok(),
             Body::HandoverAsk(ask) => crate::fleet::on_ask(self, peer, &ask).await,
             Body::PartAsk(ask) => Some(Body::PartMoves(self.holder.on_ask(self.now(), peer, &ask))),
-            Body::PartQuery(_) => Some(Body::PartClaims(self.holder.claims(self.now()))),
+            Body::PartQuery(query) => {
+                let claims = self.holder.on_query(self.now(), peer, &query);
+                Some(Body::PartClaims(claims))
+            }
             Body::OutcomeAsk(ask) => {
                 let (outcome, reason) = self.outcome(&ask.id).unwrap_or_default();
                 Some(Body::OutcomeReply(OutcomeReply { outcome, reason }))
--- a/crates/daemon/src/shares.rs
+++ b/crates/daemon/src/shares.rs
@@ -111,8 +111,14 @@
         }
     }
 
-    pub(crate) fn set_lease(&self, now: Duration, lease: LeaseState) {
-        self.lock().shares.set_lease(now, lease);
+    /// Sets the lease; `margin` is the time for which a lease that is held now lasts without a
+    /// further call, as in a pause of the process.
+    pub(crate) fn set_lease(&self, now: Duration, lease: LeaseState, margin: Duration) {
+        let mut state = self.lock();
+        state.shares.set_lease(now, lease);
+        if lease == LeaseState::Held {
+            state.shares.set_lease_end(now, now + margin);
+        }
     }
 
     pub(crate) fn suspend(&self) {
@@ -132,9 +138,15 @@
         self.lock().shares.status(now).collect()
     }
 
-    /// All claims, in answer to a query.
-    pub(crate) fn claims(&self, now: Duration) -> PartClaims {
-        let claims = self.lock().shares.claims(now);
+    /// Notes the claims of a query and answers it with all own claims.
+    pub(crate) fn on_query(&self, now: Duration, peer: &Peer, query: &PartQuery) -> PartClaims {
+        let mut state = self.lock();
+        for claim in &query.claims {
+            state
+                .shares
+                .note_claim(now, peer.incarnation.0, &claim_of(claim));
+        }
+        let claims = state.shares.claims(now);
         PartClaims {
             claims: claims.iter().map(claim_message).collect(),
         }
@@ -208,9 +220,9 @@
     }
 
     /// Parts in transit to an incarnation, to be sent again on a new link.
-    pub(crate) fn in_transit_to(&self, incarnation: Incarnation) -> PartMoves {
+    pub(crate) fn in_transit_to(&self, now: Duration, incarnation: Incarnation) -> PartMoves {
         let state = self.lock();
-        let moves = state.shares.in_transit();
+        let moves = state.shares.in_transit(now);
         PartMoves {
             moves: moves
                 .filter(|part| part.receiver == incarnation.0)
@@ -331,7 +343,8 @@
 
 /// Sends moves again whose answer has not come. Copies are harmless.
 fn resend(node: &Arc<Node>) {
-    let moves: Vec<_> = node.holder.lock().shares.in_transit().collect();
+    let now = node.now();
+    let moves: Vec<_> = node.holder.lock().shares.in_transit(now).collect();
     send_moves(node, moves);
 }
 
@@ -355,24 +368,31 @@
 
 /// Asks peers for their claims where a part may have to be started.
 fn query(node: &Arc<Node>) {
-    let asked = node.now();
-    let peers = node.holder.lock().reclaim.ask(asked);
-    for incarnation in peers {
+    let query = {
+        let mut guard = node.holder.lock();
+        let State { shares, reclaim } = &mut *guard;
+        reclaim.ask(node.now(), shares)
+    };
+    let message = PartQuery {
+        claims: query.claims.iter().map(claim_message).collect(),
+    };
+    for incarnation in query.peers {
         let Some(vm) = node.peers.find(Incarnation(incarnation)) else {
             continue;
         };
         let node = Arc::clone(node);
+        let (round, message) = (query.round, message.clone());
         tokio::spawn(async move {
             let wait = node.settings.timing.silent;
-            let query = Body::PartQuery(PartQuery {});
-            if let Ok(Body::PartClaims(answer)) = node.peers.call(&vm, query, wait).await {
+            let answer = node.peers.call(&vm, Body::PartQuery(message), wait).await;
+            if let Ok(Body::PartClaims(answer)) = answer {
                 let claims: Vec<Claim> = answer.claims.iter().map(claim_of).collect();
                 let now = node.now();
                 let mut state = node.holder.lock();
                 for claim in &claims {
                     state.shares.note_claim(now, incarnation, claim);
                 }
-                state.reclaim.answered(asked, incarnation, &claims);
+                state.reclaim.answered(round, incarnation, &claims);
             }
         });
     }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -334,7 +334,12 @@
 
 /// Asks which parts of all workspaces the receiver holds.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct PartQuery {}
+pub struct PartQuery {
+    /// Parts that the sender is about to start, with their new epochs. The receiver notes them
+    /// before it answers.
+    #[prost(message, repeated, tag = "1")]
+    pub claims: Vec<PartClaim>,
+}
 
 /// All parts that a daemon holds or has in transit.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
