--- a/crates/limit/src/balance.rs
+++ b/crates/limit/src/balance.rs
@@ -44,6 +44,7 @@
                 return false;
             };
             let Some((peer, rate)) = w.peers.neediest(now) else {
+                w.asked = false;
                 return false;
             };
             if busy < MAX_WORKSPACES && now.saturating_sub(w.balanced) >= INTERVAL {
--- a/crates/limit/src/model.rs
+++ b/crates/limit/src/model.rs
@@ -62,11 +62,12 @@
     pub hold_down: Duration,
 }
 
-/// Claims older than this don't count when a part is started.
+/// Claims older than this are asked for again before a part is started.
 pub const CLAIM_AGE: Duration = Duration::from_secs(3);
 
 /// A holder goes on claiming a part that it gave away for this time. A part that moves while claims
-/// are collected would otherwise be missed: its receiver answers before the move, its giver after.
+/// are collected would otherwise be missed and started empty: its receiver answers before the move,
+/// its giver after.
 /// Twice [`CLAIM_AGE`], for clocks that run at different speeds.
 pub(crate) const CLAIM_MEMORY: Duration = Duration::from_secs(6);
 
@@ -77,7 +78,7 @@
     Held,
     /// The list is too old: parts are spent, but accrue nothing and don't move.
     InDoubt,
-    /// In doubt for longer than the hold-down: other daemons may have replaced the parts.
+    /// No list has named the daemon for so long that others may have started its parts anew.
     Expired,
 }
 
--- a/crates/limit/src/moves.rs
+++ b/crates/limit/src/moves.rs
@@ -42,18 +42,19 @@
         };
         w.advance(now, true);
         w.peers.asked(now, receiver, tokens);
+        let new = !std::mem::replace(&mut w.asked, true);
         let moves = match spare(w, now, tokens) {
             Some((count, micros)) => w.send(ws, count, micros, receiver),
             None => Vec::new(),
         };
-        if !self.asked.contains(ws) {
+        if new {
             self.asked.push(ws.clone());
         }
         moves
     }
 
-    /// Gives everything, for a daemon that leaves. Workspaces with debt are kept, since a part
-    /// can't carry it.
+    /// Gives all parts of a workspace, for a daemon that leaves; refunds of its open reservations
+    /// are lost. Nothing is given while the workspace has debt, since a part can't carry it.
     pub fn give_all(&mut self, now: Duration, ws: &Name, receiver: Incarnation) -> Vec<PartMove> {
         if !self.movable(now) || !self.peers.contains(&receiver) {
             return Vec::new();
--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -97,6 +97,7 @@
         for (name, w) in &mut self.workspaces {
             if w.removed.is_none() && !limits.contains_key(name) {
                 w.clear();
+                w.asked = false;
                 w.removed = Some(now);
             }
         }
--- a/crates/limit/src/workspace.rs
+++ b/crates/limit/src/workspace.rs
@@ -48,6 +48,8 @@
     /// a delayed move isn't taken twice.
     pub(crate) removed: Option<Duration>,
     pub(crate) balanced: Duration,
+    /// Whether a peer asked for tokens a moment ago.
+    pub(crate) asked: bool,
     seen: [Seen; PARTS as usize],
     given: Vec<Given>,
     /// Bit `i` is set if part `i` is held.
@@ -66,6 +68,7 @@
             refused: Refused::default(),
             removed: None,
             balanced: Duration::ZERO,
+            asked: false,
             seen: [Seen::default(); PARTS as usize],
             given: Vec::new(),
             held: 0,
