Describe how a daemon drives the shares

The wall clock as the lower bound of epochs is now a stated duty: without it, a daemon that started after the loss of a part could reuse an epoch of which a late move is still under way. The fleet test finds out by a reservation who may spend, instead of from its own state.

--- a/crates/limit/src/reclaim.rs
+++ b/crates/limit/src/reclaim.rs
@@ -246,9 +246,9 @@
         }
     }
 
-    /// Starts the unclaimed parts if nothing is to be waited for. `floor` is a lower bound for
-    /// epochs that grows over the fleet's life, as the wall clock does: a part whose last epoch is
-    /// forgotten everywhere then still gets a higher one.
+    /// Ends a round if nothing is to be waited for; the second of two starts parts. `floor` is the
+    /// wall clock in milliseconds: it makes the epoch higher than one that all daemons now listed
+    /// have forgotten. Wall clocks may differ by less than the hold-down.
     pub fn poll(&mut self, now: Duration, shares: &mut Shares, floor: u64) -> Vec<Started> {
         if self.version != shares.version {
             self.version = shares.version;
--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -209,8 +209,8 @@
 
     /// Sets the state of the daemon's lease.
     ///
-    /// Parts are dropped when a lease that had expired is held again: other daemons may have
-    /// started them anew. See [`Self::keep_expired`] for the exception.
+    /// Parts are dropped when an expired lease gets another state: other daemons may have started
+    /// them anew. See [`Self::keep_expired`] for the exception.
     pub fn set_lease(&mut self, now: Duration, state: LeaseState) {
         let keep = std::mem::take(&mut self.listed_throughout);
         let was = self.lease(now);
--- a/crates/limit/tests/fleet/model.rs
+++ b/crates/limit/tests/fleet/model.rs
@@ -73,7 +73,6 @@
     listed: Option<(Duration, usize)>,
     reach: Reach,
     paused: bool,
-    suspended: bool,
 }
 
 /// VM, incarnation, index in the list of used tokens, and reservation.
@@ -169,7 +168,6 @@
                 let d = self.daemons[vm % vms].as_mut();
                 if let Some(d) = d.filter(|d| d.paused != pause) {
                     d.paused = pause;
-                    d.suspended = true;
                     d.shares.suspend();
                 }
             }
@@ -208,7 +206,6 @@
             listed: None,
             reach: Reach::All,
             paused: false,
-            suspended: false,
         });
     }
 
@@ -278,10 +275,11 @@
             d.generation = d.generation.max(newest);
             d.read_list(now, vm, &lists[d.generation].1);
         }
-        if d.listed.is_none_or(|(at, _)| now >= at + LEASE) && !d.expired(now) {
+        let age = now.saturating_sub(d.listed.map_or(Duration::ZERO, |(at, _)| at));
+        if (LEASE..SPENDS).contains(&age) {
             d.shares.set_lease(now, LeaseState::InDoubt);
         }
-        d.reclaim.poll(now, &mut d.shares, 0);
+        d.reclaim.poll(now, &mut d.shares, now.as_secs());
         let query = d.reclaim.ask(now, &mut d.shares);
         let known = d.known.clone();
         let (incarnation, silent) = (d.incarnation, d.reach == Reach::Nothing);
@@ -344,10 +342,10 @@
         let now = self.now;
         let mut spenders = vec![Vec::new(); usize::from(PARTS)];
         for (vm, d) in self.daemons.iter_mut().enumerate() {
-            let Some(d) = d.as_mut().filter(|d| !d.paused && !d.suspended) else {
+            let Some(d) = d.as_mut().filter(|d| !d.paused) else {
                 continue;
             };
-            if !d.expired(now) {
+            if d.shares.reserve(now, &ws(), 0).is_ok() {
                 for number in d.shares.status(now).flat_map(|s| s.held) {
                     spenders[usize::from(number)].push(vm);
                 }
@@ -381,10 +379,6 @@
 }
 
 impl Daemon {
-    fn expired(&self, now: Duration) -> bool {
-        self.listed.is_some_and(|(at, _)| now >= at + SPENDS)
-    }
-
     fn read_list(&mut self, now: Duration, vm: usize, list: &[bool]) {
         let peers = (0..list.len()).filter(|&p| p != vm && list[p]);
         let rows = peers
@@ -403,7 +397,6 @@
             self.listed = Some((now, self.generation));
             self.shares.set_lease_end(now, now + SPENDS);
             self.shares.set_lease(now, LeaseState::Held);
-            self.suspended = false;
             self.shares.resume();
         }
     }
