--- a/crates/limit/tests/fleet/model.rs
+++ b/crates/limit/tests/fleet/model.rs
@@ -73,7 +73,6 @@
     listed: Option<(Duration, usize)>,
     reach: Reach,
     paused: bool,
-    suspended: bool,
 }
 
 /// VM, incarnation, index in the list of used tokens, and reservation.
@@ -98,10 +97,6 @@
     Name::from("salon-7")
 }
 
-fn vm_name(vm: usize) -> Name {
-    Name::from(format!("vm-{vm}"))
-}
-
 impl Fleet {
     /// Starts all VMs at once and waits until the buckets are full.
     pub fn start(vms: usize) -> Self {
@@ -115,9 +110,6 @@
             used: Vec::new(),
             lost_debt: 0,
         };
-        for vm in 0..vms {
-            f.step(&Op::Start(vm));
-        }
         f.heal(15);
         f
     }
@@ -133,9 +125,7 @@
             self.step(&Op::Cut(vm, Reach::All));
         }
         for _ in 0..seconds {
-            for vm in 0..self.daemons.len() {
-                self.step(&Op::Resend(vm));
-            }
+            (0..self.daemons.len()).for_each(|vm| self.step(&Op::Resend(vm)));
             self.step(&Op::Flush);
             self.step(&Op::Time(1_000));
             self.step(&Op::Flush);
@@ -152,9 +142,7 @@
             Op::Reserve(vm, quarters) => self.reserve(vm % vms, quarters),
             Op::ReserveAll => (0..vms).for_each(|vm| self.reserve(vm, 4)),
             Op::Settle(i, quarters) => self.settle(i, quarters),
-            Op::SettleAll(quarters) => {
-                (0..self.open.len()).for_each(|_| self.settle(0, quarters));
-            }
+            Op::SettleAll(q) => (0..self.open.len()).for_each(|_| self.settle(0, q)),
             Op::Ask(from, to, tokens) => self.send(from % vms, to % vms, Body::Ask(tokens)),
             Op::Balance(vm) => self.moves(vm % vms, |d, now| d.shares.balance(now)),
             Op::GiveAll(from, to) => {
@@ -163,11 +151,7 @@
                 }
             }
             Op::Deliver(i) => self.deliver(i),
-            Op::Flush => {
-                for _ in 0..self.net.len() {
-                    self.deliver(0);
-                }
-            }
+            Op::Flush => (0..self.net.len()).for_each(|_| self.deliver(0)),
             Op::Duplicate(i) => {
                 let copy = self.net.get(i % self.net.len().max(1)).cloned();
                 self.net.extend(copy);
@@ -181,12 +165,9 @@
             Op::Crash(vm) => self.crash(vm % vms),
             Op::Start(vm) => self.launch(vm % vms),
             Op::Pause(vm, pause) => {
-                if let Some(d) = self.daemons[vm % vms]
-                    .as_mut()
-                    .filter(|d| d.paused != pause)
-                {
+                let d = self.daemons[vm % vms].as_mut();
+                if let Some(d) = d.filter(|d| d.paused != pause) {
                     d.paused = pause;
-                    d.suspended = true;
                     d.shares.suspend();
                 }
             }
@@ -225,7 +206,6 @@
             listed: None,
             reach: Reach::All,
             paused: false,
-            suspended: false,
         });
     }
 
@@ -295,10 +275,11 @@
             d.generation = d.generation.max(newest);
             d.read_list(now, vm, &lists[d.generation].1);
         }
-        if d.listed.is_none_or(|(at, _)| now >= at + LEASE) && !d.expired(now) {
+        let age = now.saturating_sub(d.listed.map_or(Duration::ZERO, |(at, _)| at));
+        if (LEASE..SPENDS).contains(&age) {
             d.shares.set_lease(now, LeaseState::InDoubt);
         }
-        d.reclaim.poll(now, &mut d.shares, 0);
+        d.reclaim.poll(now, &mut d.shares, now.as_secs());
         let query = d.reclaim.ask(now, &mut d.shares);
         let known = d.known.clone();
         let (incarnation, silent) = (d.incarnation, d.reach == Reach::Nothing);
@@ -307,10 +288,8 @@
                 let body = Body::Query(query.round, query.claims.clone());
                 self.send(vm, to, body);
             }
-            let d = self
-                .running(to)
-                .filter(|d| !silent && d.reach != Reach::Nothing);
-            if let Some(d) = d.filter(|_| to != vm) {
+            let greets = |d: &&mut Daemon| to != vm && !silent && d.reach != Reach::Nothing;
+            if let Some(d) = self.running(to).filter(greets) {
                 d.known[vm] = Some(incarnation);
             }
         }
@@ -363,10 +342,10 @@
         let now = self.now;
         let mut spenders = vec![Vec::new(); usize::from(PARTS)];
         for (vm, d) in self.daemons.iter_mut().enumerate() {
-            let Some(d) = d.as_mut().filter(|d| !d.paused && !d.suspended) else {
+            let Some(d) = d.as_mut().filter(|d| !d.paused) else {
                 continue;
             };
-            if !d.expired(now) {
+            if d.shares.reserve(now, &ws(), 0).is_ok() {
                 for number in d.shares.status(now).flat_map(|s| s.held) {
                     spenders[usize::from(number)].push(vm);
                 }
@@ -400,21 +379,15 @@
 }
 
 impl Daemon {
-    fn expired(&self, now: Duration) -> bool {
-        self.listed.is_some_and(|(at, _)| now >= at + SPENDS)
-    }
-
     fn read_list(&mut self, now: Duration, vm: usize, list: &[bool]) {
         let peers = (0..list.len()).filter(|&p| p != vm && list[p]);
-        let rows = peers.clone().map(|p| (vm_name(p), self.known[p]));
+        let rows = peers
+            .clone()
+            .map(|p| (Name::from(format!("vm-{p}")), self.known[p]));
         self.reclaim.set_listed(now, &mut self.shares, rows);
-        let weight = |number: u16, vm: usize| (usize::from(number) * 31 + vm * 17) % 23 * 10 + vm;
-        let first = |&number: &u16| {
-            list[vm]
-                && peers
-                    .clone()
-                    .all(|p| weight(number, p) < weight(number, vm))
-        };
+        let weight = |n: u16, vm: usize| (usize::from(n) * 31 + vm * 17) % 23 * 10 + vm;
+        let won = |n: u16, p| weight(n, p) < weight(n, vm);
+        let first = |&n: &u16| list[vm] && peers.clone().all(|p| won(n, p));
         let mask = (0..PARTS).filter(first).fold(0, |mask, n| mask | 1 << n);
         self.reclaim.set_successor(now, &ws(), mask);
         if list[vm] {
@@ -424,7 +397,6 @@
             self.listed = Some((now, self.generation));
             self.shares.set_lease_end(now, now + SPENDS);
             self.shares.set_lease(now, LeaseState::Held);
-            self.suspended = false;
             self.shares.resume();
         }
     }
