--- a/crates/ctl/src/send.rs
+++ b/crates/ctl/src/send.rs
@@ -15,6 +15,7 @@
 use crate::entries::{self, Entry};
 use crate::http::Client;
 use crate::output::{self, Colour, Error, Exit, Output};
+use crate::sse::Event;
 use crate::{file, key};
 
 /// Largest body of a request.
@@ -119,7 +120,7 @@
         output::warn(err);
     }
     let mut text = String::new();
-    let mut show = |event: &crate::sse::Event| {
+    let mut show = |event: &Event| {
         let piece = answer_text(&event.data).unwrap_or_default();
         if out.json {
             text.push_str(&piece);
@@ -129,14 +130,7 @@
             let _ = stdout.flush();
         }
     };
-    let sending = send(args, &client, &ask, found.list.entries, &mut show);
-    let Ok(sent) = tokio::time::timeout(args.timeout, sending).await else {
-        let wait = humantime::format_duration(args.timeout);
-        return Err(Error::failed(format!(
-            "no answer within {wait}; the outcome is unknown"
-        )));
-    };
-    let sent = sent?;
+    let sent = send(args, &client, &ask, found.list.entries, &mut show).await?;
     print(args, &sent, text, out);
     let served = sent.ended.outcome == Outcome::Served && sent.ended.whole;
     Ok(if served { Exit::Ok } else { Exit::Failed })
@@ -224,7 +218,7 @@
     client: &Client,
     ask: &Ask,
     mut entries: Vec<Entry>,
-    show: &mut impl FnMut(&crate::sse::Event),
+    show: &mut impl FnMut(&Event),
 ) -> Result<Sent, Error> {
     entries.shuffle(&mut rand::rng());
     if let Some(id) = &args.id {
@@ -232,7 +226,7 @@
         let entry = named.cloned();
         if let Some(entry) = &entry {
             // An earlier attempt may have arrived, so no other entry may get the request.
-            match call::run(client, entry.address, id, ask, show).await {
+            match attempt(args, client, entry, id, ask, show).await {
                 Ok(ended) => return finish(id.clone(), entry.clone(), Ok(ended)),
                 Err(NotSent(text)) => output::warn(&text),
             }
@@ -245,7 +239,7 @@
     let mut last = "the site lists no entries".to_owned();
     for entry in entries {
         let id = call::mint(&entry.incarnation);
-        match call::run(client, entry.address, &id, ask, &mut *show).await {
+        match attempt(args, client, &entry, &id, ask, show).await {
             // Nothing was sent, so another entry may get the request under a new id.
             Err(NotSent(text)) => {
                 output::warn(&text);
@@ -257,6 +251,24 @@
     Err(Error::failed(format!("no entry takes the request: {last}")))
 }
 
+/// Sends the request to one entry. Its id is kept when the time is over, to look the outcome up.
+async fn attempt(
+    args: &Send,
+    client: &Client,
+    entry: &Entry,
+    id: &str,
+    ask: &Ask,
+    show: &mut impl FnMut(&Event),
+) -> Result<Ended, NotSent> {
+    let run = call::run(client, entry.address, id, ask, show);
+    let ended = tokio::time::timeout(args.timeout, run).await;
+    ended.unwrap_or_else(|_| {
+        let wait = humantime::format_duration(args.timeout);
+        let reason = format!("no answer within {wait}");
+        Ok(Ended::looked_up(Outcome::Unknown, reason))
+    })
+}
+
 fn finish(id: String, entry: Entry, ended: Result<Ended, NotSent>) -> Result<Sent, Error> {
     let ended = ended.map_err(|NotSent(text)| Error::failed(text))?;
     let entry = Some(entry);
--- a/crates/ctl/tests/send.rs
+++ b/crates/ctl/tests/send.rs
@@ -155,6 +155,24 @@
     assert_eq!(server.seen().len(), 2);
 }
 
+/// The id must be printed when the time is over, or the outcome can't be looked up later.
+#[test]
+fn a_request_without_an_answer_ends_as_unknown_with_its_id() {
+    let server = site(|_, _| {
+        std::thread::park();
+        String::new()
+    });
+
+    let done = send(&server, &["--prompt", "x", "--timeout", "1s"]);
+
+    let result = done.json();
+    let sent = server.seen().pop().unwrap();
+    assert_eq!(done.code, Some(1));
+    assert_eq!(result["request_id"], sent.header("x-request-id").unwrap());
+    assert_eq!(result["outcome"], "unknown");
+    assert_eq!(result["reason"], "no answer within 1s");
+}
+
 #[test]
 fn an_id_of_another_incarnation_is_only_looked_up() {
     let server = site(|_, _| reply("200 OK", "", r#"{"outcome":"served","reason":""}"#));
