--- a/crates/ctl/src/tally.rs
+++ b/crates/ctl/src/tally.rs
@@ -14,6 +14,11 @@
 /// Significant digits of the histograms.
 const DIGITS: u8 = 3;
 
+/// Most reasons of an outcome that are counted one by one. The site chooses the reasons.
+const MAX_REASONS: usize = 32;
+/// Reason under which all others are counted.
+const OTHER: &str = "other";
+
 /// How one request ended, as its caller saw it.
 #[derive(Debug)]
 pub(crate) struct Record {
@@ -102,7 +107,9 @@
             Outcome::Failed => &mut row.failed,
             Outcome::Unknown => &mut row.unknown,
         };
-        *reasons.entry(record.reason.clone()).or_default() += 1;
+        let full = reasons.len() >= MAX_REASONS && !reasons.contains_key(&record.reason);
+        let reason = if full { OTHER } else { &record.reason };
+        *reasons.entry(reason.to_owned()).or_default() += 1;
     }
 
     fn finish(self, measured: Duration) -> Row {
