--- /dev/null
+++ b/crates/ctl/tests/cli.rs
@@ -0,0 +1,92 @@
+//! Help, version and completions.
+
+mod common;
+
+use common::server::closed;
+use common::{run, write};
+
+const COMMANDS: [&[&str]; 9] = [
+    &["sheet"],
+    &["sheet", "check"],
+    &["sheet", "compile"],
+    &["entries"],
+    &["status"],
+    &["send"],
+    &["load"],
+    &["report"],
+    &["completions"],
+];
+
+#[test]
+fn every_command_has_help_with_examples_and_exit_codes() {
+    for command in COMMANDS.iter().chain([&[][..]].iter()) {
+        let done = run(&[command, &["--help"][..]].concat());
+
+        assert_eq!(done.code, Some(0), "{command:?}");
+        let example = format!("Examples:\n  primrosectl {}", command.join(" "));
+        assert!(
+            done.out.contains(example.trim_end()),
+            "{command:?}: {}",
+            done.out
+        );
+        assert!(
+            done.out.contains("Exit codes: 0 "),
+            "{command:?}: {}",
+            done.out
+        );
+        assert!(done.out.contains("--json"), "{command:?}: {}", done.out);
+    }
+}
+
+/// A key on a command line is visible to all users of the machine.
+#[test]
+fn no_command_takes_a_key_as_an_argument() {
+    for command in COMMANDS {
+        let done = run(&[command, &["--help"][..]].concat());
+
+        assert!(!done.out.contains("--key "), "{command:?}");
+    }
+}
+
+#[test]
+fn version_and_completions_are_printed() {
+    let version = run(&["--version"]);
+    let script = run(&["completions", "bash"]);
+    let odd = run(&["completions", "dos"]);
+
+    assert_eq!(
+        version.out,
+        concat!("primrosectl ", env!("CARGO_PKG_VERSION"), "\n")
+    );
+    assert!(
+        script.out.contains("primrosectl__subcmd__sheet"),
+        "{}",
+        script.out
+    );
+    assert_eq!(
+        (version.code, script.code, odd.code),
+        (Some(0), Some(0), Some(2))
+    );
+}
+
+/// The example in the help must be accepted, down to the lookup of the entries.
+#[test]
+fn the_mix_in_the_help_is_a_valid_mix() {
+    let dir = tempfile::tempdir().unwrap();
+    let help = run(&["load", "--help"]).out;
+    let start = help.find("  {\n").unwrap();
+    let end = help.find("\n  }\n").unwrap() + 5;
+    let dead = closed().to_string();
+    let mix = write(
+        &dir,
+        "mix.jsonc",
+        &help[start..end].replace("127.0.0.1:21001", &dead),
+    );
+    write(&dir, "key.txt", "demo-key");
+
+    let done = run(&["load", "--mix", &mix]);
+
+    let expected = format!("error: no address answered with its entries: {dead}: ");
+    assert!(done.err.starts_with(&expected), "{}", done.err);
+    assert_eq!(done.code, Some(1));
+}
