--- a/crates/ctl/src/load.rs
+++ b/crates/ctl/src/load.rs
@@ -62,7 +62,8 @@
     max}}, {\"pareto\": {min, shape, max}}; prompt tokens come after the shared prefix. A key file \
     is found from the folder of the mix. Latencies count from the planned \
     arrival of a request, events from the start of the warm-up. \
-    Served in time means: first byte within the deadline, or no deadline.\n\n\
+    Served in time means: first byte within the deadline, or no deadline. An answer that is no \
+    stream has its first token when it is whole.\n\n\
     Exit codes: 0 done, 1 failed or nothing was served, 2 mix rejected, 3 requests were left out \
     or an event failed.")]
 pub(crate) struct Load {
--- a/crates/ctl/src/report.rs
+++ b/crates/ctl/src/report.rs
@@ -19,7 +19,8 @@
     primrosectl report result.json\n  \
     primrosectl report baseline.json result.json --svg report.svg\n\n\
     Each result is a column; the numbers in brackets are ratios to the first one. Rows that are \
-    zero in all results are left out.\n\n\
+    zero in all results are left out. The worst workspace has the smallest share of its requests \
+    served in time; its ratio is to the median share.\n\n\
     Exit codes: 0 printed, 1 the SVG can't be written, 2 a file is rejected.")]
 pub(crate) struct Report {
     /// Results of `load`.
