--- a/crates/ctl/src/load.rs
+++ b/crates/ctl/src/load.rs
@@ -12,15 +12,14 @@
 
 use crate::call::{self, Ask, NotSent, Outcome};
 use crate::check::{self, Seen};
-use crate::file;
 use crate::http::Message;
 use crate::mix::{Action, Mix, Vms, Workload};
 use crate::output::{self, Error, Exit, Output};
 use crate::plan::{Plan, Planned};
 use crate::result::{EventResult, FORMAT, Generator, LoadResult};
 use crate::site::Site;
-use crate::table;
 use crate::tally::{Record, Tally};
+use crate::{duration, file, table};
 
 /// Most requests in flight. Those above it are not sent, which the result shows.
 const MAX_IN_FLIGHT: u32 = 20_000;
@@ -61,8 +60,10 @@
     }\n\
     Distributions: {\"constant\": N}, {\"uniform\": {min, max}}, {\"lognormal\": {median, sigma, \
     max}}, {\"pareto\": {min, shape, max}}; prompt tokens come after the shared prefix. A key file \
-    is found from the folder of the mix. Times count from the planned arrival of a request. \
-    Served in time means: first byte within the deadline, or no deadline.\n\n\
+    is found from the folder of the mix. Latencies count from the planned \
+    arrival of a request, events from the start of the warm-up. \
+    Served in time means: first byte within the deadline, or no deadline. An answer that is no \
+    stream has its first token when it is whole.\n\n\
     Exit codes: 0 done, 1 failed or nothing was served, 2 mix rejected, 3 requests were left out \
     or an event failed.")]
 pub(crate) struct Load {
@@ -79,7 +80,7 @@
     #[arg(short, long, value_name = "FILE")]
     output: Option<PathBuf>,
     /// Time for requests in flight at the end.
-    #[arg(long, default_value = "60s", value_parser = humantime::parse_duration)]
+    #[arg(long, default_value = "60s", value_parser = duration::parse)]
     drain: Duration,
 }
 
--- a/crates/ctl/src/send.rs
+++ b/crates/ctl/src/send.rs
@@ -15,7 +15,8 @@
 use crate::entries::{self, Entry};
 use crate::http::Client;
 use crate::output::{self, Colour, Error, Exit, Output};
-use crate::{file, key};
+use crate::sse::Event;
+use crate::{duration, file, key};
 
 /// Largest body of a request.
 const MAX_BODY: usize = 16 << 20;
@@ -72,7 +73,7 @@
     #[arg(long, value_parser = request_id)]
     id: Option<String>,
     /// Time after which the request is given up with an unknown outcome.
-    #[arg(long, default_value = "10m", value_parser = humantime::parse_duration)]
+    #[arg(long, default_value = "10m", value_parser = duration::parse)]
     timeout: Duration,
 }
 
@@ -81,16 +82,11 @@
 }
 
 /// Checks a deadline as daemons do.
-pub(crate) fn deadline(text: &str) -> Result<HeaderValue, String> {
-    // humantime 2.4 panics on some numbers of 20 digits.
-    const MAX_TEXT: usize = 16;
-    let parsed = (text.len() <= MAX_TEXT)
-        .then(|| humantime::parse_duration(text).ok())
-        .flatten();
-    match parsed {
-        Some(deadline) if !deadline.is_zero() => header_value(text),
-        _ => Err("not a duration above 0; write a number and a unit, for example 410ms".into()),
+fn deadline(text: &str) -> Result<HeaderValue, String> {
+    if duration::parse(text)?.is_zero() {
+        return Err("zero; write a longer deadline".into());
     }
+    header_value(text)
 }
 
 /// Checks the form of a request id, so that it fits into a path and a header.
@@ -119,7 +115,7 @@
         output::warn(err);
     }
     let mut text = String::new();
-    let mut show = |event: &crate::sse::Event| {
+    let mut show = |event: &Event| {
         let piece = answer_text(&event.data).unwrap_or_default();
         if out.json {
             text.push_str(&piece);
@@ -129,14 +125,7 @@
             let _ = stdout.flush();
         }
     };
-    let sending = send(args, &client, &ask, found.list.entries, &mut show);
-    let Ok(sent) = tokio::time::timeout(args.timeout, sending).await else {
-        let wait = humantime::format_duration(args.timeout);
-        return Err(Error::failed(format!(
-            "no answer within {wait}; the outcome is unknown"
-        )));
-    };
-    let sent = sent?;
+    let sent = send(args, &client, &ask, found.list.entries, &mut show).await?;
     print(args, &sent, text, out);
     let served = sent.ended.outcome == Outcome::Served && sent.ended.whole;
     Ok(if served { Exit::Ok } else { Exit::Failed })
@@ -224,7 +213,7 @@
     client: &Client,
     ask: &Ask,
     mut entries: Vec<Entry>,
-    show: &mut impl FnMut(&crate::sse::Event),
+    show: &mut impl FnMut(&Event),
 ) -> Result<Sent, Error> {
     entries.shuffle(&mut rand::rng());
     if let Some(id) = &args.id {
@@ -232,7 +221,7 @@
         let entry = named.cloned();
         if let Some(entry) = &entry {
             // An earlier attempt may have arrived, so no other entry may get the request.
-            match call::run(client, entry.address, id, ask, show).await {
+            match attempt(args, client, entry, id, ask, show).await {
                 Ok(ended) => return finish(id.clone(), entry.clone(), Ok(ended)),
                 Err(NotSent(text)) => output::warn(&text),
             }
@@ -245,7 +234,7 @@
     let mut last = "the site lists no entries".to_owned();
     for entry in entries {
         let id = call::mint(&entry.incarnation);
-        match call::run(client, entry.address, &id, ask, &mut *show).await {
+        match attempt(args, client, &entry, &id, ask, show).await {
             // Nothing was sent, so another entry may get the request under a new id.
             Err(NotSent(text)) => {
                 output::warn(&text);
@@ -257,6 +246,24 @@
     Err(Error::failed(format!("no entry takes the request: {last}")))
 }
 
+/// Sends the request to one entry. Its id is kept when the time is over, to look the outcome up.
+async fn attempt(
+    args: &Send,
+    client: &Client,
+    entry: &Entry,
+    id: &str,
+    ask: &Ask,
+    show: &mut impl FnMut(&Event),
+) -> Result<Ended, NotSent> {
+    let run = call::run(client, entry.address, id, ask, show);
+    let ended = tokio::time::timeout(args.timeout, run).await;
+    ended.unwrap_or_else(|_| {
+        let wait = humantime::format_duration(args.timeout);
+        let reason = format!("no answer within {wait}");
+        Ok(Ended::looked_up(Outcome::Unknown, reason))
+    })
+}
+
 fn finish(id: String, entry: Entry, ended: Result<Ended, NotSent>) -> Result<Sent, Error> {
     let ended = ended.map_err(|NotSent(text)| Error::failed(text))?;
     let entry = Some(entry);
