sched: bound the sheds of one poll

One budget now covers all sheds of a poll, and next_wakeup asks for the next poll at once when it is used up. The tests expect exactly 256 sheds per poll for each cause, and a late descriptor behind a blocked head.

--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -40,8 +40,7 @@
     /// Below this relative load a target that served the prefix is preferred regardless of the
     /// least load.
     pub affinity_floor: f64,
-    /// Most descriptors shed for their deadline or for lack of targets, and most runs freed by
-    /// their hard deadline, in one poll.
+    /// Most descriptors shed, and most runs freed by their hard deadline, in one poll; at least 1.
     pub sweep: usize,
 }
 
--- a/crates/sched/src/grant.rs
+++ b/crates/sched/src/grant.rs
@@ -22,6 +22,7 @@
     /// Decides as much as can be decided now and returns the events since the last call.
     pub fn poll(&mut self, now: Duration) -> Vec<Event> {
         self.see(now);
+        self.sheds_left = self.cfg.sweep.max(1);
         self.free_overdue();
         for (_, target) in &mut self.targets {
             target.advance(&self.cfg, self.now);
@@ -59,7 +60,7 @@
     }
 
     fn free_overdue(&mut self) {
-        for _ in 0..self.cfg.sweep {
+        for _ in 0..self.cfg.sweep.max(1) {
             let Some(run) = self.runs.next_over(self.now) else {
                 return;
             };
@@ -68,10 +69,10 @@
     }
 
     fn shed_late(&mut self) {
-        for _ in 0..self.cfg.sweep {
-            let Some(at) = self.queue.pop_due(self.now) else {
-                return;
-            };
+        while self.sheds_left > 0
+            && let Some(at) = self.queue.pop_due(self.now)
+        {
+            self.sheds_left -= 1;
             let latest = self.latest_grant(self.queue.get(at));
             if latest <= self.now {
                 self.shed_waiting(at, ShedReason::Deadline);
@@ -83,8 +84,10 @@
     }
 
     fn shed_all(&mut self) {
-        for _ in 0..self.cfg.sweep {
-            let Some(at) = self.queue.last() else { return };
+        while self.sheds_left > 0
+            && let Some(at) = self.queue.last()
+        {
+            self.sheds_left -= 1;
             self.shed_waiting(at, ShedReason::NoTarget);
         }
     }
@@ -97,6 +100,9 @@
         for tier in 0..self.queue.tiers() {
             self.grant_alone(tier, &mut reserved);
             while let Some(at) = self.queue.head(tier) {
+                if self.sheds_left == 0 {
+                    return;
+                }
                 match self.take_turn(at, reserved) {
                     Turn::Done => {}
                     Turn::Blocked => return,
@@ -111,6 +117,9 @@
 
     fn grant_alone(&mut self, tier: usize, reserved: &mut Option<usize>) {
         while let Some(at) = self.queue.alone(tier) {
+            if self.sheds_left == 0 {
+                return;
+            }
             match self.take_turn(at, *reserved) {
                 Turn::Done => {}
                 Turn::Blocked => return,
@@ -125,17 +134,20 @@
 
     fn take_turn(&mut self, at: usize, reserved: Option<usize>) -> Turn {
         let descriptor = self.queue.get(at);
-        match self.containment.standing(self.now, descriptor.fingerprint) {
-            Standing::Refused => {
-                self.shed_waiting(at, ShedReason::Poison);
-                return Turn::Done;
-            }
-            _ if self.latest_grant(descriptor) <= self.now => {
-                self.shed_waiting(at, ShedReason::Deadline);
-                return Turn::Done;
-            }
-            Standing::Suspect => return Turn::Alone,
-            Standing::Clear => {}
+        let standing = self.containment.standing(self.now, descriptor.fingerprint);
+        let reason = if standing == Standing::Refused {
+            Some(ShedReason::Poison)
+        } else {
+            let late = self.latest_grant(descriptor) <= self.now;
+            late.then_some(ShedReason::Deadline)
+        };
+        if let Some(reason) = reason {
+            self.sheds_left -= 1;
+            self.shed_waiting(at, reason);
+            return Turn::Done;
+        }
+        if standing == Standing::Suspect {
+            return Turn::Alone;
         }
         if let Some(target) = self.choose(descriptor, reserved) {
             self.grant(at, target, false);
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -35,6 +35,8 @@
     /// Time between tokens over all targets, as if each had speed 1.
     pub(crate) token_gap: Mean,
     pub(crate) in_doubt: bool,
+    /// Descriptors that the present poll may still shed.
+    pub(crate) sheds_left: usize,
     pub(crate) next_permit: u64,
     pub(crate) events: Vec<Event>,
     pub(crate) stats: Stats,
@@ -55,6 +57,7 @@
             first_token: FirstToken::default(),
             token_gap: Mean::default(),
             in_doubt: false,
+            sheds_left: 1,
             next_permit: 1,
             events: Vec::new(),
             stats: Stats::default(),
@@ -214,7 +217,7 @@
         if self.queue.len() == 0 {
             return self.runs.next_end();
         }
-        if !self.has_open() {
+        if !self.has_open() || self.sheds_left == 0 {
             return Some(self.now);
         }
         let targets = self.targets.iter();
--- a/crates/sched/tests/queue.rs
+++ b/crates/sched/tests/queue.rs
@@ -124,16 +124,20 @@
     let (mut scheduler, first) = full(10);
     let mut soon = work("soon", 0, "w", 100);
     soon.deadline = secs(2);
+    scheduler.offer(ZERO, work("patient", 0, "w", 100));
     scheduler.offer(ZERO, soon.clone());
     assert_eq!(scheduler.poll(ZERO), []);
     assert_eq!(scheduler.next_wakeup(), Some(secs(2)));
     assert_eq!(scheduler.poll(secs(1)), []);
-    let events = scheduler.poll(secs(2));
-    assert_eq!(sheds(&events), [("soon".into(), ShedReason::Deadline)]);
-    // The same at the offer and at the grant.
+    let late = [("soon".into(), ShedReason::Deadline)];
+    assert_eq!(sheds(&scheduler.poll(secs(2))), late, "behind the head");
+    scheduler.offer(secs(3), soon.clone());
+    assert_eq!(sheds(&scheduler.poll(secs(3))), late, "at the offer");
+    soon.deadline = secs(4);
+    scheduler.withdraw(secs(3), "patient");
     scheduler.offer(secs(3), soon);
-    assert_eq!(sheds(&scheduler.poll(secs(3))).len(), 1);
-    scheduler.release(secs(3), first, report(RunEnd::Complete));
+    scheduler.release(secs(4), first, report(RunEnd::Complete));
+    assert_eq!(sheds(&scheduler.poll(secs(4))), late, "at the grant");
     assert_eq!(scheduler.stats().prefill_tokens(), 50);
 }
 
@@ -180,22 +184,42 @@
 
 /// Guards against a poll whose work grows with the queue, and a rest that nobody is woken for.
 #[test]
-fn sweep_is_bounded_and_goes_on() {
-    let (mut scheduler, _) = full(10_000);
-    for number in 0..1_000 {
-        let mut late = work(&format!("late-{number}"), 0, "w", 10);
-        late.deadline = secs(1);
-        scheduler.offer(ZERO, late);
-    }
-    assert_eq!(scheduler.poll(ZERO), []);
-    let mut shed = 0;
-    while scheduler.next_wakeup().is_some_and(|time| time <= secs(2)) {
-        let events = scheduler.poll(secs(2));
-        // The sweep, and one queue head that is checked at its grant.
-        assert!((1..=1_000).contains(&events.len()));
-        shed += events.len();
+fn sheds_per_poll_are_bounded_and_go_on() {
+    type Cause = fn(&mut Scheduler);
+    let causes: [(ShedReason, Cause); 3] = [
+        (ShedReason::Deadline, |_| ()),
+        (ShedReason::Poison, |s| {
+            s.suspect(666, &["x".into(), "y".into()], secs(9));
+        }),
+        (ShedReason::NoTarget, |s| {
+            s.set_target(ZERO, common::closed("a", 100, 1), false);
+        }),
+    ];
+    for (reason, cause) in causes {
+        let (mut scheduler, _) = full(10_000);
+        for number in 0..1_000 {
+            let mut late = work(&format!("late-{number}"), 0, "w", 10);
+            late.fingerprint = 666;
+            late.deadline = secs(if reason == ShedReason::Deadline {
+                1
+            } else {
+                10
+            });
+            scheduler.offer(ZERO, late);
+        }
+        assert_eq!(scheduler.poll(ZERO), []);
+        cause(&mut scheduler);
+        let mut shed = [0; 4];
+        for count in &mut shed {
+            *count = sheds(&scheduler.poll(secs(2)))
+                .iter()
+                .filter(|own| own.1 == reason)
+                .count();
+            let more = scheduler.next_wakeup().is_some_and(|time| time <= secs(2));
+            assert_eq!(more, *count == 256, "{reason:?}");
+        }
+        assert_eq!(shed, [256, 256, 256, 232], "{reason:?}");
     }
-    assert_eq!(shed, 1_000);
 }
 
 /// Guards against a withdrawn request that is decided on all the same.
