sched: grow the ramp with each completed token and ignore cold times

The ramp stood still for a whole window before each doubling, so four doublings took four full windows. Each completed token now adds one to the allowance: a window of completed work still doubles it, without the steps.

Runs granted while a target is cold no longer change its limit or the estimates. A slow cold run moved the limit towards the few tokens then in flight, and the ramp started from there. A cold report counts until the reports fall silent. Runs without a prompt length are not judged by their time to first token.

--- a/crates/sched/src/grant.rs
+++ b/crates/sched/src/grant.rs
@@ -265,6 +265,7 @@
             prompt: descriptor.prompt,
             fingerprint: Some(descriptor.fingerprint),
             alone,
+            cold: target.is_cold(),
             epoch: target.epoch,
             // An unused permit is void before its place is freed.
             hard_deadline: descriptor.hard_deadline.max(expires),
--- a/crates/sched/src/observe.rs
+++ b/crates/sched/src/observe.rs
@@ -121,17 +121,22 @@
     /// if it ran in the present epoch of its target.
     fn learn(&mut self, run: &Run, report: &RunReport, before: Option<u64>, complete: bool) {
         let target = &mut self.targets[run.target];
+        target.alive |= complete || report.first_token.is_some();
+        if run.cold {
+            // The times of a cold target say nothing about its limit.
+            return;
+        }
         let speed = target.spec.speed.max(f64::MIN_POSITIVE);
         // The largest part of a goal that the run took.
         let mut ratio = 0.0_f64;
-        if let Some(first) = report.first_token {
+        // Without a prompt length, as after a hand-over, the time to first token can't be judged.
+        if let Some(first) = report.first_token
+            && run.prompt > 0
+        {
             let seconds = first.as_secs_f64();
-            target.alive = true;
-            if run.prompt > 0 {
-                target.first_token.learn(self.now, run.prompt, seconds);
-                self.first_token
-                    .learn(self.now, run.prompt, seconds * speed);
-            }
+            target.first_token.learn(self.now, run.prompt, seconds);
+            self.first_token
+                .learn(self.now, run.prompt, seconds * speed);
             let goal = self.cfg.first_token_goal.as_secs_f64();
             let slack = PROMPT_SLACK * target.first_token.unloaded(run.prompt);
             ratio = ratio.max(seconds / goal.max(slack));
@@ -145,7 +150,6 @@
             target.weigh((own > 0.0).then(|| pool / own));
         }
         if let Some(before) = before {
-            target.alive |= complete;
             if ratio > 1.0 {
                 target.limit.missed(run.cost, before);
             } else if complete && !self.in_doubt {
--- a/crates/sched/src/runs.rs
+++ b/crates/sched/src/runs.rs
@@ -20,6 +20,8 @@
     pub(crate) fingerprint: Option<u64>,
     /// Whether it runs alone because its fingerprint is suspect.
     pub(crate) alone: bool,
+    /// Whether the target was cold at the grant.
+    pub(crate) cold: bool,
     /// Epoch of the target at the grant.
     pub(crate) epoch: u64,
     pub(crate) hard_deadline: Duration,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -111,6 +111,7 @@
                 prompt: 0,
                 fingerprint: None,
                 alone: false,
+                cold: target.is_cold(),
                 epoch: target.epoch,
                 hard_deadline: now.saturating_add(run.hard_deadline),
             });
--- a/crates/sched/src/target.rs
+++ b/crates/sched/src/target.rs
@@ -19,10 +19,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Warmth {
     Cold,
-    /// May hold `allowed` tokens, of which `done` were completed since the last doubling.
+    /// May hold `allowed` tokens.
     Warming {
         allowed: u64,
-        done: u64,
     },
     Serving,
 }
@@ -135,7 +134,7 @@
     /// Tokens that it may hold.
     pub(crate) fn allowed(&self) -> u64 {
         match self.warmth {
-            Warmth::Warming { allowed, .. } => allowed.min(self.limit.get()),
+            Warmth::Warming { allowed } => allowed.min(self.limit.get()),
             Warmth::Cold | Warmth::Serving => self.limit.get(),
         }
     }
@@ -195,13 +194,11 @@
         self.hold = Duration::ZERO;
         match self.warmth {
             Warmth::Cold => self.leave_cold(cfg),
-            Warmth::Warming { allowed, done } => {
-                let done = done.saturating_add(cost);
-                self.warmth = if done < allowed {
-                    Warmth::Warming { allowed, done }
-                } else if allowed.saturating_mul(2) < self.limit.get() {
-                    let allowed = allowed * 2;
-                    Warmth::Warming { allowed, done: 0 }
+            Warmth::Warming { allowed } => {
+                // Each completed token adds one: a window of completed work doubles the allowance.
+                let allowed = allowed.saturating_add(cost);
+                self.warmth = if allowed < self.limit.get() {
+                    Warmth::Warming { allowed }
                 } else {
                     Warmth::Serving
                 };
@@ -312,7 +309,8 @@
     }
 
     fn leave_cold(&mut self, cfg: &Config) {
-        let says_cold = self.report.is_some_and(|(_, report)| report.cold);
+        // What it said before it fell silent holds no longer.
+        let says_cold = !self.silent && self.report.is_some_and(|(_, report)| report.cold);
         if !says_cold && self.assumed.is_none_or(|assumed| assumed.places == 0) {
             self.warmth = self.ramp(cfg);
         }
@@ -321,7 +319,6 @@
     fn ramp(&self, cfg: &Config) -> Warmth {
         Warmth::Warming {
             allowed: self.ramp_start(cfg),
-            done: 0,
         }
     }
 
