Close caller connections whose first request does not come

Cause: hyper starts its header timeout once the first bytes have shown the protocol version, and HTTP/2 has none. A connection that sent nothing, a part of the HTTP/2 preface or the preface alone stayed open and held one of max_connections. Failed connections were not counted. Change: a connection must bring its first request within header_timeout; HTTP/2 connections are pinged each idle_timeout; counter primrosechute_connections_failed_total by reason. Log lines hold the reason instead of the error's text. Tests get a fixture of one daemon with a sheet file.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 mod admin;
 mod clock;
 pub mod command;
+mod connection;
 mod demo;
 mod entry;
 mod feed;
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -10,7 +10,6 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use sheet::{Settings, Sheet, SheetSource};
 use tokio::net::TcpListener;
@@ -18,6 +17,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::clock::BootClock;
+use crate::connection::{self, Called};
 use crate::entry::{self, random_incarnation};
 use crate::node::Node;
 use crate::{admin, feed, fleet, owner, peer, shares};
@@ -212,6 +212,7 @@
     connections: Arc<Semaphore>,
     max_header: usize,
     header_timeout: Duration,
+    idle_timeout: Duration,
 }
 
 impl Http {
@@ -224,6 +225,7 @@
             connections: Arc::new(Semaphore::new(limits.max_connections)),
             max_header: limits.max_header.max(Self::MIN_HEADER),
             header_timeout: limits.header_timeout,
+            idle_timeout: limits.idle_timeout,
         }
     }
 }
@@ -249,6 +251,8 @@
     builder
         .http2()
         .timer(TokioTimer::new())
+        .keep_alive_interval(limits.idle_timeout)
+        .keep_alive_timeout(limits.header_timeout)
         .max_header_list_size(u32::try_from(limits.max_header).unwrap_or(u32::MAX));
     loop {
         let Ok(permit) = Arc::clone(&limits.connections).acquire_owned().await else {
@@ -267,13 +271,12 @@
             }
         };
         let _ = stream.set_nodelay(true);
-        let service = TowerToHyperService::new(router.clone());
+        let (service, called) = Called::new(router.clone());
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection.into_owned());
+        let wait = limits.header_timeout;
         tokio::spawn(async move {
-            if let Err(err) = connection.await {
-                log::debug!("entry: connection ended: {err}");
-            }
+            connection::run(connection, called, wait).await;
             drop(permit);
         });
     }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod single;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
