Refuse ambiguous and malformed calls and keep the connection usable

Cause, found by reading: serde reads a JSON array as a struct, so that [5, 5] counted as a model call; with max_tokens and max_completion_tokens only one was checked against the route's limit; of repeated x-request-id, authorization, tier and deadline headers the first counted; a wrong type of max_tokens was reported as "not a JSON object"; bad paths and queries of /v1/outcomes and /v1/streams got no problem document; refusals there were not counted; a daemon without a sheet answered 404; after a 413 the connection was closed with bytes unread, which resets it and can lose the answer. Change: these calls are refused with a reason of their own and counted; the rest of a refused body is read up to 1 MiB in the background; a body is refused by its content length before it is read.

--- a/crates/daemon/src/entry/admit.rs
+++ b/crates/daemon/src/entry/admit.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use ::http::request::Parts;
-use ::http::{HeaderMap, header};
-use axum::body::Body;
+use ::http::{HeaderMap, HeaderName, HeaderValue, header};
+use axum::body::{Body, HttpBody};
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde::Deserialize;
@@ -79,7 +79,8 @@
 
 /// Takes the id of a call from its headers, or makes one.
 pub(super) fn request_id(node: &Node, headers: &HeaderMap) -> Result<RequestId, Refusal> {
-    let Some(value) = headers.get(ID_HEADER) else {
+    let id = HeaderName::from_static(ID_HEADER);
+    let Some(value) = once(headers, &id, "x-request-id is sent more than once")? else {
         return Ok(node.with_table(|table| table.mint()));
     };
     value
@@ -91,15 +92,34 @@
         ))
 }
 
+/// Value of a header that may be sent once. With two values, a proxy before or after the daemon
+/// could act on another one than the daemon checked.
+fn once<'a>(
+    headers: &'a HeaderMap,
+    name: &HeaderName,
+    repeated: &'static str,
+) -> Result<Option<&'a HeaderValue>, Refusal> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next();
+    match values.next() {
+        Some(_) => Err(Refusal::Malformed(repeated)),
+        None => Ok(value),
+    }
+}
+
 /// Checks a call and reads its body.
 pub(super) async fn check(
     node: &Node,
     id: RequestId,
     parts: &Parts,
-    body: Body,
+    body: &mut Body,
 ) -> Result<Job, Refusal> {
     let arrival = node.now();
     let sheet = node.sheet();
+    if sheet.revision == 0 {
+        // Without a sheet no path has a route yet, which is no fault of the caller.
+        return Err(Refusal::Draining);
+    }
     let route = sheet.route(parts.uri.path()).ok_or(Refusal::Route)?;
     let caller = authenticate(&sheet, route, &parts.headers)?;
     let tier = tier(&sheet, route, caller.as_ref(), &parts.headers)?;
@@ -150,16 +170,18 @@
 ) -> Result<Option<Caller>, Refusal> {
     match route.access {
         Access::Open => Ok(None),
-        Access::Keyed => caller(sheet, headers).ok_or(Refusal::Key).map(Some),
+        Access::Keyed => Ok(Some(caller(sheet, headers)?)),
     }
 }
 
 /// The caller whose valid key came with the call.
-fn caller(sheet: &Sheet, headers: &HeaderMap) -> Option<Caller> {
-    let value = headers.get(header::AUTHORIZATION)?;
-    let hash = key_hash(value.as_bytes().strip_prefix(b"Bearer ")?);
-    let key = sheet.active_key(&hash)?;
-    Some(Caller {
+fn caller(sheet: &Sheet, headers: &HeaderMap) -> Result<Caller, Refusal> {
+    let repeated = "authorization is sent more than once";
+    let value = once(headers, &header::AUTHORIZATION, repeated)?.ok_or(Refusal::Key)?;
+    let key = value.as_bytes().strip_prefix(b"Bearer ");
+    let hash = key_hash(key.ok_or(Refusal::Key)?);
+    let key = sheet.active_key(&hash).ok_or(Refusal::Key)?;
+    Ok(Caller {
         key: hash,
         workspace: key.workspace.clone(),
     })
@@ -167,7 +189,7 @@
 
 /// Whether the call may read answers of the workspace.
 pub(super) fn may_read(sheet: &Sheet, workspace: &Name, headers: &HeaderMap) -> bool {
-    caller(sheet, headers).is_some_and(|caller| caller.workspace == *workspace)
+    caller(sheet, headers).is_ok_and(|caller| caller.workspace == *workspace)
 }
 
 /// Rank of the tier: the one that the call names, or the route's, but no higher than the key may.
@@ -183,7 +205,13 @@
             .map_or(u8::MAX, |key| key.highest_tier),
         None => route.tier,
     };
-    let Some(value) = headers.get(TIER_HEADER) else {
+    let name = HeaderName::from_static(TIER_HEADER);
+    let Some(value) = once(
+        headers,
+        &name,
+        "x-primrosechute-tier is sent more than once",
+    )?
+    else {
         return Ok(route.tier.max(highest));
     };
     let rank = value
@@ -198,7 +226,9 @@
 }
 
 fn deadline(route: &Route, headers: &HeaderMap) -> Result<Duration, Refusal> {
-    let Some(value) = headers.get(DEADLINE_HEADER) else {
+    let name = HeaderName::from_static(DEADLINE_HEADER);
+    let repeated = "x-primrosechute-deadline is sent more than once";
+    let Some(value) = once(headers, &name, repeated)? else {
         return Ok(route.deadline);
     };
     value
@@ -212,7 +242,10 @@
         ))
 }
 
-async fn read_body(node: &Node, route: &Route, body: Body) -> Result<Bytes, Refusal> {
+async fn read_body(node: &Node, route: &Route, body: &mut Body) -> Result<Bytes, Refusal> {
+    if body.size_hint().lower() > route.max_body {
+        return Err(Refusal::TooLarge);
+    }
     let limit = usize::try_from(route.max_body).unwrap_or(usize::MAX);
     let read = Limited::new(body, limit).collect();
     match tokio::time::timeout(node.settings.limits.idle_timeout, read).await {
@@ -234,13 +267,26 @@
 fn engine_size(route: &Route, body: &Bytes) -> Result<Size, Refusal> {
     #[derive(Deserialize)]
     struct Call {
-        max_tokens: Option<u64>,
-        max_completion_tokens: Option<u64>,
+        max_tokens: Option<serde_json::Value>,
+        max_completion_tokens: Option<serde_json::Value>,
     }
     const NOT_JSON: Refusal = Refusal::Malformed("the body is not a JSON object of a model call");
+    // serde takes an array for a struct, too, field by field.
+    if !body.trim_ascii_start().starts_with(b"{") {
+        return Err(NOT_JSON);
+    }
     let call: Call = serde_json::from_slice(body).map_err(|_| NOT_JSON)?;
     let prompt = u64::try_from(body.len()).unwrap_or(u64::MAX) / BYTES_PER_TOKEN + 1;
-    match call.max_completion_tokens.or(call.max_tokens) {
+    // With both fields an engine may follow either one, so the larger one counts.
+    let mut output = None;
+    let fields = [call.max_tokens, call.max_completion_tokens];
+    for value in fields.into_iter().flatten() {
+        let Some(tokens) = value.as_u64() else {
+            return Err(Refusal::Malformed("max_tokens is not a whole number"));
+        };
+        output = output.max(Some(tokens));
+    }
+    match output {
         Some(output) if output > route.max_tokens => Err(Refusal::Malformed(
             "max_tokens is larger than the route allows",
         )),
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -3,13 +3,16 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
+use ::http::request::Parts;
 use ::http::{HeaderMap, HeaderValue, StatusCode, header};
 use axum::Router;
-use axum::body::Body;
+use axum::body::{Body, HttpBody};
+use axum::extract::rejection::{PathRejection, QueryRejection};
 use axum::extract::{Path, Query, Request, State};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Limited};
 use metrics::counter;
 use serde::Deserialize;
 
@@ -26,6 +29,8 @@
         .route("/v1/entries", get(entries))
         .route("/v1/outcomes/{id}", get(outcome))
         .route("/v1/streams/{id}", get(resume))
+        // Routes of the sheet can't have these paths.
+        .method_not_allowed_fallback(async || refuse(&Refusal::Route, ""))
         .fallback(call)
         .with_state(node)
 }
@@ -41,9 +46,14 @@
     .into_response()
 }
 
-async fn outcome(State(node): State<Arc<Node>>, Path(id): Path<String>) -> Response {
-    let Ok(id) = RequestId::parse(&id) else {
-        return Outcome::Refused(Refusal::Malformed("the request id is malformed")).response(&id);
+/// A request id in a path. The path part fails on escapes that are not UTF-8.
+type IdPath = Result<Path<String>, PathRejection>;
+
+const BAD_PATH_ID: Refusal = Refusal::Malformed("the request id is malformed");
+
+async fn outcome(State(node): State<Arc<Node>>, id: IdPath) -> Response {
+    let Some(id) = id.ok().and_then(|Path(id)| RequestId::parse(&id).ok()) else {
+        return refuse(&BAD_PATH_ID, "");
     };
     let known = if id.incarnation() == node.incarnation {
         node.outcome(id.as_str())
@@ -68,37 +78,52 @@
 /// Resumes a stream. The caller needs a key of the workspace that the request runs for.
 async fn resume(
     State(node): State<Arc<Node>>,
-    Path(id): Path<String>,
-    Query(from): Query<Offset>,
+    id: IdPath,
+    from: Result<Query<Offset>, QueryRejection>,
     headers: HeaderMap,
 ) -> Response {
-    let Some(record) = node.with_table(|table| table.get(&id)) else {
-        return Outcome::Unknown.response(&id);
+    let Some(id) = id.ok().and_then(|Path(id)| RequestId::parse(&id).ok()) else {
+        return refuse(&BAD_PATH_ID, "");
+    };
+    let id = id.as_str();
+    let Ok(Query(from)) = from else {
+        return refuse(&Refusal::Malformed("offset is not a whole number"), id);
+    };
+    let Some(record) = node.with_table(|table| table.get(id)) else {
+        return Outcome::Unknown.response(id);
     };
     if let Some(workspace) = &record.workspace
         && !admit::may_read(&node.sheet(), workspace, &headers)
     {
-        return Outcome::Refused(Refusal::Key).response(&id);
+        return refuse(&Refusal::Key, id);
     }
     let reader = record.answer.reader(from.offset);
     respond(&node, &record.id, reader).await
 }
 
 async fn call(State(node): State<Arc<Node>>, req: Request) -> Response {
-    let (parts, body) = req.into_parts();
-    let id = match admit::request_id(&node, &parts.headers) {
+    let (parts, mut body) = req.into_parts();
+    let response = checked(&node, &parts, &mut body).await;
+    if !parts.headers.contains_key(header::EXPECT) {
+        discard(&node, body);
+    }
+    response
+}
+
+async fn checked(node: &Arc<Node>, parts: &Parts, body: &mut Body) -> Response {
+    let id = match admit::request_id(node, &parts.headers) {
         Ok(id) => id,
         Err(refusal) => return refuse(&refusal, ""),
     };
     if id.incarnation() != node.incarnation {
-        return other(&node, &id).await;
+        return other(node, &id).await;
     }
-    let job = match admit::check(&node, id.clone(), &parts, body).await {
+    let job = match admit::check(node, id.clone(), parts, body).await {
         Ok(job) => job,
         Err(refusal) => return refuse(&refusal, id.as_str()),
     };
-    match enter(&node, job) {
-        Ok(reader) => respond(&node, &id, reader).await,
+    match enter(node, job) {
+        Ok(reader) => respond(node, &id, reader).await,
         Err(outcome) => {
             count(&outcome);
             outcome.response(id.as_str())
@@ -106,6 +131,23 @@
     }
 }
 
+/// Most bytes of a refused call's body that are read after the answer.
+const MAX_DISCARD: usize = 1 << 20;
+
+/// Reads what is left of a body in the background, up to a bound. A connection that is closed with
+/// bytes unread is reset, and the caller may lose the answer.
+fn discard(node: &Node, body: Body) {
+    if body.is_end_stream() {
+        return;
+    }
+    let wait = node.settings.limits.header_timeout;
+    tokio::spawn(async move {
+        let mut body = Limited::new(body, MAX_DISCARD);
+        let rest = async { while let Some(Ok(_)) = body.frame().await {} };
+        let _ = tokio::time::timeout(wait, rest).await;
+    });
+}
+
 fn refuse(refusal: &Refusal, id: &str) -> Response {
     let outcome = Outcome::Refused(refusal.clone());
     count(&outcome);
