Hold zone, key, target and revision changes under test

Cause: a restarted daemon could serve the older sheet of a stale service before it heard its peers; entries showed peers' first id prefix; a whole plain answer could be served empty when its run had ended before the reader began, a fault of the segments seen as "content-length: 0". Change: readiness waits for the newest revision that peers announce; heartbeats carry the id prefix; a reader of event 0 starts at byte 0; tests for zone out and back, withdrawn keys, leaving targets and revisions behind fault-injecting proxies.

--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -63,20 +63,25 @@
     }
 
     fn close(&mut self) {
-        let bytes = self.open.split().freeze();
-        let length = bytes.len();
+        // A copy has no spare capacity; the buffer that grew has up to its own size of it.
+        let bytes = Bytes::copy_from_slice(&self.open);
+        let end = self.open_start + self.open.len();
+        self.open.clear();
         self.segments.push(Segment {
             start: self.open_start,
             first: self.open_first,
             bytes,
         });
-        self.open_start += length;
+        self.open_start = end;
         self.open_first = self.events;
-        self.open = BytesMut::new();
     }
 
     /// Byte position of an event that is there or comes next.
     fn position(&self, event: u64) -> usize {
+        // A plain answer has no events, so that all its segments begin at event 0.
+        if event == 0 {
+            return 0;
+        }
         if event >= self.open_first {
             let skipped = skip_events(&self.open, event - self.open_first);
             return self.open_start + skipped;
@@ -155,6 +160,10 @@
     pub(crate) fn finish(&self, outcome: Outcome) {
         self.with(|state| {
             state.outcome.get_or_insert(outcome);
+            if !state.open.is_empty() {
+                state.close();
+                state.open = BytesMut::new();
+            }
         });
         self.wake();
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,5 +1,6 @@
 //! The daemon's shared state: what its roles know and how they reach each other.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -61,6 +62,11 @@
     phase: watch::Sender<Phase>,
     leaving: watch::Sender<bool>,
     pauses: AtomicU64,
+    /// Prefixes of the request ids that peers take now.
+    prefixes: Mutex<HashMap<Name, Incarnation>>,
+    /// Highest sheet revision that a peer has announced.
+    newest_revision: AtomicU64,
+    started: Duration,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -77,7 +83,8 @@
         let limits = &settings.limits;
         let table = Table::new(incarnation, limits.max_outcomes, limits.max_outcome_age);
         let single = is_single(&settings);
-        let holder = Holder::new(clock.now(), incarnation, &settings, single);
+        let started = clock.now();
+        let holder = Holder::new(started, incarnation, &settings, single);
         let fleet = Fleet::new(&settings, incarnation, single);
         Node {
             settings,
@@ -94,6 +101,9 @@
             phase: watch::Sender::new(Phase::Starting),
             leaving: watch::Sender::new(false),
             pauses: AtomicU64::new(0),
+            prefixes: Mutex::default(),
+            newest_revision: AtomicU64::new(0),
+            started,
         }
     }
 
@@ -235,17 +245,18 @@
         self.update_readiness();
     }
 
-    /// Takes calls once the sheet is there and shares are held somewhere. Before that, requests
-    /// inside their workspace's rate would be refused.
+    /// Takes calls once the newest sheet is there and shares are held somewhere. Before that,
+    /// requests inside their workspace's rate would be refused.
     pub(crate) fn update_readiness(&self) {
         if self.phase() != Phase::Starting || self.sheet().revision == 0 {
             return;
         }
         let now = self.now();
-        let ready = self.is_single()
-            || self.holder.holds_parts(now)
-            || self.fleet.view(|view| view.entries(now).next().is_some());
-        if ready {
+        let has_shares = || {
+            self.holder.holds_parts(now)
+                || self.fleet.view(|view| view.entries(now).next().is_some())
+        };
+        if self.is_single() || (self.has_newest_sheet(now) && has_shares()) {
             log::info!("entry: ready");
             self.phase.send_replace(Phase::Ready);
             self.fleet.set_ready(true);
@@ -253,6 +264,17 @@
         }
     }
 
+    /// Whether no peer can have a newer sheet: all were heard, or those that are silent were given
+    /// time to answer. A restarted daemon must not go back to the sheet of a stale service.
+    fn has_newest_sheet(&self, now: Duration) -> bool {
+        let heard_all = self
+            .fleet
+            .view(|view| view.peers().iter().all(|vm| view.heard(vm).is_some()));
+        let waited = now.saturating_sub(self.started) > 2 * self.settings.timing.silent;
+        (heard_all || waited)
+            && self.sheet().revision >= self.newest_revision.load(Ordering::SeqCst)
+    }
+
     /// Applies the list and the known incarnations to the share holder role.
     fn sync_listed(&self) {
         let now = self.now();
@@ -344,6 +366,7 @@
             list_age_us: owner::micros(self.fleet.view(|view| view.list_age(self.now()))),
             sheet_revision: self.sheet().revision,
             ready: self.takes_calls(),
+            id_prefix: self.id_prefix().0,
         }
     }
 
@@ -385,6 +408,9 @@
             ready: heartbeat.ready,
         };
         self.fleet.on_heartbeat(self.now(), vm, beat);
+        lock(&self.prefixes).insert(vm.clone(), Incarnation(heartbeat.id_prefix));
+        self.newest_revision
+            .fetch_max(heartbeat.sheet_revision, Ordering::SeqCst);
         if heartbeat.sheet_revision > self.sheet().revision {
             self.peers.send(vm, Body::SheetAsk(self.sheet().revision));
         }
@@ -507,11 +533,15 @@
 
     /// Addresses that callers may use.
     pub(crate) fn entries(&self) -> Vec<Entry> {
+        let prefixes = lock(&self.prefixes).clone();
         let entry = |entry: member::Entry| Entry {
+            address: entry.address.to_string(),
+            incarnation: prefixes
+                .get(&entry.vm)
+                .unwrap_or(&entry.incarnation)
+                .to_string(),
             vm: entry.vm,
             zone: entry.zone,
-            address: entry.address.to_string(),
-            incarnation: entry.incarnation.to_string(),
         };
         let now = self.now();
         let others = self
--- /dev/null
+++ b/crates/daemon/tests/config.rs
@@ -0,0 +1,296 @@
+//! Changes of the configuration while traffic runs: zones, keys, targets and revisions.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::json;
+use sheet::{KeyState, TargetState, ZoneState};
+use support::{LONG, Site, builder, chat, outcome, prompt};
+use testkit::client::{Answer, Call};
+use testkit::fleet::FleetBuilder;
+use testkit::{End, SheetFault};
+
+/// Time in which a change must hold at daemons that reach the configuration service.
+const IN_FORCE: Duration = Duration::from_secs(3);
+/// The same for daemons that learn it from peers.
+const IN_FORCE_BY_PEERS: Duration = Duration::from_secs(5);
+
+const KEY: &str = "demo-coast-north";
+
+fn proxied() -> FleetBuilder {
+    builder("costa-atl").platform_proxies().peer_proxies()
+}
+
+async fn call(site: &Site, vm: &str, seed: u64) -> Answer {
+    let call = prompt(seed, 60, 3, false).key(KEY);
+    site.client(vm).call(call).await.unwrap()
+}
+
+/// Starts of runs at the engines of a zone, by number of the start.
+fn last_start(site: &Site, zone: &str) -> Option<Duration> {
+    let in_zone = |name: &&String| &*site.sheet.targets[name.as_str()].zone == zone;
+    let engines = site.engines.iter().filter(|(name, _)| in_zone(name));
+    engines
+        .flat_map(|(_, engine)| engine.records())
+        .map(|record| record.started_at)
+        .max()
+}
+
+/// Time on the engines' clock: start of a run that is sent now to a zone that is in.
+async fn engine_time(site: &Site, vm: &str, seed: u64) -> Duration {
+    call(site, vm, seed).await;
+    let records = site.engines.values().flat_map(testkit::Engine::records);
+    records.map(|record| record.started_at).max().unwrap()
+}
+
+/// Guards against work that goes to a zone after operators took it out, also through daemons that
+/// are cut off from the configuration service, and against a zone that stays empty after its
+/// return.
+#[tokio::test]
+async fn a_zone_that_is_out_gets_no_new_work_until_it_is_back() {
+    let mut site = Site::start_with("costa-atl", proxied(), |_| {}).await;
+    let cut_off = "costa-atl-b-1";
+    site.fleet.cut_off_platform(cut_off, true);
+    let names = site.fleet.names();
+    let before = engine_time(&site, "costa-atl-a-1", 1).await;
+
+    let out = |state| {
+        move |sheet: &mut sheet::Sheet| {
+            sheet.zones.get_mut("costa-atl-c").unwrap().state = state;
+        }
+    };
+    site.change(out(ZoneState::Out));
+    let mut seed = 100;
+    let until = tokio::time::Instant::now() + IN_FORCE_BY_PEERS + Duration::from_secs(2);
+    while tokio::time::Instant::now() < until {
+        for vm in &names {
+            seed += 1;
+            let answer = call(&site, vm, seed).await;
+            assert!(answer.status.is_success(), "{answer:?}");
+        }
+    }
+
+    let last = last_start(&site, "costa-atl-c").unwrap_or(before);
+    let late = last.saturating_sub(before);
+    assert!(
+        late <= IN_FORCE,
+        "the zone got work {late:?} after it was taken out"
+    );
+    let runs = |site: &Site| -> usize {
+        let engines = site.engines.iter();
+        let in_zone =
+            engines.filter(|(name, _)| &*site.sheet.targets[name.as_str()].zone == "costa-atl-c");
+        in_zone.map(|(_, engine)| engine.records().len()).sum()
+    };
+    let ran = runs(&site);
+    site.change(out(ZoneState::In));
+    let back = async {
+        while runs(&site) == ran {
+            seed += 1;
+            call(&site, "costa-atl-a-1", seed).await;
+        }
+    };
+    tokio::time::timeout(LONG, back)
+        .await
+        .expect("the zone serves again");
+    for (name, engine) in &site.engines {
+        assert_eq!(
+            engine.stats().overloads,
+            0,
+            "{name} was overloaded while cold"
+        );
+    }
+}
+
+/// Waiting requests over all owners.
+async fn waiting_at_owners(site: &Site) -> u64 {
+    let mut waiting = 0;
+    for vm in site.fleet.names() {
+        let status = site.status(&vm).await;
+        for pool in status["pools"].as_array().unwrap() {
+            let tiers = pool["waiting_by_tier"].as_array().unwrap();
+            waiting += tiers
+                .iter()
+                .filter_map(serde_json::Value::as_u64)
+                .sum::<u64>();
+        }
+    }
+    waiting
+}
+
+/// Guards against a withdrawn key that goes on working on an open connection or for a request
+/// that waits, and against a key that works at a daemon cut off from the service.
+#[tokio::test]
+async fn a_withdrawn_key_stops_open_connections_and_waiting_requests() {
+    let mut site = Site::start_with("costa-atl", proxied(), |_| {}).await;
+    let vm = "costa-atl-a-1";
+    site.fleet.cut_off_platform("costa-atl-b-2", true);
+    let mut connection = site.client(vm).connect().await.unwrap();
+    let answer = connection.call(prompt(1, 60, 3, false).key(KEY)).await;
+    assert!(answer.unwrap().status.is_success());
+    for engine in site.engines.values() {
+        // Requests fill the engines, which never finish them, and the rest waits.
+        engine.set_stalled(true);
+    }
+    let waiting: Vec<_> = (0..300)
+        .map(|seed| {
+            let client = site.client(vm);
+            let call = chat(1_000 + seed, 60, 100, true)
+                .key(KEY)
+                .header("x-primrosechute-deadline", "30s");
+            tokio::spawn(async move { client.call(call).await })
+        })
+        .collect();
+    let wait = async { while waiting_at_owners(&site).await == 0 {} };
+    tokio::time::timeout(LONG, wait)
+        .await
+        .expect("requests wait at the owners");
+
+    site.change(|sheet| {
+        for key in sheet.keys.values_mut() {
+            if &*key.workspace == "coast-north" {
+                key.state = KeyState::Withdrawn;
+            }
+        }
+    });
+    let refused = async {
+        let mut seed = 2;
+        loop {
+            seed += 1;
+            let call = prompt(seed, 60, 3, false)
+                .key(KEY)
+                .header("x-primrosechute-deadline", "100ms");
+            let answer = connection.call(call).await.unwrap();
+            if outcome(&answer).1 == "key" {
+                break;
+            }
+        }
+    };
+    tokio::time::timeout(IN_FORCE, refused)
+        .await
+        .expect("the open connection is refused in time");
+    let cut_off = async { while outcome(&call(&site, "costa-atl-b-2", 9_000).await).1 != "key" {} };
+    tokio::time::timeout(IN_FORCE_BY_PEERS, cut_off)
+        .await
+        .expect("a daemon without the service refuses in time");
+    for engine in site.engines.values() {
+        engine.set_stalled(false);
+    }
+
+    let mut refused = 0;
+    for task in waiting {
+        let answer = task.await.unwrap().unwrap();
+        let (outcome, reason) = outcome(&answer);
+        if reason == "key" {
+            refused += 1;
+            let id = answer.header("x-request-id");
+            assert!(
+                !site.runs().contains_key(id),
+                "{id} ran though it was refused"
+            );
+        } else {
+            assert!(
+                outcome == "streaming" || outcome == "shed" || reason == "rate",
+                "{answer:?}"
+            );
+        }
+    }
+    assert!(refused > 0, "no waiting request was refused for its key");
+}
+
+/// Guards against work for a target that leaves.
+#[tokio::test]
+async fn a_leaving_target_gets_no_new_work() {
+    let mut site = Site::start("costa-atl").await;
+    for seed in 0..20 {
+        call(&site, "costa-atl-a-2", seed).await;
+    }
+    let leaving = "chute-llm-4";
+    site.change(|sheet| {
+        sheet.targets.get_mut(leaving).unwrap().state = TargetState::Leaving;
+    });
+    for vm in site.fleet.names() {
+        let revision = site.sheet.revision;
+        site.wait_status(&vm, "the new revision", |status| {
+            status["sheet"]["revision"] == revision
+        })
+        .await;
+    }
+    // All daemons have the revision; permits given before it are rechecked before the first byte.
+    let ran = site.engines[leaving].records().len();
+    for seed in 100..200 {
+        let answer = call(&site, "costa-atl-a-2", seed).await;
+        assert!(answer.status.is_success(), "{answer:?}");
+    }
+    assert_eq!(site.engines[leaving].records().len(), ran);
+    let ended = site.engines[leaving].records();
+    assert!(ended.iter().all(|run| run.end == Some(End::Complete)));
+}
+
+/// Guards against a revision that goes back when daemons restart before a stale service, and
+/// against a rejected sheet that changes anything.
+#[tokio::test]
+async fn a_revision_never_goes_back() {
+    let mut site = Site::start_with("costa-atl", proxied(), |_| {}).await;
+    let stale = site.sheet.revision;
+    site.change(|sheet| {
+        sheet.workspaces.get_mut("harbour").unwrap().rate = 7_000;
+    });
+    let revision = site.sheet.revision;
+    let has =
+        |revision: u64| move |status: &serde_json::Value| status["sheet"]["revision"] == revision;
+    for vm in site.fleet.names() {
+        site.wait_status(&vm, "the new revision", has(revision))
+            .await;
+    }
+
+    site.fleet
+        .platform()
+        .sheets
+        .set_fault(SheetFault::Stale(stale));
+    for vm in ["costa-atl-a-1", "costa-atl-b-1", "costa-atl-c-1"] {
+        site.fleet.kill(vm).await.unwrap();
+        site.fleet.restart(vm).await.unwrap();
+        // Ready means that it serves; from then on only the newest revision may be in force.
+        assert_eq!(site.status(vm).await["sheet"]["revision"], revision, "{vm}");
+    }
+    site.fleet.platform().sheets.set_fault(SheetFault::None);
+
+    let rejected = site.sheet.to_csv().replace("pool,", "pond,");
+    site.fleet.platform().sheets.publish(revision + 1, rejected);
+    let log = async {
+        for vm in site.fleet.names() {
+            let found = site.fleet.wait_for_log(&vm, "sheet rejected", LONG).await;
+            if found.is_ok() {
+                return;
+            }
+        }
+    };
+    log.await;
+    for vm in site.fleet.names() {
+        assert_eq!(
+            site.status(&vm).await["sheet"]["revision"],
+            revision,
+            "{vm}"
+        );
+    }
+    // The targets of the killed owners serve again once their new owners have waited.
+    let served = async {
+        loop {
+            let call = Call::get("/schedule?day=1");
+            let answer = site.client("costa-atl-a-1").call(call).await.unwrap();
+            if answer.status.is_success() {
+                break answer;
+            }
+        }
+    };
+    let answer = tokio::time::timeout(LONG, served)
+        .await
+        .expect("the site serves after the rejected sheet");
+    assert_eq!(
+        answer.json()["path"],
+        json!("/schedule?day=1"),
+        "{answer:?}"
+    );
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -122,6 +122,9 @@
     /// Whether the sender takes calls; false while it starts or drains.
     #[prost(bool, tag = "4")]
     pub ready: bool,
+    /// Prefix of the request ids that the sender takes now.
+    #[prost(fixed64, tag = "5")]
+    pub id_prefix: u64,
 }
 
 /// Descriptor of a waiting request.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -119,6 +119,7 @@
                     list_age_us: 1,
                     sheet_revision: 2,
                     ready: true,
+                    id_prefix: 3,
                 })),
             })
             .collect();
