Reclaim permits that a closed link has swallowed

A permit that an owner wrote into a link which broke, or granted after it broke, stayed taken until the run's hard deadline, more than five minutes later; so did one whose release was lost. The owner now asks the engine for the permits of an entry whose link closed, and an offer whose link is closed counts as withdrawn.

--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -73,6 +73,8 @@
     },
     /// The lease came into doubt or is held again.
     InDoubt(bool),
+    /// A link from an entry closed; permits that were sent on it may be lost.
+    LinkClosed(Incarnation),
     /// The process of an entry is gone.
     EntryGone(Incarnation),
     /// The engine says that a run of a gone entry is over.
--- a/crates/daemon/src/owner/task.rs
+++ b/crates/daemon/src/owner/task.rs
@@ -31,6 +31,8 @@
     id: Name,
     entry: Incarnation,
     expires: Duration,
+    /// Whether the engine is being asked for the run.
+    watched: bool,
 }
 
 struct Pool {
@@ -114,6 +116,7 @@
                 let _ = reply.send(self.give_up(&target));
             }
             Msg::InDoubt(in_doubt) => self.set_in_doubt(in_doubt),
+            Msg::LinkClosed(entry) => self.link_closed(entry),
             Msg::EntryGone(entry) => self.entry_gone(entry),
             Msg::RunGone { permit, pool } => self.run_gone(&pool, permit),
             Msg::Suspect {
@@ -247,12 +250,24 @@
         }
     }
 
+    /// Withdraws the offers that came on a closed link, and looks after the permits of its entry,
+    /// which may have got lost on it.
+    fn link_closed(&mut self, entry: Incarnation) {
+        self.withdraw_all(|waiting| waiting.reply.is_closed());
+        self.watch_permits(entry);
+    }
+
     /// Looks after the permits of an entry whose process is gone: their requests may still run.
     fn entry_gone(&mut self, entry: Incarnation) {
+        self.withdraw_all(|waiting| waiting.entry == entry);
+        self.watch_permits(entry);
+    }
+
+    fn withdraw_all(&mut self, is_gone: impl Fn(&Waiting) -> bool) {
         let gone: Vec<_> = self
             .waiting
             .iter()
-            .filter(|(_, waiting)| waiting.entry == entry)
+            .filter(|(_, waiting)| is_gone(waiting))
             .map(|(id, _)| id.clone())
             .collect();
         let now = self.now();
@@ -262,8 +277,11 @@
                 pool.scheduler.withdraw(now, &id);
             }
         }
-        for ((pool, permit), given) in &self.given {
-            if given.entry == entry {
+    }
+
+    fn watch_permits(&mut self, entry: Incarnation) {
+        for ((pool, permit), given) in &mut self.given {
+            if given.entry == entry && !std::mem::replace(&mut given.watched, true) {
                 super::reclaim::watch(
                     Arc::clone(&self.node),
                     super::reclaim::Lost {
@@ -326,6 +344,7 @@
                 id: permit.request,
                 entry: waiting.entry,
                 expires: permit.expires,
+                watched: false,
             },
         );
         counter!("primrosechute_permits_granted_total").increment(1);
--- a/crates/daemon/src/peer/accept.rs
+++ b/crates/daemon/src/peer/accept.rs
@@ -14,6 +14,7 @@
 
 use super::dial::heartbeat;
 use crate::node::Node;
+use crate::owner::Msg;
 
 /// Replies that may wait for a slow link before it is closed.
 const REPLY_QUEUE: usize = 4096;
@@ -76,6 +77,8 @@
         incarnation: Incarnation(hello.incarnation),
     };
     exchange(&node, &peer, &mut framed).await;
+    // Replies that were written may never have been read.
+    node.owner.send(Msg::LinkClosed(peer.incarnation));
     log::debug!("peer: link from {} closed", peer.vm);
 }
 
@@ -135,8 +138,14 @@
         return;
     }
     let (node, peer, tx) = (Arc::clone(node), peer.clone(), tx.clone());
+    let is_offer = matches!(body, Body::Offer(_));
     tokio::spawn(async move {
-        if let Some(body) = node.on_request(&peer, body).await {
+        let reply = tokio::select! {
+            reply = node.on_request(&peer, body) => reply,
+            // Tells the owner that nobody waits, so that it gives no permit into a closed link.
+            () = tx.closed(), if is_offer => None,
+        };
+        if let Some(body) = reply {
             // Fails only if the link is closed; the other end has seen that too.
             let _ = tx
                 .send(Frame {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod gate;
+pub mod small;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -106,6 +109,13 @@
         let csv = std::fs::read(example(site).join("sheet.csv")).unwrap();
         let mut sheet = Sheet::parse(&csv).unwrap();
         change(&mut sheet);
+        let mut site = Site::prepare(sheet, builder).await;
+        site.launch().await;
+        site
+    }
+
+    /// Starts the targets of a sheet and publishes it with their addresses.
+    pub async fn prepare(mut sheet: Sheet, builder: FleetBuilder) -> Site {
         let mut fleet = builder.start().await.unwrap();
         let (mut engines, mut services) = (BTreeMap::new(), BTreeMap::new());
         let kinds = sheet.pools.clone();
@@ -126,18 +136,22 @@
             };
             target.address = fleet.add_target(name, address).await.unwrap();
         }
-        let mut site = Site {
+        let site = Site {
             fleet,
             sheet,
             engines,
             services,
         };
         site.publish();
-        site.fleet.launch_all().await.unwrap();
-        site.wait_tokens().await;
         site
     }
 
+    /// Starts all daemons and waits until they are ready and have tokens.
+    pub async fn launch(&mut self) {
+        self.fleet.launch_all().await.unwrap();
+        self.wait_tokens().await;
+    }
+
     /// Waits until each workspace has a quarter of its burst: the parts of a new fleet start empty.
     async fn wait_tokens(&self) {
         let wait = async {
--- /dev/null
+++ b/crates/daemon/tests/support/small.rs
@@ -0,0 +1,257 @@
+//! A site of three VMs in one zone with few targets, for tests that control each stage of a request.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::json;
+use sheet::Sheet;
+use testkit::client::{Answer, Call, Client, ClientError, EventStream};
+use testkit::fleet::{Fleet, FleetBuilder};
+use testkit::{RouteRow, SheetBuilder, TargetRow, answer_text};
+use tokio::task::JoinHandle;
+
+use super::{LONG, Site, fast_timing, prompt};
+
+pub const KEY: &str = "plain-key-one";
+pub const OTHER_KEY: &str = "plain-key-two";
+
+/// Requests that a cold engine of this site takes at once.
+const COLD_LIMIT: u32 = 1;
+
+/// Daemons `vm-1` to `vm-3` with short timeouts and proxies between them.
+pub fn builder() -> FleetBuilder {
+    Fleet::builder(env!("CARGO_BIN_EXE_primrosechute"))
+        .vms(3, &["zone-a"])
+        .peer_proxies()
+        .platform_proxies()
+        .setting("timing", fast_timing())
+        .setting(
+            "timing",
+            json!({ "stream_silent": "500ms", "keepalive": "200ms", "drain": "30s" }),
+        )
+        .setting("log", json!({ "level": "debug" }))
+        .ready_timeout(LONG)
+}
+
+/// A sheet with so many engines (`llm-1`...) and plain services (`app-1`...). Addresses are set
+/// when the targets start.
+pub fn sheet(engines: usize, services: usize) -> Sheet {
+    // The sheet rejects repeated addresses.
+    let unset = |port: usize| SocketAddr::from(([127, 0, 0, 1], u16::try_from(port).unwrap()));
+    let mut sheet = SheetBuilder::new("small");
+    sheet
+        .zone("zone-a")
+        .tier("quick")
+        .tier("long")
+        .workspace("w1", 1_000_000, 1_000_000)
+        .workspace("w2", 1_000_000, 1_000_000)
+        .key("k1", "w1", "quick", KEY)
+        .key("k2", "w2", "quick", OTHER_KEY)
+        .engine_pool("llm")
+        .service_pool("app");
+    for n in 1..=engines {
+        let mut row = TargetRow::new("llm", "zone-a", unset(n), 16_384);
+        row.cold_limit = COLD_LIMIT;
+        sheet.target(&format!("llm-{n}"), &row);
+    }
+    for n in 1..=services {
+        let row = TargetRow::new("app", "zone-a", unset(100 + n), 1000);
+        sheet.target(&format!("app-{n}"), &row);
+    }
+    let mut order = RouteRow::new("app", "quick");
+    order.max_tokens = 10;
+    order.deadline = "2s".to_string();
+    sheet
+        .route("/v1/completions", &RouteRow::new("llm", "quick"))
+        .route("/v1/chat/completions", &RouteRow::new("llm", "quick"))
+        .route("/orders", &order);
+    Sheet::parse(sheet.csv().as_bytes()).unwrap()
+}
+
+/// Connects to a port that the kernel has not answered, by `/proc/net/tcp`, see proc(5).
+pub fn hanging_connects(port: u16) -> usize {
+    const SYN_SENT: &str = "02";
+    let suffix = format!(":{port:04X}");
+    let text = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let rows = text.lines().skip(1).filter(|row| {
+        let mut fields = row.split_whitespace().skip(2);
+        let (remote, state) = (fields.next(), fields.next());
+        remote.is_some_and(|remote| remote.ends_with(&suffix)) && state == Some(SYN_SENT)
+    });
+    rows.count()
+}
+
+/// Starts the small site.
+pub async fn start(engines: usize, services: usize) -> Site {
+    let mut site = Site::prepare(sheet(engines, services), builder()).await;
+    site.launch().await;
+    site
+}
+
+/// A model call of the first workspace with a body of its own.
+pub fn model_call(seed: u64, tokens: u32, stream: bool) -> Call {
+    prompt(seed, 40, tokens, stream).key(KEY)
+}
+
+/// Sends a call in the background.
+pub fn spawn(client: Client, call: Call) -> JoinHandle<Result<Answer, ClientError>> {
+    tokio::spawn(async move { client.call(call).await })
+}
+
+/// Polls until a condition holds.
+pub async fn wait_until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let wait = async {
+        while !condition().await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let came = tokio::time::timeout(LONG, wait).await.is_ok();
+    assert!(came, "does not come: {what}");
+}
+
+/// Asserts that an answer is whole and to this call.
+pub fn assert_own(call: &Call, answer: &Answer) {
+    assert!(answer.status.is_success(), "{answer:?}");
+    assert!(answer.is_whole(), "{answer:?}");
+    let sent: serde_json::Value = serde_json::from_slice(call.sent_body()).unwrap();
+    let tokens = u32::try_from(sent["max_tokens"].as_u64().unwrap()).unwrap();
+    assert_eq!(answer.text(), answer_text(call.sent_body(), tokens));
+    if !answer.events.is_empty() {
+        assert!(answer.is_done(), "{answer:?}");
+        let ids: Vec<String> = answer.events.iter().filter_map(|e| e.id.clone()).collect();
+        let expected: Vec<String> = (0..tokens + 2).map(|id| id.to_string()).collect();
+        assert_eq!(
+            ids, expected,
+            "events are missing, repeated or out of order"
+        );
+    }
+}
+
+/// Problem document of an answer without one from a target, or of the error event of a stream.
+pub fn problem(answer: &Answer) -> serde_json::Value {
+    let error = answer
+        .events
+        .iter()
+        .find(|event| event.kind.as_deref() == Some("error"));
+    match error {
+        Some(event) => serde_json::from_str(&event.data).unwrap(),
+        None => answer.json(),
+    }
+}
+
+/// Reads a stream until it has so many events.
+pub async fn read_events(stream: &mut EventStream, count: usize) -> Vec<testkit::client::Event> {
+    let mut events = Vec::new();
+    while events.len() < count {
+        events.push(stream.next().await.expect("the stream goes on"));
+    }
+    events
+}
+
+impl Site {
+    /// A request id that only the daemon of `vm` may dispatch.
+    pub async fn id(&self, vm: &str, name: &str) -> String {
+        format!("{}-{name}", self.incarnation(vm).await)
+    }
+
+    /// VMs that own a target of the fleet, by target.
+    pub async fn owners(&self) -> BTreeMap<String, String> {
+        let mut owners = BTreeMap::new();
+        for vm in self.fleet.names() {
+            let call = Call::get("/status").timeout(Duration::from_secs(5));
+            let Ok(status) = self.fleet.admin_client(&vm).call(call).await else {
+                continue;
+            };
+            for owned in status.json()["owned"].as_array().into_iter().flatten() {
+                owners.insert(owned["target"].as_str().unwrap().to_string(), vm.clone());
+            }
+        }
+        owners
+    }
+
+    /// Waits until a target has an owner and returns it.
+    pub async fn owner(&self, target: &str) -> String {
+        wait_until("the target has an owner", async || {
+            self.owners().await.contains_key(target)
+        })
+        .await;
+        self.owners().await.remove(target).unwrap()
+    }
+
+    /// VMs other than the given one.
+    pub fn others(&self, vm: &str) -> Vec<String> {
+        let names = self.fleet.names().into_iter();
+        names.filter(|name| name != vm).collect()
+    }
+
+    /// Waits until so many requests wait at an owner.
+    pub async fn wait_waiting(&self, owner: &str, count: u64) {
+        self.wait_status(owner, &format!("{count} waiting"), |status| {
+            let pools = status["pools"].as_array().into_iter().flatten();
+            let waiting = pools.flat_map(|pool| pool["waiting_by_tier"].as_array().unwrap());
+            waiting.map(|n| n.as_u64().unwrap()).sum::<u64>() == count
+        })
+        .await;
+    }
+
+    /// Sum of a counter of a VM over all labels, 0 while it is unknown.
+    pub async fn metric(&self, vm: &str, name: &str) -> f64 {
+        let call = Call::get("/metrics");
+        let answer = self.fleet.admin_client(vm).call(call).await.unwrap();
+        let text = String::from_utf8(answer.body.to_vec()).unwrap();
+        let rows = text.lines().filter(|row| {
+            let rest = row.strip_prefix(name);
+            rest.is_some_and(|rest| rest.starts_with(['{', ' ']))
+        });
+        let values = rows.filter_map(|row| row.rsplit(' ').next()?.parse::<f64>().ok());
+        values.sum()
+    }
+
+    /// Starts a run on a pool of one engine and keeps it running until the slowdown ends, so that
+    /// later requests wait.
+    pub async fn block(
+        &self,
+        engine: &str,
+        vm: &str,
+    ) -> (Call, JoinHandle<Result<Answer, ClientError>>) {
+        let engine = &self.engines[engine];
+        engine.set_slowdown(1e6);
+        let before = engine.stats().runs;
+        let call = model_call(900_000 + before, 4, false);
+        let blocker = spawn(self.client(vm), call.clone());
+        engine.wait_for(|stats| stats.runs > before).await;
+        (call, blocker)
+    }
+
+    /// Sends requests one after the other; each must be served, which needs free places.
+    pub async fn assert_serves(&self, vm: &str, seed: u64, count: u64) {
+        for n in 0..count {
+            let call = model_call(seed + n, 3, false).header("x-primrosechute-deadline", "20s");
+            let answer = self.client(vm).call(call.clone()).await.unwrap();
+            assert_own(&call, &answer);
+        }
+    }
+
+    /// Checks P1 and P8 at the targets: no id ran twice, and none that a caller was told of as
+    /// not run has run.
+    pub fn assert_truthful(&self, answers: &[&Answer]) {
+        let runs = self.runs();
+        for (id, count) in &runs {
+            assert_eq!(*count, 1, "request {id} ran more than once");
+        }
+        for answer in answers {
+            let problem = problem(answer);
+            if problem["not_run"] == true {
+                let id = problem["request_id"].as_str().unwrap();
+                assert!(!runs.contains_key(id), "{id} has run, but: {problem}");
+            }
+        }
+        for (name, service) in &self.services {
+            for call in service.calls() {
+                let own = call.path.starts_with("/load") || !call.request_id.is_empty();
+                assert!(own, "{name} got a call that no caller sent: {call:?}");
+            }
+        }
+    }
+}
