Don't ask plain services for the runs of lost permits

The question GET /v1/requests/{id} is part of the engine protocol. A plain service takes it as a call that no caller sent, and its answer never freed the place. Places at plain services come free at the hard deadline.

--- a/crates/daemon/src/owner/reclaim.rs
+++ b/crates/daemon/src/owner/reclaim.rs
@@ -1,4 +1,4 @@
-//! Permits of entries that are gone.
+//! Permits of entries that are gone or whose link closed.
 //!
 //! The place of such a permit is freed only when the engine says that the request is not there.
 
@@ -7,6 +7,7 @@
 
 use http::Method;
 use sched::{Name, PermitId};
+use sheet::PoolKind;
 
 use super::Msg;
 use crate::node::Node;
@@ -18,7 +19,7 @@
 /// Questions before the owner leaves the place to the hard deadline.
 const MAX_QUESTIONS: u32 = 300;
 
-/// A permit whose entry is gone.
+/// A permit whose end may not be reported.
 #[derive(Debug)]
 pub(super) struct Lost {
     pub(super) pool: Name,
@@ -29,7 +30,13 @@
 }
 
 /// Asks the engine for the run until it is over, then frees its place.
+///
+/// A plain service can't be asked; its places come free at the hard deadline.
 pub(super) fn watch(node: Arc<Node>, lost: Lost) {
+    let kind = node.sheet().pools.get(&lost.pool).map(|pool| pool.kind);
+    if kind != Some(PoolKind::Engine) {
+        return;
+    }
     tokio::spawn(async move {
         // Before the permit is void its request may be on its way to the engine.
         tokio::time::sleep(lost.expires.saturating_sub(node.now()) + ASK_EVERY).await;
@@ -42,7 +49,10 @@
             if let Some((200, body)) = small_call(address, Method::GET, &path, wait).await
                 && !is_running(&body)
             {
-                log::info!("owner: request {} of a gone entry is over", lost.id);
+                log::info!(
+                    "owner: request {} of an entry out of reach is over",
+                    lost.id
+                );
                 node.owner.send(Msg::RunGone {
                     permit: lost.permit,
                     pool: lost.pool,
