Say 'not run' only of ids that were not dispatched

A call that was refused because its id belongs to another request, its key is not valid, or its record was evicted while the daemon drains was answered with not_run: true although the id had run. The answer now says so only if no request with the id may have been dispatched.

--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -78,7 +78,8 @@
     if let Some(workspace) = &record.workspace
         && !admit::may_read(&node.sheet(), workspace, &headers)
     {
-        return Outcome::Refused(Refusal::Key).response(&id);
+        // The request may have run, so the refusal must not deny it.
+        return Outcome::Refused(Refusal::Key).response_with(&id, false);
     }
     let reader = record.answer.reader(from.offset);
     respond(&node, &record.id, reader).await
@@ -88,17 +89,22 @@
     let (parts, body) = req.into_parts();
     let id = match admit::request_id(&node, &parts.headers) {
         Ok(id) => id,
-        Err(refusal) => return refuse(&refusal, ""),
+        Err(refusal) => {
+            let outcome = Outcome::Refused(refusal);
+            count(&outcome);
+            return outcome.response("");
+        }
     };
     if id.incarnation() != node.incarnation {
         return other(&node, &id).await;
     }
     let job = match admit::check(&node, id.clone(), &parts, body).await {
         Ok(job) => job,
-        Err(refusal) => return refuse(&refusal, id.as_str()),
+        Err(refusal) => return refuse(&node, refusal, &id),
     };
     match enter(&node, job) {
         Ok(reader) => respond(&node, &id, reader).await,
+        Err(Outcome::Refused(refusal)) => refuse(&node, refusal, &id),
         Err(outcome) => {
             count(&outcome);
             outcome.response(id.as_str())
@@ -106,11 +112,17 @@
     }
 }
 
-fn refuse(refusal: &Refusal, id: &str) -> Response {
-    let outcome = Outcome::Refused(refusal.clone());
+/// Refuses a call. An earlier call with the same id may have run.
+fn refuse(node: &Node, refusal: Refusal, id: &RequestId) -> Response {
+    let outcome = Outcome::Refused(refusal);
     count(&outcome);
-    log::debug!("entry: request {id} refused: {}", refusal.label());
-    outcome.response(id)
+    log::debug!(
+        "entry: request {} refused: {}",
+        id.as_str(),
+        outcome.reason()
+    );
+    let may_have_run = node.with_table(|table| table.may_have_run(id));
+    outcome.response_with(id.as_str(), !may_have_run)
 }
 
 /// Counts an outcome that was decided without a run.
@@ -142,7 +154,7 @@
     let workspace = job.workspace().cloned();
     let draining = !node.takes_calls();
     let found = node.with_table(|table| {
-        if draining && table.get(job.id.as_str()).is_none() {
+        if draining && !table.is_taken(&job.id) {
             return None;
         }
         Some(table.enter(&job.id, || Record {
--- a/crates/daemon/src/entry/table.rs
+++ b/crates/daemon/src/entry/table.rs
@@ -169,6 +169,28 @@
         self.records.get(id).cloned()
     }
 
+    /// Whether a request with this id may have been dispatched by this process.
+    pub(crate) fn may_have_run(&self, id: &RequestId) -> bool {
+        match self.records.get(id.as_str()) {
+            Some(record) => !record
+                .answer
+                .outcome()
+                .is_some_and(|outcome| outcome.is_not_run()),
+            None => self.is_taken(id),
+        }
+    }
+
+    /// Whether an id was taken before, or its prefix is not in use, so that it is not known.
+    pub(crate) fn is_taken(&self, id: &RequestId) -> bool {
+        let number = id.prefix.0 & PREFIX_BITS;
+        let hash = xxh3_64(id.as_str().as_bytes());
+        [Some(&self.current), self.previous.as_ref()]
+            .into_iter()
+            .flatten()
+            .find(|prefix| prefix.number == number)
+            .is_none_or(|prefix| prefix.seen.contains(&hash))
+    }
+
     /// Marks an id as taken. Returns false if it was taken before or its prefix is forgotten.
     fn claim(&mut self, id: &RequestId) -> bool {
         let number = id.prefix.0 & PREFIX_BITS;
--- a/crates/daemon/src/outcome.rs
+++ b/crates/daemon/src/outcome.rs
@@ -130,6 +130,10 @@
 
     /// JSON text of the problem document.
     pub(crate) fn problem(&self, id: &str) -> String {
+        self.problem_with(id, self.is_not_run())
+    }
+
+    fn problem_with(&self, id: &str, not_run: bool) -> String {
         let tier = match self {
             Outcome::Shed { tier, .. } => Some(&**tier),
             _ => None,
@@ -142,7 +146,7 @@
             "outcome": self.label(),
             "reason": self.reason(),
             "tier": tier,
-            "not_run": self.is_not_run(),
+            "not_run": not_run,
             "request_id": id,
         })
         .to_string()
@@ -150,7 +154,12 @@
 
     /// The answer to the caller.
     pub(crate) fn response(&self, id: &str) -> Response {
-        let mut response = Response::new(Body::from(self.problem(id)));
+        self.response_with(id, self.is_not_run())
+    }
+
+    /// The answer to a call whose id may have been used before.
+    pub(crate) fn response_with(&self, id: &str, not_run: bool) -> Response {
+        let mut response = Response::new(Body::from(self.problem_with(id, not_run)));
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -10,7 +10,8 @@
 use serde_json::json;
 use support::gate::{Gate, Open};
 use support::small::{
-    assert_own, builder, hanging_connects, model_call, problem, sheet, spawn, start, wait_until,
+    OTHER_KEY, assert_own, builder, hanging_connects, model_call, problem, sheet, spawn, start,
+    wait_until,
 };
 use support::{LONG, Site, outcome};
 use testkit::client::{Answer, Call};
@@ -386,6 +387,51 @@
     site.assert_truthful(&[&answer]);
 }
 
+/// Guards against a second run, a differing answer or a false "not run" when an id is used again
+/// at the VM that runs or ran it.
+#[tokio::test]
+async fn id_sent_again_to_the_same_vm() {
+    let site = start(1, 0).await;
+    let vm = site.fleet.names().remove(0);
+    let id = site.id(&vm, "again").await;
+    let call = model_call(1, 6, true).request_id(&id);
+    let other_body = model_call(2, 6, true).request_id(&id);
+    let body = call.sent_body().clone();
+    let other_key = Call::post("/v1/completions", body.clone())
+        .key(OTHER_KEY)
+        .request_id(&id);
+    let bad_key = Call::post("/v1/completions", body)
+        .key("no-such-key")
+        .request_id(&id);
+    let engine = &site.engines["llm-1"];
+    engine.set_slowdown(1e6);
+
+    let first = spawn(site.client(&vm), call.clone());
+    engine.wait_for(|stats| stats.runs == 1).await;
+    let second = spawn(site.client(&vm), call.clone());
+    let mut refused = Vec::new();
+    for wrong in [&other_body, &other_key, &bad_key] {
+        refused.push(site.client(&vm).call(wrong.clone()).await.unwrap());
+    }
+    engine.set_slowdown(1.0);
+    let first = first.await.unwrap().unwrap();
+    let second = second.await.unwrap().unwrap();
+    let third = site.client(&vm).call(call.clone()).await.unwrap();
+    for wrong in [&other_body, &other_key, &bad_key] {
+        refused.push(site.client(&vm).call(wrong.clone()).await.unwrap());
+    }
+
+    for answer in [&first, &second, &third] {
+        assert_own(&call, answer);
+        assert_eq!(answer.events, first.events);
+    }
+    for answer in &refused {
+        assert_eq!(outcome(answer).0, "refused", "{answer:?}");
+    }
+    assert_eq!(site.runs(), [(id, 1)].into());
+    site.assert_truthful(&refused.iter().collect::<Vec<_>>());
+}
+
 /// Guards against requests that fail or run twice because one target refuses connections.
 #[tokio::test]
 async fn refused_connection_is_retried_elsewhere() {
