Recover answers from silent and cut target connections

An entry whose target connection went silent before the head of the answer waited for the hard deadline, five minutes after the request's own. It now asks the engine for the run once nothing came for stream_silent, and reads the answer through GET /v1/streams/{id}; a plain answer is rebuilt from the events. The same holds for a connection that is reset or cut while the engine goes on. An engine that does not know the request leaves it unknown after four questions.

A slow engine no longer uses up the five attempts to resume a stream: they count breaks without a new event. A plain service gets no engine calls and is given up four times stream_silent after the deadline, as unknown.

--- a/crates/daemon/src/entry/admit.rs
+++ b/crates/daemon/src/entry/admit.rs
@@ -25,6 +25,10 @@
 const MAX_DEADLINE_TEXT: usize = 16;
 /// Longest time that a run may take after its deadline.
 const MAX_RUN: Duration = Duration::from_mins(5);
+/// Longest time that a call to a plain service may take after its deadline, as a multiple of the
+/// silence after which a stream is resumed. A service can't be asked whether it still has the call,
+/// so that only time ends a silent one.
+const MAX_SERVICE_SILENCES: u32 = 4;
 /// Bytes of a prompt that count as one token before the engine has counted them.
 const BYTES_PER_TOKEN: u64 = 4;
 /// Bytes of a body whose hash decides the affinity to targets with a warm prefix cache.
@@ -40,6 +44,8 @@
     pub(super) body: Bytes,
     pub(super) pool: Name,
     pub(super) kind: PoolKind,
+    /// Whether the caller asked an engine for a stream.
+    pub(super) stream: bool,
     /// Hash of the key and its workspace; `None` on open routes.
     pub(super) caller: Option<Caller>,
     pub(super) tier: u8,
@@ -114,9 +120,14 @@
         PoolKind::Service => Size {
             prompt: 0,
             output: route.max_tokens,
+            stream: false,
             body: None,
         },
     };
+    let max_run = match kind {
+        PoolKind::Engine => MAX_RUN,
+        PoolKind::Service => node.settings.timing.stream_silent * MAX_SERVICE_SILENCES,
+    };
     Ok(Job {
         id,
         method: parts.method.clone(),
@@ -130,6 +141,7 @@
         body: size.body.unwrap_or(body),
         pool: route.pool.clone(),
         kind,
+        stream: size.stream,
         caller,
         tier,
         tier_name: sheet
@@ -139,7 +151,7 @@
         cost: size.prompt + size.output,
         prompt: size.prompt,
         deadline: arrival + deadline,
-        hard_deadline: arrival + deadline + MAX_RUN,
+        hard_deadline: arrival + deadline + max_run,
     })
 }
 
@@ -227,6 +239,7 @@
 struct Size {
     prompt: u64,
     output: u64,
+    stream: bool,
     /// The body with a limit of output tokens, if the call named none.
     body: Option<Bytes>,
 }
@@ -236,9 +249,11 @@
     struct Call {
         max_tokens: Option<u64>,
         max_completion_tokens: Option<u64>,
+        stream: Option<bool>,
     }
     const NOT_JSON: Refusal = Refusal::Malformed("the body is not a JSON object of a model call");
     let call: Call = serde_json::from_slice(body).map_err(|_| NOT_JSON)?;
+    let stream = call.stream == Some(true);
     let prompt = u64::try_from(body.len()).unwrap_or(u64::MAX) / BYTES_PER_TOKEN + 1;
     match call.max_completion_tokens.or(call.max_tokens) {
         Some(output) if output > route.max_tokens => Err(Refusal::Malformed(
@@ -247,6 +262,7 @@
         Some(output) => Ok(Size {
             prompt,
             output,
+            stream,
             body: None,
         }),
         None => {
@@ -258,6 +274,7 @@
             Ok(Size {
                 prompt,
                 output: route.max_tokens,
+                stream,
                 body: Some(body.into()),
             })
         }
--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -110,6 +110,14 @@
         self.with(|state| state.events)
     }
 
+    /// All bytes so far.
+    pub(crate) fn bytes(&self) -> Vec<u8> {
+        self.with(|state| {
+            let parts = state.chunks.iter().map(|chunk| &chunk.bytes[..]);
+            parts.collect::<Vec<_>>().concat()
+        })
+    }
+
     pub(crate) fn size(&self) -> usize {
         self.with(|state| state.bytes)
     }
--- a/crates/daemon/src/entry/dispatch.rs
+++ b/crates/daemon/src/entry/dispatch.rs
@@ -8,10 +8,12 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use metrics::counter;
+use sheet::PoolKind;
 
 use super::admit::Job;
 use super::answer::Answer;
 use super::permit::{Held, caller_gone, check};
+use super::relay::{self, Resumed, RunState};
 use crate::node::Node;
 use crate::outcome::{ID_HEADER, Outcome};
 use crate::target::{ConnectError, Connection};
@@ -83,12 +85,53 @@
     counter!("primrosechute_dispatched_total", "pool" => job.pool.to_string()).increment(1);
     let left = job.hard_deadline.saturating_sub(node.now());
     Ok(tokio::select! {
-        response = connection.send(req) => response.map_or(Sent::Broken, Sent::Answered),
+        response = connection.send(req) => match response {
+            Ok(response) => Sent::Answered(response),
+            Err(_) => rescue(node, job, target.address).await,
+        },
         () = tokio::time::sleep(left) => Sent::TimedOut,
         () = caller_gone(answer) => Sent::CallerGone,
+        sent = probe(node, job, target.address) => sent,
     })
 }
 
+/// Looks for the request after its connection broke: the engine may run it all the same.
+async fn rescue(node: &Arc<Node>, job: &Job, target: std::net::SocketAddr) -> Sent {
+    if job.kind == PoolKind::Service {
+        return Sent::Broken;
+    }
+    match relay::resume(node, job, target, 0).await {
+        Resumed::Stream(response) => Sent::Answered(response),
+        Resumed::Gone | Resumed::NoAnswer => Sent::Broken,
+    }
+}
+
+/// Answers of an engine that it does not know a request, after which the request counts as gone.
+/// One may come before a slow connection has delivered the request.
+const MAX_UNKNOWN: u32 = 3;
+
+/// Asks the engine for a request that gets no answer: its connection may be silent for good.
+async fn probe(node: &Arc<Node>, job: &Job, target: std::net::SocketAddr) -> Sent {
+    if job.kind == PoolKind::Service {
+        return std::future::pending().await;
+    }
+    let mut unknown = 0;
+    loop {
+        tokio::time::sleep(node.settings.timing.stream_silent).await;
+        match relay::run_state(node, job, target).await {
+            // Both kinds of answers are read as events; a plain one is rebuilt from them.
+            Some(RunState::Running | RunState::Done) => {
+                if let Resumed::Stream(response) = relay::resume(node, job, target, 0).await {
+                    return Sent::Answered(response);
+                }
+            }
+            Some(RunState::Unknown) if unknown == MAX_UNKNOWN => return Sent::Broken,
+            Some(RunState::Unknown) => unknown += 1,
+            None => {}
+        }
+    }
+}
+
 /// Checks permit, deadline, key, zone and target state at the newest known revision.
 fn recheck(node: &Node, job: &Job, held: &Held) -> Result<(), NotSent> {
     check(node, job).map_err(NotSent::Over)?;
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod http;
 mod permit;
+mod rebuild;
 mod relay;
 mod run;
 mod table;
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -3,21 +3,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ::http::{HeaderMap, Method, Request, Response, header};
+use ::http::{HeaderMap, HeaderValue, Method, Request, Response, header};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use metrics::counter;
+use sheet::PoolKind;
 use tokio::time::timeout;
 
 use super::admit::Job;
 use super::answer::{Answer, Head, MAX_ANSWER, event_end, is_event};
 use super::permit::caller_gone;
+use super::rebuild::rebuild;
 use crate::node::Node;
 use crate::outcome::{Failure, Outcome};
-use crate::target::{Connection, small_call};
+use crate::target::{ConnectError, Connection, small_call};
 
-/// Attempts to resume one stream after which it counts as incomplete.
+/// Breaks of a stream without a new event, and attempts to resume it without an answer, after which
+/// it counts as incomplete.
 const MAX_RESUMES: u32 = 5;
 
 /// What was seen of a run.
@@ -44,9 +47,29 @@
 enum Part {
     Done,
     Broken,
+    /// Nothing came for a while: the connection is silent or the engine is slow.
+    Silent,
     TooLarge,
 }
 
+/// What an engine says of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(super) enum RunState {
+    Running,
+    Done,
+    Unknown,
+}
+
+/// Result of an attempt to resume a stream.
+pub(super) enum Resumed {
+    Stream(Response<Incoming>),
+    /// The engine does not have the run.
+    Gone,
+    /// The engine does not answer.
+    NoAnswer,
+}
+
 /// Reads the answer of a run until it is whole, its time is over or its caller is gone.
 pub(super) async fn relay(
     node: &Arc<Node>,
@@ -91,24 +114,41 @@
         headers: passed_back(&parts.headers),
         events,
     };
-    if events {
+    let engine = job.kind == PoolKind::Engine;
+    if events && (job.stream || !engine) {
         answer.start(head);
-        read_events(node, job, target, body, answer, seen).await
-    } else {
-        read_plain(head, body, answer, seen).await
+        return read_events(node, job, target, body, answer, seen).await;
     }
+    let body = if events {
+        body
+    } else {
+        let silent = node.settings.timing.stream_silent;
+        match read_plain(body, silent).await {
+            Ok(whole) => return finish_plain(head, whole, answer, seen),
+            Err(Failure::Incomplete) if engine => resume_again(node, job, target, 0)
+                .await
+                .ok_or(Failure::Incomplete)?,
+            Err(failure) => return Err(failure),
+        }
+    };
+    let kept = Answer::new();
+    read_events(node, job, target, body, &kept, seen).await?;
+    let whole = rebuild(&kept.bytes()).ok_or(Failure::Incomplete)?;
+    let mut head = Head {
+        events: false,
+        ..head
+    };
+    let json = HeaderValue::from_static("application/json");
+    head.headers.insert(header::CONTENT_TYPE, json);
+    finish_plain(head, whole, answer, seen)
 }
 
 /// Reads a whole answer before its head is shown, so that an incomplete one is never taken for
 /// a whole one.
-async fn read_plain(
-    head: Head,
-    mut body: Incoming,
-    answer: &Answer,
-    seen: &mut Seen,
-) -> Result<(), Failure> {
+async fn read_plain(mut body: Incoming, silent: Duration) -> Result<Bytes, Failure> {
     let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    let incomplete = |_| Failure::Incomplete;
+    while let Some(frame) = timeout(silent, body.frame()).await.map_err(incomplete)? {
         let frame = frame.map_err(|_| Failure::Incomplete)?;
         if let Some(data) = frame.data_ref() {
             if whole.len() + data.len() > MAX_ANSWER {
@@ -117,9 +157,13 @@
             whole.extend_from_slice(data);
         }
     }
+    Ok(whole.freeze())
+}
+
+fn finish_plain(head: Head, whole: Bytes, answer: &Answer, seen: &mut Seen) -> Result<(), Failure> {
     seen.usage = usage(&whole);
     let failed = head.status.is_server_error();
-    answer.push(whole.freeze(), 0);
+    answer.push(whole, 0);
     answer.start(head);
     if failed {
         return Err(Failure::TargetError);
@@ -151,28 +195,47 @@
     seen: &mut Seen,
 ) -> Result<(), Failure> {
     let mut body = body;
-    for resumes in 0..=MAX_RESUMES {
+    let mut left = MAX_RESUMES;
+    loop {
+        let before = answer.events();
         match read_part(node, &mut body, answer, seen).await {
             Part::Done => return Ok(()),
             Part::TooLarge => return Err(Failure::AnswerTooLarge),
-            Part::Broken => {}
-        }
-        if resumes == MAX_RESUMES {
-            break;
+            // A slow engine is silent too; the hard deadline bounds that.
+            Part::Silent => {}
+            Part::Broken if answer.events() > before => left = MAX_RESUMES,
+            Part::Broken if left == 0 => return Err(Failure::Incomplete),
+            Part::Broken => left -= 1,
         }
-        // Resuming reads what the target has; it is not a new dispatch.
-        counter!("primrosechute_resumes_total").increment(1);
+        body = resume_again(node, job, target, answer.events())
+            .await
+            .ok_or(Failure::Incomplete)?;
+    }
+}
+
+/// Resumes a stream on a new connection. Returns `None` if the engine does not have the run or
+/// does not answer.
+async fn resume_again(
+    node: &Arc<Node>,
+    job: &Job,
+    target: std::net::SocketAddr,
+    offset: u64,
+) -> Option<Incoming> {
+    if job.kind == PoolKind::Service {
+        return None;
+    }
+    for _ in 0..MAX_RESUMES {
         log::info!(
-            "entry: request {} resumes its stream at event {}",
-            job.id.as_str(),
-            answer.events()
+            "entry: request {} resumes its stream at event {offset}",
+            job.id.as_str()
         );
-        match resume(node, job, target, answer.events()).await {
-            Some(resumed) => body = resumed,
-            None => break,
+        match resume(node, job, target, offset).await {
+            Resumed::Stream(response) => return Some(response.into_body()),
+            Resumed::Gone => return None,
+            Resumed::NoAnswer => {}
         }
     }
-    Err(Failure::Incomplete)
+    None
 }
 
 /// Reads events from one connection until the last event, a break, or silence.
@@ -185,8 +248,10 @@
     let mut buf = BytesMut::new();
     loop {
         let frame = timeout(node.settings.timing.stream_silent, body.frame()).await;
-        let Ok(Some(Ok(frame))) = frame else {
-            return Part::Broken;
+        let frame = match frame {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(_) => return Part::Broken,
+            Err(_) => return Part::Silent,
         };
         let Some(data) = frame.data_ref() else {
             continue;
@@ -246,27 +311,56 @@
         .any(|line| line.strip_suffix(b"\r").unwrap_or(line) == DONE)
 }
 
-/// Asks the target for the rest of a stream on a new connection.
-async fn resume(
+/// Asks the engine for the rest of a stream on a new connection. That reads what the engine has; it
+/// is not a new dispatch.
+pub(super) async fn resume(
     node: &Arc<Node>,
     job: &Job,
     target: std::net::SocketAddr,
     offset: u64,
-) -> Option<Incoming> {
+) -> Resumed {
+    counter!("primrosechute_resumes_total").increment(1);
     let wait = node.settings.timing.silent;
-    let mut connection = Connection::open(target, wait).await.ok()?;
+    let mut connection = match Connection::open(target, wait).await {
+        Ok(connection) => connection,
+        // The process that had the run is gone.
+        Err(ConnectError::Refused) => return Resumed::Gone,
+        Err(ConnectError::Unreachable) => return Resumed::NoAnswer,
+    };
     let req = Request::builder()
         .uri(format!("/v1/streams/{}?offset={offset}", job.id.as_str()))
         .header(header::HOST, target.to_string())
-        .body(Full::default())
-        .ok()?;
-    let response = timeout(wait, connection.send(req)).await.ok()?.ok()?;
-    response.status().is_success().then(|| response.into_body())
+        .body(Full::default());
+    let Ok(req) = req else {
+        return Resumed::Gone;
+    };
+    match timeout(wait, connection.send(req)).await {
+        Ok(Ok(response)) if response.status().is_success() => Resumed::Stream(response),
+        Ok(Ok(_)) => Resumed::Gone,
+        Ok(Err(_)) | Err(_) => Resumed::NoAnswer,
+    }
+}
+
+/// Asks the engine whether it has the request. `None` if it does not answer.
+pub(super) async fn run_state(
+    node: &Arc<Node>,
+    job: &Job,
+    target: std::net::SocketAddr,
+) -> Option<RunState> {
+    #[derive(serde::Deserialize)]
+    struct Answer {
+        state: RunState,
+    }
+    let path = format!("/v1/requests/{}", job.id.as_str());
+    let wait = node.settings.timing.silent;
+    let (status, body) = small_call(target, Method::GET, &path, wait).await?;
+    let answer: Answer = serde_json::from_slice(&body).ok()?;
+    (status == 200).then_some(answer.state)
 }
 
 /// Tells the target that nobody needs the answer any more.
 pub(super) async fn cancel(node: &Arc<Node>, job: &Job, target: std::net::SocketAddr) {
-    if job.kind == sheet::PoolKind::Service {
+    if job.kind == PoolKind::Service {
         return;
     }
     let path = format!("/v1/streams/{}", job.id.as_str());
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -128,7 +128,12 @@
         }
         Sent::TimedOut => {
             cancel(node, job, address).await;
-            return failed(RunEnd::Cancelled, Outcome::Failed(Failure::Timeout));
+            let outcome = match job.kind {
+                PoolKind::Engine => Outcome::Failed(Failure::Timeout),
+                // Nothing tells whether the call reached the service.
+                PoolKind::Service => Outcome::Unknown,
+            };
+            return failed(RunEnd::Cancelled, outcome);
         }
         Sent::CallerGone => {
             cancel(node, job, address).await;
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -10,10 +10,11 @@
 use serde_json::json;
 use support::gate::{Gate, Open};
 use support::small::{
-    OTHER_KEY, assert_own, builder, hanging_connects, model_call, problem, sheet, spawn, start,
-    wait_until,
+    KEY, OTHER_KEY, assert_own, builder, hanging_connects, model_call, problem, sheet, spawn,
+    start, wait_until,
 };
 use support::{LONG, Site, outcome};
+use testkit::ServiceFault;
 use testkit::client::{Answer, Call};
 
 /// Time after which a permit of the small site is void, with some margin.
@@ -432,6 +433,45 @@
     site.assert_truthful(&refused.iter().collect::<Vec<_>>());
 }
 
+/// Guards against repeated or wrongly described calls of a non-idempotent plain service.
+#[tokio::test]
+async fn plain_service_faults_never_repeat_a_call() {
+    let site = start(0, 2).await;
+    let vm = site.fleet.names().remove(0);
+    let faults = [
+        ServiceFault::ResetBeforeBody,
+        ServiceFault::ResetAfterBody,
+        ServiceFault::CloseMidAnswer,
+        ServiceFault::Silent,
+    ];
+    let mut answers = Vec::new();
+    for (n, fault) in faults.into_iter().enumerate() {
+        for service in site.services.values() {
+            service.set_fault(fault);
+        }
+        let id = site.id(&vm, &format!("order-{n}")).await;
+        let call = Call::json("/orders", &json!({ "tubes": n }))
+            .key(KEY)
+            .request_id(&id)
+            .header("x-primrosechute-deadline", "1s");
+
+        let answer = site.client(&vm).call(call.clone()).await.unwrap();
+        let again = site.client(&vm).call(call).await.unwrap();
+
+        let label = outcome(&answer).0;
+        assert!(
+            ["unknown", "failed"].contains(&&*label),
+            "{fault:?}: {answer:?}"
+        );
+        assert_eq!(outcome(&again).0, label, "{fault:?}: {again:?}");
+        assert_ne!(problem(&answer)["not_run"], true, "{fault:?}");
+        let count: u64 = site.services.values().map(|s| s.count(&id)).sum();
+        assert!(count <= 1, "{fault:?}: {count} calls");
+        answers.extend([answer, again]);
+    }
+    site.assert_truthful(&answers.iter().collect::<Vec<_>>());
+}
+
 /// Guards against requests that fail or run twice because one target refuses connections.
 #[tokio::test]
 async fn refused_connection_is_retried_elsewhere() {
--- /dev/null
+++ b/crates/daemon/tests/whole_answers.rs
@@ -0,0 +1,382 @@
+//! Each caller gets the whole answer to its own request, or hears that it is incomplete, when
+//! connections go silent, answers come late or crossed, and streams are cut.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::json;
+use support::small::{
+    KEY, assert_own, builder, model_call, problem, read_events, sheet, spawn, start, wait_until,
+};
+use support::{Site, chat, outcome, send_all};
+use testkit::client::{Answer, Call, Client};
+use testkit::{End, Proxy, Side};
+
+/// Slowdown at which an engine of the small site makes about ten tokens a second.
+const SLOW: f64 = 100.0;
+
+fn event_ids(answer: &Answer) -> Vec<String> {
+    let ids = answer.events.iter().filter_map(|event| event.id.clone());
+    ids.collect()
+}
+
+/// Guards against events that a caller misses, or gets twice, when it resumes after its connection
+/// went silent, and against a second run by the resume.
+#[tokio::test]
+async fn caller_resumes_after_silence() {
+    let site = start(1, 0).await;
+    let vm = site.fleet.names().remove(0);
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let path = Proxy::start(any, site.fleet.entry(&vm)).await.unwrap();
+    let engine = &site.engines["llm-1"];
+    engine.set_slowdown(SLOW);
+    let id = site.id(&vm, "silent").await;
+    let call = model_call(1, 20, true).request_id(&id);
+    let mut stream = Client::new(path.addr()).open(call.clone()).await.unwrap();
+    let mut events = read_events(&mut stream, 5).await;
+
+    path.silence();
+    let resume = Call::get(format!("/v1/streams/{id}?offset=5")).key(KEY);
+    let resumed = spawn(site.client(&vm), resume);
+    engine.wait_for(|stats| stats.generated_tokens >= 10).await;
+    engine.set_slowdown(1.0);
+    let resumed = resumed.await.unwrap().unwrap();
+
+    let mut whole = resumed.clone();
+    events.extend(resumed.events);
+    whole.events = events;
+    assert_own(&call, &whole);
+    for offset in [0, 7, 21, 22] {
+        let resume = Call::get(format!("/v1/streams/{id}?offset={offset}")).key(KEY);
+        let rest = site.client(&vm).call(resume).await.unwrap();
+        let expected: Vec<_> = (offset..22).map(|id| id.to_string()).collect();
+        assert_eq!(event_ids(&rest), expected);
+        assert!(rest.is_whole());
+    }
+    assert_eq!(site.runs()[&id], 1);
+}
+
+/// Guards against a stream that ends or loses events when its target connection goes silent.
+#[tokio::test]
+async fn target_stream_goes_silent() {
+    let site = start(1, 0).await;
+    let vm = site.fleet.names().remove(0);
+    let engine = &site.engines["llm-1"];
+    engine.set_slowdown(SLOW);
+    let call = model_call(1, 20, true);
+    let mut stream = site.client(&vm).open(call.clone()).await.unwrap();
+    let mut events = read_events(&mut stream, 5).await;
+
+    site.fleet.target("llm-1").silence();
+    events.extend(read_events(&mut stream, 5).await);
+    site.fleet.target("llm-1").silence();
+    let mut answer = stream.finish().await;
+
+    events.append(&mut answer.events);
+    answer.events = events;
+    assert_own(&call, &answer);
+    assert_eq!(engine.stats().runs, 1);
+    site.assert_truthful(&[&answer]);
+}
+
+/// Makes the connection of a call silent after the request passed and before its answer began.
+async fn silence_before_the_head(site: &Site, vm: &str, call: &Call) -> Answer {
+    let proxy = site.fleet.target("llm-1");
+    proxy.set_held(Side::Down, true);
+    let caller = spawn(site.client(vm), call.clone());
+    let engine = &site.engines["llm-1"];
+    engine.wait_for(|stats| stats.runs == 1).await;
+    proxy.silence();
+    proxy.set_held(Side::Down, false);
+    caller.await.unwrap().unwrap()
+}
+
+/// Guards against a stream whose caller waits for minutes because the connection went silent
+/// before the head of the answer.
+#[tokio::test]
+async fn target_goes_silent_before_the_head_of_a_stream() {
+    let site = start(1, 0).await;
+    let vm = site.fleet.names().remove(0);
+    let call = model_call(1, 20, true);
+
+    let answer = silence_before_the_head(&site, &vm, &call).await;
+
+    assert_own(&call, &answer);
+    site.assert_truthful(&[&answer]);
+    site.assert_serves(&vm, 100, 3).await;
+}
+
+/// The same for a plain answer, which the engine keeps only as events.
+#[tokio::test]
+async fn target_goes_silent_before_a_plain_answer() {
+    let site = start(1, 0).await;
+    let vm = site.fleet.names().remove(0);
+    let call = model_call(1, 20, false);
+
+    let answer = silence_before_the_head(&site, &vm, &call).await;
+
+    assert_own(&call, &answer);
+    let json = answer.json();
+    assert_eq!(json["object"], "text_completion");
+    assert_eq!(json["choices"][0]["finish_reason"], "length");
+    assert_eq!(json["usage"]["completion_tokens"], 20);
+    site.assert_truthful(&[&answer]);
+    site.assert_serves(&vm, 100, 3).await;
+}
+
+/// The same for a plain chat answer.
+#[tokio::test]
+async fn target_goes_silent_before_a_plain_chat_answer() {
+    let site = start(1, 0).await;
+    let vm = site.fleet.names().remove(0);
+    let call = chat(1, 40, 20, false).key(KEY);
+
+    let answer = silence_before_the_head(&site, &vm, &call).await;
+
+    assert_own(&call, &answer);
+    assert_eq!(answer.json()["object"], "chat.completion");
+    assert_eq!(answer.json()["choices"][0]["message"]["role"], "assistant");
+    site.assert_truthful(&[&answer]);
+}
+
+/// Guards against a caller that waits for minutes when the request itself was lost on a silent
+/// connection, and against an answer that claims to know what became of it.
+#[tokio::test]
+async fn request_lost_on_a_silent_connection_is_unknown() {
+    let site = start(1, 0).await;
+    let vm = site.fleet.names().remove(0);
+    let proxy = site.fleet.target("llm-1");
+    proxy.set_held(Side::Up, true);
+    let caller = spawn(site.client(&vm), model_call(1, 4, false));
+    wait_until("the entry has sent", async || {
+        site.metric(&vm, "primrosechute_dispatched_total").await > 0.0
+    })
+    .await;
+    proxy.silence();
+    proxy.set_held(Side::Up, false);
+
+    let answer = caller.await.unwrap().unwrap();
+
+    assert_eq!(outcome(&answer).0, "unknown", "{answer:?}");
+    assert_eq!(problem(&answer)["not_run"], false);
+    site.assert_serves(&vm, 100, 3).await;
+}
+
+/// Guards against requests that hang or fail for long when all links between daemons go silent.
+#[tokio::test]
+async fn peer_links_go_silent() {
+    let site = start(2, 0).await;
+    let owner = site.owner("llm-1").await;
+    let entry = site.others(&owner).remove(0);
+    site.assert_serves(&entry, 100, 2).await;
+
+    site.fleet.links().for_each(Proxy::silence);
+
+    site.assert_serves(&entry, 200, 4).await;
+    site.assert_truthful(&[]);
+}
+
+/// Guards against a daemon that never hears of a new sheet or VM list because its connections to
+/// the platform went silent.
+#[tokio::test]
+async fn platform_connections_go_silent() {
+    let builder = builder().setting("timing", json!({ "watch_wait": "1s" }));
+    let mut site = Site::prepare(sheet(1, 0), builder).await;
+    site.launch().await;
+
+    for vm in site.fleet.names() {
+        site.fleet.sheet_proxy(&vm).silence();
+        site.fleet.list_proxy(&vm).silence();
+    }
+    site.change(|sheet| sheet.title = "changed".to_string());
+    site.fleet.list("vm-1");
+
+    let revision = site.sheet.revision;
+    let generation = site.fleet.platform().vms.newest().generation;
+    for vm in site.fleet.names() {
+        site.wait_status(&vm, "the new sheet and list", |status| {
+            status["sheet"]["revision"] == revision && status["list_generation"] == generation
+        })
+        .await;
+    }
+    site.assert_serves("vm-1", 100, 2).await;
+}
+
+/// Guards against answers that reach another caller when many are late at once.
+#[tokio::test]
+async fn late_answers_are_not_crossed() {
+    let site = start(3, 0).await;
+    for name in site.engines.keys() {
+        let proxy = site.fleet.target(name);
+        proxy.set_latency(Duration::from_millis(20));
+        proxy.set_bandwidth(Some(100_000));
+    }
+    for link in site.fleet.links() {
+        link.set_latency(Duration::from_millis(10));
+    }
+    let names = site.fleet.names();
+    let calls: Vec<_> = (0_u32..60)
+        .map(|n| {
+            let seed = u64::from(n);
+            let call = match n % 3 {
+                0 => model_call(seed, 3 + n % 7, true),
+                1 => model_call(seed, 3 + n % 5, false),
+                _ => chat(seed, 40, 3 + n % 9, true).key(KEY),
+            };
+            let call = call.header("x-primrosechute-deadline", "50s");
+            (site.client(&names[n as usize % names.len()]), call)
+        })
+        .collect();
+
+    let answers = send_all(calls.clone()).await;
+
+    for ((_, call), answer) in calls.iter().zip(answers) {
+        assert_own(call, &answer.unwrap());
+    }
+    assert_eq!(site.runs().len(), 60);
+    site.assert_truthful(&[]);
+}
+
+/// Guards against a cut stream that is taken for a whole one: it is resumed while the target makes
+/// progress.
+#[tokio::test]
+async fn truncated_target_streams_are_resumed() {
+    let site = start(1, 0).await;
+    let vm = site.fleet.names().remove(0);
+    let proxy = site.fleet.target("llm-1");
+    proxy.set_truncate(Side::Down, Some(1200));
+    let call = model_call(1, 30, true);
+
+    let answer = site.client(&vm).call(call.clone()).await.unwrap();
+
+    assert_own(&call, &answer);
+    assert_eq!(site.engines["llm-1"].stats().runs, 1);
+    site.assert_truthful(&[&answer]);
+}
+
+/// Guards against a plain answer that is lost or cut although the engine still has it.
+#[tokio::test]
+async fn truncated_plain_answers_are_rebuilt() {
+    let site = start(1, 0).await;
+    let vm = site.fleet.names().remove(0);
+    let proxy = site.fleet.target("llm-1");
+    proxy.set_truncate(Side::Down, Some(800));
+    let call = model_call(1, 80, false);
+
+    let answer = site.client(&vm).call(call.clone()).await.unwrap();
+
+    assert_own(&call, &answer);
+    assert_eq!(site.engines["llm-1"].stats().runs, 1);
+    site.assert_truthful(&[&answer]);
+}
+
+/// Guards against `unknown` for a request that the engine still has after its connection was
+/// reset.
+#[tokio::test]
+async fn reset_before_the_head_is_resumed() {
+    let site = start(1, 0).await;
+    let vm = site.fleet.names().remove(0);
+    let engine = &site.engines["llm-1"];
+    engine.set_slowdown(1e6);
+    let calls = [model_call(1, 20, true), model_call(2, 20, false)];
+    for call in &calls {
+        engine.set_slowdown(1e6);
+        let proxy = site.fleet.target("llm-1");
+        proxy.set_held(Side::Down, true);
+        let before = engine.stats().runs;
+        let caller = spawn(site.client(&vm), call.clone());
+        engine.wait_for(|stats| stats.runs > before).await;
+        proxy.cut();
+        proxy.set_held(Side::Down, false);
+        engine.set_slowdown(1.0);
+
+        let answer = caller.await.unwrap().unwrap();
+
+        assert_own(call, &answer);
+    }
+    assert_eq!(engine.stats().runs, 2);
+    site.assert_truthful(&[]);
+}
+
+/// Guards against a stream without a proper end when the target makes no progress any more.
+#[tokio::test]
+async fn stream_without_progress_ends_with_an_error_event() {
+    let site = start(1, 0).await;
+    let vm = site.fleet.names().remove(0);
+    let engine = &site.engines["llm-1"];
+    engine.set_slowdown(SLOW);
+    let mut stream = site
+        .client(&vm)
+        .open(model_call(1, 100, true))
+        .await
+        .unwrap();
+    read_events(&mut stream, 3).await;
+
+    let proxy = site.fleet.target("llm-1");
+    proxy.set_truncate(Side::Down, Some(200));
+    proxy.cut();
+    let answer = stream.finish().await;
+
+    assert!(answer.is_whole() && !answer.is_done(), "{answer:?}");
+    let problem = problem(&answer);
+    assert_eq!(
+        (&problem["outcome"], &problem["reason"]),
+        (&json!("failed"), &json!("incomplete"))
+    );
+    assert_eq!(problem["not_run"], false);
+    assert_eq!(engine.stats().runs, 1);
+}
+
+/// Guards against a stream without a proper end when the engine crashes.
+#[tokio::test]
+async fn engine_crash_ends_a_stream_with_an_error_event() {
+    let site = start(1, 0).await;
+    let vm = site.fleet.names().remove(0);
+    let engine = &site.engines["llm-1"];
+    engine.set_slowdown(SLOW);
+    let mut stream = site
+        .client(&vm)
+        .open(model_call(1, 100, true))
+        .await
+        .unwrap();
+    read_events(&mut stream, 3).await;
+
+    engine.crash().await;
+    let answer = stream.finish().await;
+
+    assert!(answer.is_whole() && !answer.is_done(), "{answer:?}");
+    assert_eq!(problem(&answer)["outcome"], "failed");
+    assert_eq!(problem(&answer)["not_run"], false);
+    assert_eq!(engine.stats().runs, 1);
+}
+
+/// Guards against runs, places and tokens that a caller leaves behind.
+#[tokio::test]
+async fn caller_that_leaves_frees_run_place_and_tokens() {
+    const BURST: u64 = 2000;
+    let mut sheet = sheet(1, 0);
+    let small = sheet.workspaces.get_mut("w1").unwrap();
+    // The rate gives back a fraction of a request's tokens while the test runs.
+    (small.rate, small.burst) = (100, BURST);
+    let mut site = Site::prepare(sheet, builder()).await;
+    site.launch().await;
+    let vm = site.fleet.names().remove(0);
+    let engine = &site.engines["llm-1"];
+    engine.set_slowdown(SLOW);
+    let tokens = u32::try_from(BURST / 4).unwrap() - 100;
+    let call = |seed| model_call(seed, tokens, true);
+    let mut stream = site.client(&vm).open(call(1)).await.unwrap();
+    assert!(stream.status.is_success());
+    read_events(&mut stream, 2).await;
+
+    drop(stream);
+    engine.wait_for(|stats| stats.cancelled == 1).await;
+
+    assert_eq!(engine.records()[0].end, Some(End::Cancelled));
+    engine.set_slowdown(1.0);
+    let again = call(2);
+    let answer = site.client(&vm).call(again.clone()).await.unwrap();
+    assert_own(&again, &answer);
+}
