--- a/crates/daemon/src/entry/admit.rs
+++ b/crates/daemon/src/entry/admit.rs
@@ -25,6 +25,10 @@
 const MAX_DEADLINE_TEXT: usize = 16;
 /// Longest time that a run may take after its deadline.
 const MAX_RUN: Duration = Duration::from_mins(5);
+/// Longest time that a call to a plain service may take after its deadline, as a multiple of the
+/// silence after which a stream is resumed. A service can't be asked whether it still has the call,
+/// so that only time ends a silent one.
+const MAX_SERVICE_SILENCES: u32 = 4;
 /// Bytes of a prompt that count as one token before the engine has counted them.
 const BYTES_PER_TOKEN: u64 = 4;
 /// Bytes of a body whose hash decides the affinity to targets with a warm prefix cache.
@@ -40,6 +44,8 @@
     pub(super) body: Bytes,
     pub(super) pool: Name,
     pub(super) kind: PoolKind,
+    /// Whether the caller asked an engine for a stream.
+    pub(super) stream: bool,
     /// Hash of the key and its workspace; `None` on open routes.
     pub(super) caller: Option<Caller>,
     pub(super) tier: u8,
@@ -134,9 +140,14 @@
         PoolKind::Service => Size {
             prompt: 0,
             output: route.max_tokens,
+            stream: false,
             body: None,
         },
     };
+    let max_run = match kind {
+        PoolKind::Engine => MAX_RUN,
+        PoolKind::Service => node.settings.timing.stream_silent * MAX_SERVICE_SILENCES,
+    };
     Ok(Job {
         id,
         method: parts.method.clone(),
@@ -150,6 +161,7 @@
         body: size.body.unwrap_or(body),
         pool: route.pool.clone(),
         kind,
+        stream: size.stream,
         caller,
         tier,
         tier_name: sheet
@@ -159,7 +171,7 @@
         cost: size.prompt + size.output,
         prompt: size.prompt,
         deadline: arrival + deadline,
-        hard_deadline: arrival + deadline + MAX_RUN,
+        hard_deadline: arrival + deadline + max_run,
     })
 }
 
@@ -260,6 +272,7 @@
 struct Size {
     prompt: u64,
     output: u64,
+    stream: bool,
     /// The body with a limit of output tokens, if the call named none.
     body: Option<Bytes>,
 }
@@ -269,6 +282,7 @@
     struct Call {
         max_tokens: Option<serde_json::Value>,
         max_completion_tokens: Option<serde_json::Value>,
+        stream: Option<bool>,
     }
     const NOT_JSON: Refusal = Refusal::Malformed("the body is not a JSON object of a model call");
     // serde takes an array for a struct, too, field by field.
@@ -276,6 +290,7 @@
         return Err(NOT_JSON);
     }
     let call: Call = serde_json::from_slice(body).map_err(|_| NOT_JSON)?;
+    let stream = call.stream == Some(true);
     let prompt = u64::try_from(body.len()).unwrap_or(u64::MAX) / BYTES_PER_TOKEN + 1;
     // With both fields an engine may follow either one, so the larger one counts.
     let mut output = None;
@@ -293,6 +308,7 @@
         Some(output) => Ok(Size {
             prompt,
             output,
+            stream,
             body: None,
         }),
         None => {
@@ -304,6 +320,7 @@
             Ok(Size {
                 prompt,
                 output: route.max_tokens,
+                stream,
                 body: Some(body.into()),
             })
         }
--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -177,6 +177,15 @@
         self.with(|state| state.events)
     }
 
+    /// All bytes so far.
+    pub(crate) fn bytes(&self) -> Vec<u8> {
+        self.with(|state| {
+            let closed = state.segments.iter().map(|segment| &segment.bytes[..]);
+            let parts: Vec<_> = closed.chain([&state.open[..]]).collect();
+            parts.concat()
+        })
+    }
+
     pub(crate) fn size(&self) -> usize {
         self.with(|state| state.len())
     }
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -30,7 +30,7 @@
         .route("/v1/outcomes/{id}", get(outcome))
         .route("/v1/streams/{id}", get(resume))
         // Routes of the sheet can't have these paths.
-        .method_not_allowed_fallback(async || refuse(&Refusal::Route, ""))
+        .method_not_allowed_fallback(async || refuse_unnamed(Refusal::Route))
         .fallback(call)
         .with_state(node)
 }
@@ -53,7 +53,7 @@
 
 async fn outcome(State(node): State<Arc<Node>>, id: IdPath) -> Response {
     let Some(id) = id.ok().and_then(|Path(id)| RequestId::parse(&id).ok()) else {
-        return refuse(&BAD_PATH_ID, "");
+        return refuse_unnamed(BAD_PATH_ID);
     };
     let known = if id.incarnation() == node.incarnation {
         node.outcome(id.as_str())
@@ -83,19 +83,23 @@
     headers: HeaderMap,
 ) -> Response {
     let Some(id) = id.ok().and_then(|Path(id)| RequestId::parse(&id).ok()) else {
-        return refuse(&BAD_PATH_ID, "");
+        return refuse_unnamed(BAD_PATH_ID);
     };
-    let id = id.as_str();
     let Ok(Query(from)) = from else {
-        return refuse(&Refusal::Malformed("offset is not a whole number"), id);
+        let refusal = Refusal::Malformed("offset is not a whole number");
+        return refuse(&node, refusal, &id);
     };
+    let id = id.as_str();
     let Some(record) = node.with_table(|table| table.get(id)) else {
         return Outcome::Unknown.response(id);
     };
     if let Some(workspace) = &record.workspace
         && !admit::may_read(&node.sheet(), workspace, &headers)
     {
-        return refuse(&Refusal::Key, id);
+        // The request may have run, so the refusal must not deny it.
+        let outcome = Outcome::Refused(Refusal::Key);
+        count(&outcome);
+        return outcome.response_with(id, false);
     }
     let reader = record.answer.reader(from.offset);
     respond(&node, &record.id, reader).await
@@ -113,17 +117,18 @@
 async fn checked(node: &Arc<Node>, parts: &Parts, body: &mut Body) -> Response {
     let id = match admit::request_id(node, &parts.headers) {
         Ok(id) => id,
-        Err(refusal) => return refuse(&refusal, ""),
+        Err(refusal) => return refuse_unnamed(refusal),
     };
     if id.incarnation() != node.incarnation {
         return other(node, &id).await;
     }
     let job = match admit::check(node, id.clone(), parts, body).await {
         Ok(job) => job,
-        Err(refusal) => return refuse(&refusal, id.as_str()),
+        Err(refusal) => return refuse(node, refusal, &id),
     };
     match enter(node, job) {
         Ok(reader) => respond(node, &id, reader).await,
+        Err(Outcome::Refused(refusal)) => refuse(node, refusal, &id),
         Err(outcome) => {
             count(&outcome);
             outcome.response(id.as_str())
@@ -148,11 +153,24 @@
     });
 }
 
-fn refuse(refusal: &Refusal, id: &str) -> Response {
-    let outcome = Outcome::Refused(refusal.clone());
+/// Refuses a call that names no valid request id.
+fn refuse_unnamed(refusal: Refusal) -> Response {
+    let outcome = Outcome::Refused(refusal);
+    count(&outcome);
+    outcome.response("")
+}
+
+/// Refuses a call. An earlier call with the same id may have run.
+fn refuse(node: &Node, refusal: Refusal, id: &RequestId) -> Response {
+    let outcome = Outcome::Refused(refusal);
     count(&outcome);
-    log::debug!("entry: request {id} refused: {}", refusal.label());
-    outcome.response(id)
+    log::debug!(
+        "entry: request {} refused: {}",
+        id.as_str(),
+        outcome.reason()
+    );
+    let may_have_run = node.with_table(|table| table.may_have_run(id));
+    outcome.response_with(id.as_str(), !may_have_run)
 }
 
 /// Counts an outcome that was decided without a run.
@@ -184,7 +202,7 @@
     let workspace = job.workspace().cloned();
     let draining = !node.takes_calls();
     let found = node.with_table(|table| {
-        if draining && table.get(job.id.as_str()).is_none() {
+        if draining && !table.is_taken(&job.id) {
             return None;
         }
         Some(table.enter(&job.id, || Record {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -232,12 +232,14 @@
             node.owner.send(Msg::InDoubt(lease != Lease::Held));
         }
         let (fresh, leaving) = (state.view.is_fresh(), state.view.is_leaving());
+        let generation = state.view.generation();
         drop(state);
         let timing = &node.settings.timing;
         let margin = timing
             .hold_down()
             .saturating_sub(timing.list_lag + timing.lease);
-        node.holder.set_lease(now, share_lease(lease), margin);
+        node.holder
+            .set_lease(now, share_lease(lease), generation, margin);
         if fresh {
             node.holder.resume();
         }
--- a/crates/daemon/src/shares.rs
+++ b/crates/daemon/src/shares.rs
@@ -42,6 +42,10 @@
 struct State {
     shares: Shares,
     reclaim: Reclaim,
+    lease: LeaseState,
+    lease_end: Duration,
+    /// Generation of the list by which the lease was last held.
+    generation: u64,
 }
 
 impl Holder {
@@ -59,6 +63,9 @@
             state: Mutex::new(State {
                 shares: Shares::new(incarnation.0, timing),
                 reclaim: Reclaim::new(now, timing),
+                lease: LeaseState::Held,
+                lease_end: Duration::MAX,
+                generation: 0,
             }),
             single,
         }
@@ -80,7 +87,7 @@
         let mut state = self.lock();
         state.shares.configure(now, limits);
         if self.single {
-            let epoch = wall_seconds();
+            let epoch = wall_millis();
             for workspace in sheet.workspaces.keys() {
                 for number in 0..PARTS {
                     // False for parts that are held already.
@@ -103,7 +110,9 @@
         let listed = listed
             .into_iter()
             .map(|(vm, incarnation)| (vm, incarnation.map(|incarnation| incarnation.0)));
-        let State { shares, reclaim } = &mut *state;
+        let State {
+            shares, reclaim, ..
+        } = &mut *state;
         reclaim.set_listed(now, shares, listed);
         for workspace in sheet.workspaces.keys() {
             let parts = succession(own, live, workspace);
@@ -111,13 +120,28 @@
         }
     }
 
-    /// Sets the lease; `margin` is the time for which a lease that is held now lasts without a
-    /// further call, as in a pause of the process.
-    pub(crate) fn set_lease(&self, now: Duration, lease: LeaseState, margin: Duration) {
+    /// Sets the lease by the list of a generation; `margin` is the time for which a lease that is
+    /// held now lasts without a further call, as in a pause of the process.
+    pub(crate) fn set_lease(
+        &self,
+        now: Duration,
+        lease: LeaseState,
+        generation: u64,
+        margin: Duration,
+    ) {
         let mut state = self.lock();
+        let expired = state.lease == LeaseState::Expired || now >= state.lease_end;
+        if lease == LeaseState::Held && expired && generation == state.generation {
+            // No list was missed, so no other daemon can have started these parts. Without this a
+            // pause of all VMs at once would lose every part.
+            state.shares.keep_expired();
+        }
         state.shares.set_lease(now, lease);
+        state.lease = lease;
         if lease == LeaseState::Held {
             state.shares.set_lease_end(now, now + margin);
+            state.lease_end = now + margin;
+            state.generation = generation;
         }
     }
 
@@ -370,7 +394,9 @@
 fn query(node: &Arc<Node>) {
     let query = {
         let mut guard = node.holder.lock();
-        let State { shares, reclaim } = &mut *guard;
+        let State {
+            shares, reclaim, ..
+        } = &mut *guard;
         reclaim.ask(node.now(), shares)
     };
     let message = PartQuery {
@@ -403,7 +429,7 @@
     let state = &mut *guard;
     let started = state
         .reclaim
-        .poll(node.now(), &mut state.shares, wall_seconds());
+        .poll(node.now(), &mut state.shares, wall_millis());
     drop(guard);
     if !started.is_empty() {
         log::info!("share: started {} unclaimed parts, empty", started.len());
@@ -447,10 +473,12 @@
 }
 
 /// Lower bound for epochs, which grows over restarts of the whole fleet.
-fn wall_seconds() -> u64 {
+fn wall_millis() -> u64 {
     SystemTime::now()
         .duration_since(SystemTime::UNIX_EPOCH)
-        .map_or(0, |since| since.as_secs())
+        .map_or(0, |since| {
+            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+        })
 }
 
 fn move_message(part: &limit::PartMove) -> PartMove {
--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -105,10 +105,6 @@
         line: "GET /v1/streams/%ff".into(),
         ..with_keys(&[], 400, "malformed", "the request id is malformed")
     });
-    all.push(Bad {
-        line: "GET /v1/streams/0123456789abcdef-a?offset=-1".into(),
-        ..with_keys(&[], 400, "malformed", "offset is not a whole number")
-    });
     all
 }
 
@@ -267,6 +263,21 @@
     }
 }
 
+/// Guards against a "not run" about a request that another incarnation may have run.
+#[tokio::test]
+async fn a_bad_offset_says_nothing_about_the_run() {
+    let single = Single::start(&json!({})).await;
+    let line = "GET /v1/streams/0123456789abcdef-a?offset=-1";
+
+    let reply = send(&single, &request(line, &[&key(KEY)], &body())).await;
+
+    assert_eq!(reply.status, 400);
+    assert_eq!(reply.header("x-primrosechute-reason"), "malformed");
+    let problem = reply.json();
+    assert_eq!(problem["detail"], "offset is not a whole number");
+    assert_eq!(problem["not_run"], false);
+}
+
 /// Guards against a dispatch of a request that another incarnation may have run.
 #[tokio::test]
 async fn id_of_another_incarnation_is_unknown_and_not_dispatched() {
