sched: check containment in the random operations

The oracle follows the suspect fingerprint through the gossip and checks that its runs are alone and that a refused one is not granted. Disabling containment was seen by the rule tests only.

--- a/crates/sched/tests/machine.rs
+++ b/crates/sched/tests/machine.rs
@@ -5,53 +5,36 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use common::{add_warm, closed, ms, report, secs, spec, work};
+use common::{add_warm, closed, load, ms, report, secs, spec, work};
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
-use sched::{
-    Config, Event, LoadReport, Permit, RunEnd, RunReport, Scheduler, ShedReason, TargetPhase,
-};
+use sched::{Config, Descriptor, Event, Permit, RunEnd, RunReport, Scheduler};
+use sched::{ShedReason, TargetPhase};
 
 const TARGETS: [&str; 3] = ["a", "b", "c"];
 const CAPACITY: u64 = 320;
 const COLD_LIMIT: u32 = 2;
+/// Fingerprint of several requests; all others have one of their own.
+const SHARED: u64 = 666;
 
 #[derive(Clone, Copy, Debug)]
 enum Op {
-    Offer {
-        tier: u8,
-        workspace: u8,
-        cost: u64,
-        life: u64,
-        crashes: bool,
-    },
+    /// Tier, workspace, cost, milliseconds until the deadline, whether it is a shared one.
+    Offer(u8, u8, u64, u64, bool),
     Withdraw(usize),
-    Release {
-        run: usize,
-        end: RunEnd,
-        gap: u64,
-    },
-    /// A report measured up to 3 s ago, possibly older than the last.
-    Report {
-        target: usize,
-        running: u32,
-        cold: bool,
-        start: u64,
-        age: u64,
-    },
-    Zone {
-        target: usize,
-        open: bool,
-    },
-    GiveUp {
-        target: usize,
-        lost: bool,
-    },
+    /// Run, end, token gap in milliseconds.
+    Release(usize, RunEnd, u64),
+    /// Target, running, cold, start, age in milliseconds; possibly older than the last report.
+    Report(usize, u32, bool, bool, u64),
+    Zone(usize, bool),
+    /// Target, whether its runs are lost on the way to its new owner.
+    GiveUp(usize, bool),
     Doubt(bool),
     Wait(u64),
 }
 
 fn op() -> impl Strategy<Value = Op> {
+    let rarely = prop::bool::weighted;
     let end = prop_oneof![
         8 => Just(RunEnd::Complete),
         1 => Just(RunEnd::Unused),
@@ -59,25 +42,25 @@
         1 => Just(RunEnd::Overloaded),
         1 => Just(RunEnd::Reset),
     ];
+    let offer = (0..5_u8, 0..4_u8, 1..150_u64, 0..60_000_u64, rarely(0.05));
+    let report = (0..3_usize, 0..4_u32, rarely(0.2), rarely(0.1), 0..3_000_u64);
     prop_oneof![
-        20 => (0..6_u8, 0..4_u8, 1..150_u64, 0..60_000_u64, prop::bool::weighted(0.05)).prop_map(
-            |(tier, workspace, cost, life, crashes)| Op::Offer { tier, workspace, cost, life, crashes }),
+        20 => offer.prop_map(|(a, b, c, d, e)| Op::Offer(a, b, c, d, e)),
         2 => any::<usize>().prop_map(Op::Withdraw),
-        14 => (any::<usize>(), end, 20..60_u64).prop_map(
-            |(run, end, gap)| Op::Release { run, end, gap }),
-        2 => (0..3_usize, 0..4_u32, prop::bool::weighted(0.2), prop::bool::weighted(0.1), 0..3_000_u64).prop_map(
-            |(target, running, cold, start, age)| Op::Report { target, running, cold, start: start.into(), age }),
-        1 => (0..3_usize, prop::bool::weighted(0.8)).prop_map(|(target, open)| Op::Zone { target, open }),
-        1 => (0..3_usize, any::<bool>()).prop_map(|(target, lost)| Op::GiveUp { target, lost }),
-        1 => prop::bool::weighted(0.3).prop_map(Op::Doubt),
+        14 => (any::<usize>(), end, 20..60_u64).prop_map(|(a, b, c)| Op::Release(a, b, c)),
+        2 => report.prop_map(|(a, b, c, d, e)| Op::Report(a, b, c, d, e)),
+        1 => (0..3_usize, rarely(0.8)).prop_map(|(a, b)| Op::Zone(a, b)),
+        1 => (0..3_usize, any::<bool>()).prop_map(|(a, b)| Op::GiveUp(a, b)),
+        1 => rarely(0.3).prop_map(Op::Doubt),
         5 => (0..3_000_u64).prop_map(Op::Wait),
     ]
 }
 
-struct Waiting {
-    tier: u8,
-    cost: u64,
-    suspect: bool,
+struct Run {
+    permit: Permit,
+    hard_deadline: Duration,
+    /// Whether nothing else may run on its target.
+    alone: bool,
 }
 
 struct Machine {
@@ -85,20 +68,26 @@
     now: Duration,
     offered: usize,
     in_doubt: bool,
-    waiting: HashMap<String, Waiting>,
+    waiting: HashMap<String, Descriptor>,
     decided: HashSet<String>,
-    /// Permits not released yet, and whether their request crashes targets.
-    runs: Vec<(Permit, bool)>,
+    /// Runs that were not released.
+    runs: Vec<Run>,
+    /// Number of targets that the shared fingerprint crashed, as told to other owners.
+    crashed: usize,
 }
 
 impl Machine {
     fn new() -> Self {
-        let scheduler = Scheduler::new(Config {
+        let mut scheduler = Scheduler::new(Config {
             max_waiting: 12,
             assumed_run: secs(10),
             ..Config::default()
         });
-        let mut machine = Machine {
+        for target in TARGETS {
+            let spec = spec(target, CAPACITY, COLD_LIMIT);
+            add_warm(&mut scheduler, Duration::ZERO, &spec);
+        }
+        Machine {
             scheduler,
             now: Duration::ZERO,
             offered: 0,
@@ -106,104 +95,66 @@
             waiting: HashMap::new(),
             decided: HashSet::new(),
             runs: Vec::new(),
-        };
-        for target in TARGETS {
-            add_warm(
-                &mut machine.scheduler,
-                machine.now,
-                &spec(target, CAPACITY, COLD_LIMIT),
-            );
+            crashed: 0,
         }
-        machine
     }
 
     fn apply(&mut self, op: Op) {
         let (scheduler, now) = (&mut self.scheduler, self.now);
         match op {
-            Op::Offer {
-                tier,
-                workspace,
-                cost,
-                life,
-                crashes,
-            } => {
+            Op::Offer(tier, workspace, cost, life, shared) => {
                 self.offered += 1;
                 let id = format!("r{}", self.offered);
                 let mut descriptor = work(&id, tier, &format!("w{workspace}"), cost);
                 descriptor.deadline = now + ms(life);
                 descriptor.hard_deadline = now + ms(2 * life);
-                if crashes {
-                    descriptor.fingerprint = 666;
+                if shared {
+                    descriptor.fingerprint = SHARED;
                 }
-                self.waiting.insert(
-                    id,
-                    Waiting {
-                        tier,
-                        cost,
-                        suspect: crashes,
-                    },
-                );
+                self.waiting.insert(id, descriptor.clone());
                 scheduler.offer(now, descriptor);
             }
             Op::Withdraw(at) => {
                 let id = format!("r{}", at % (self.offered + 1));
-                // A shed that was decided before still comes as an event.
                 if scheduler.withdraw(now, &id) {
                     assert!(self.waiting.remove(&id).is_some(), "{id} did not wait");
                 }
             }
-            Op::Release { run, end, gap } if !self.runs.is_empty() => {
-                let at = run % self.runs.len();
-                let (permit, _) = self.runs.swap_remove(at);
-                let report = RunReport {
-                    end,
-                    tokens: 10,
+            Op::Release(..) if self.runs.is_empty() => {}
+            Op::Release(at, end, gap) => {
+                let run = self.runs.swap_remove(at % self.runs.len());
+                let measured = RunReport {
                     first_token: Some(ms(10)),
                     token_gap: Some(ms(gap)),
+                    ..report(end)
                 };
-                if run % 2 == 0 {
-                    scheduler.release(now, permit.id, report);
+                if at % 2 == 0 {
+                    scheduler.release(now, run.permit.id, measured);
                 }
                 // The only way after a hand-over, and a second release otherwise.
-                scheduler.release_request(now, &permit.request, report);
+                scheduler.release_request(now, &run.permit.request, measured);
             }
-            Op::Report {
-                target,
-                running,
-                cold,
-                start,
-                age,
-            } => {
-                let report = LoadReport {
-                    running,
-                    tokens: 0,
-                    cold,
-                    start,
-                };
-                scheduler.load_report_at(now, TARGETS[target], report, now.saturating_sub(ms(age)));
+            Op::Report(target, running, cold, start, age) => {
+                let (report, measured) = (load(running, cold, start.into()), ms(age));
+                let measured = now.saturating_sub(measured);
+                scheduler.load_report_at(now, TARGETS[target], report, measured);
             }
-            Op::Zone { target, open: true } => {
+            Op::Zone(target, open) => {
+                let spec = if open { spec } else { closed };
                 scheduler.set_target(now, spec(TARGETS[target], CAPACITY, COLD_LIMIT), false);
             }
-            Op::Zone {
-                target,
-                open: false,
-            } => {
-                scheduler.set_target(now, closed(TARGETS[target], CAPACITY, COLD_LIMIT), false);
-            }
-            Op::GiveUp { target, lost } => {
-                let name = TARGETS[target];
-                let handover = scheduler.give_up(now, name).unwrap();
-                let own = self
-                    .runs
-                    .iter()
-                    .filter(|(permit, _)| &*permit.target == name);
-                assert!(handover.in_flight.len() <= own.count());
+            Op::GiveUp(target, lost) => {
+                let spec = spec(TARGETS[target], CAPACITY, COLD_LIMIT);
+                let handover = scheduler.give_up(now, &spec.name).unwrap();
+                for run in &mut self.runs {
+                    // A hand-over does not tell which runs are alone.
+                    run.alone &= run.permit.target != spec.name;
+                }
                 if lost {
-                    self.runs.retain(|(permit, _)| &*permit.target != name);
-                    scheduler.set_target(now, spec(name, CAPACITY, COLD_LIMIT), true);
+                    self.runs.retain(|run| run.permit.target != spec.name);
+                    scheduler.set_target(now, spec, true);
                 } else {
-                    scheduler.adopt(now, spec(name, CAPACITY, COLD_LIMIT), &handover);
+                    scheduler.adopt(now, spec, &handover);
                 }
             }
             Op::Doubt(in_doubt) => {
@@ -211,105 +162,104 @@
                 scheduler.set_in_doubt(in_doubt);
             }
             Op::Wait(millis) => self.now += ms(millis),
-            Op::Release { .. } => {}
+        }
+        let shared = |suspect: &sched::Suspect| suspect.fingerprint == SHARED;
+        if let Some(suspect) = self.scheduler.suspects().into_iter().find(shared) {
+            self.crashed = suspect.crashed.len();
         }
     }
 
     /// Polls, and checks the events and the state after each operation.
     fn check(&mut self) {
-        let before: HashMap<_, _> = TARGETS
-            .map(|name| (name, self.scheduler.in_flight(name).unwrap()))
-            .into();
-        let events = self.scheduler.poll(self.now);
+        let alone: HashSet<_> = TARGETS
+            .into_iter()
+            .filter(|name| self.has_alone(name))
+            .collect();
         let mut granted: HashMap<String, (u32, u64)> = HashMap::new();
-        for event in events {
+        for event in self.scheduler.poll(self.now) {
             let (Event::Granted(Permit { request: id, .. }) | Event::Shed { id, .. }) = &event;
-            let own = self
-                .waiting
-                .remove(&**id)
-                .unwrap_or_else(|| panic!("{id} does not wait"));
+            let own = self.waiting.remove(&**id);
+            let own = own.unwrap_or_else(|| panic!("{id} does not wait"));
             assert!(
                 self.decided.insert(id.to_string()),
                 "{id} was decided twice"
             );
             match event {
                 Event::Granted(permit) => {
-                    let granted = granted.entry(permit.target.to_string()).or_default();
-                    *granted = (granted.0 + 1, granted.1 + own.cost);
-                    self.runs.push((permit, own.suspect));
+                    let sum = granted.entry(permit.target.to_string()).or_default();
+                    *sum = (sum.0 + 1, sum.1 + own.cost);
+                    let crashed = if own.fingerprint == SHARED {
+                        self.crashed
+                    } else {
+                        0
+                    };
+                    assert!(crashed < 2, "{own:?} was refused");
+                    assert!(!alone.contains(&*permit.target), "granted beside a suspect");
+                    self.runs.push(Run {
+                        hard_deadline: own.hard_deadline.max(permit.expires),
+                        permit,
+                        alone: crashed == 1,
+                    });
                 }
                 Event::Shed {
                     reason: ShedReason::QueueFull | ShedReason::Evicted,
                     ..
                 } => {
-                    let lower = self
-                        .waiting
-                        .values()
-                        .any(|other| other.tier.min(4) > own.tier);
-                    assert!(
-                        !lower,
-                        "{own_tier} shed while a lower tier waits",
-                        own_tier = own.tier
-                    );
+                    let lower = self.waiting.values().any(|other| other.tier > own.tier);
+                    assert!(!lower, "{own:?} was shed while a lower tier waits");
                 }
                 Event::Shed { .. } => {}
             }
         }
-        for name in TARGETS {
-            let (running, tokens) = self.scheduler.in_flight(name).unwrap();
-            let Some(&(new, cost)) = granted.get(name) else {
-                continue;
-            };
-            let limit = self.scheduler.limit(name).unwrap();
+        for (name, (count, cost)) in granted {
+            let (running, tokens) = self.scheduler.in_flight(&name).unwrap();
+            let limit = self.scheduler.limit(&name).unwrap();
+            let oversized = count == 1 && running == 1 && tokens == cost;
+            assert!(tokens <= limit || oversized, "{name}: {tokens} of {limit}");
             assert!(
-                tokens <= limit || (new == 1 && tokens == cost),
-                "{name}: {tokens} of {limit}"
+                !self.has_alone(&name) || running == 1,
+                "a suspect beside others"
             );
-            match self.scheduler.phase(name) {
-                Some(TargetPhase::Cold) => {
-                    assert!(
-                        running <= COLD_LIMIT && !self.in_doubt,
-                        "{name}: {before:?}"
-                    );
+            match self.scheduler.phase(&name).unwrap() {
+                TargetPhase::Cold => {
+                    assert!(running <= COLD_LIMIT, "{name} is cold and runs {running}");
+                    assert!(!self.in_doubt, "{name} is cold and in doubt");
                 }
-                Some(TargetPhase::Draining | TargetPhase::Out) | None => panic!("{name} is closed"),
-                Some(TargetPhase::Warming | TargetPhase::Serving) => {}
+                TargetPhase::Warming | TargetPhase::Serving => {}
+                TargetPhase::Draining | TargetPhase::Out => panic!("{name} is closed"),
             }
         }
         self.check_work_conservation();
     }
 
+    fn has_alone(&self, name: &str) -> bool {
+        let mut runs = self.runs.iter();
+        runs.any(|run| run.alone && &*run.permit.target == name && run.hard_deadline > self.now)
+    }
+
     /// If all that wait in the highest tier fit on a warm target, one of them has to be granted.
     fn check_work_conservation(&self) {
-        if self.waiting.values().any(|own| own.suspect) {
-            return;
-        }
-        let Some(tier) = self.waiting.values().map(|own| own.tier.min(4)).min() else {
+        let limit = |name| self.scheduler.limit(name).unwrap();
+        // A target may be left to run empty for one that has to run alone.
+        let highest = TARGETS.into_iter().map(limit).max().unwrap();
+        let alone = |own: &Descriptor| own.fingerprint == SHARED || own.cost > highest;
+        let Some(tier) = self.waiting.values().map(|own| own.tier).min() else {
             return;
         };
-        let heads = self.waiting.values().filter(|own| own.tier.min(4) == tier);
-        let largest = heads.map(|own| own.cost).max().unwrap_or(0);
-        let limit = |name| self.scheduler.limit(name).unwrap();
-        if self
-            .waiting
-            .values()
-            .any(|own| TARGETS.iter().all(|name| limit(name) < own.cost))
-        {
-            return; // A target may be left to run empty.
+        if self.waiting.values().any(alone) {
+            return;
         }
+        let heads = self.waiting.values().filter(|own| own.tier == tier);
+        let largest = heads.map(|own| own.cost).max().unwrap();
         for name in TARGETS {
             let phase = self.scheduler.phase(name);
             let (running, tokens) = self.scheduler.in_flight(name).unwrap();
-            let mut runs = self.runs.iter();
-            let alone = runs.any(|(permit, suspect)| *suspect && &*permit.target == name);
-            if matches!(phase, Some(TargetPhase::Warming | TargetPhase::Serving)) && !alone {
-                let room = running == 0 || tokens + largest <= limit(name);
-                assert!(
-                    !room,
-                    "{name} has room for tier {tier}: {tokens} of {}",
-                    limit(name)
-                );
-            }
+            let room = running == 0 || tokens + largest <= limit(name);
+            let warm = matches!(phase, Some(TargetPhase::Warming | TargetPhase::Serving));
+            assert!(
+                !warm || !room || self.has_alone(name),
+                "{name} has room for tier {tier}"
+            );
         }
     }
 }
