--- a/crates/sched/tests/containment.rs
+++ b/crates/sched/tests/containment.rs
@@ -105,29 +105,27 @@
 /// Guards against blame on requests that were not there when the target crashed, or never ran.
 #[test]
 fn one_crash_blames_its_own_runs_once() {
-    let mut scheduler = warm(&["a"], 1_000);
-    let first: Vec<_> = (0..3)
-        .map(|number| {
-            run(
-                &mut scheduler,
-                ZERO,
-                work(&format!("old-{number}"), 0, "w", 10),
-            )
-        })
-        .collect();
-    for permit in &first {
-        scheduler.release(secs(1), permit.id, report(RunEnd::Reset));
-    }
-    let suspects = scheduler.suspects();
-    assert_eq!(suspects.len(), 3, "all that ran");
+    let mut scheduler = Scheduler::new(Config::default());
+    common::add_warm(&mut scheduler, ZERO, &spec("a", 1_000, 5));
+    let crash = |scheduler: &mut Scheduler, id: &str| {
+        let permit = run(scheduler, secs(10), work(id, 0, "w", 10));
+        scheduler.release(secs(10), permit.id, report(RunEnd::Reset));
+        scheduler.suspects().len()
+    };
+    let old = run(&mut scheduler, ZERO, work("old", 0, "w", 10));
+    assert_eq!(crash(&mut scheduler, "crash"), 2, "all that ran");
     // The target is still down and refuses connections; that proves nothing.
-    let refused = run(&mut scheduler, secs(2), work("refused", 0, "w", 10));
-    scheduler.release(secs(2), refused.id, report(RunEnd::Reset));
+    assert_eq!(crash(&mut scheduler, "refused"), 0);
+    // A report shows it alive, and work completes; then the first crash is told once more.
+    scheduler.load_report(secs(20), "a", load(0, false, 2));
+    let beside = run(&mut scheduler, secs(20), work("beside", 0, "w", 10));
+    let done = run(&mut scheduler, secs(20), work("done", 0, "w", 10));
+    scheduler.release(secs(20), done.id, report(RunEnd::Complete));
+    scheduler.release(secs(20), old.id, report(RunEnd::Reset));
     assert_eq!(scheduler.suspects(), []);
-    // A report shows it alive, and then a crash counts again.
-    scheduler.load_report(secs(10), "a", load(0, false, 2));
-    let crash = run(&mut scheduler, secs(10), work("crash", 0, "w", 10));
-    scheduler.release(secs(11), crash.id, report(RunEnd::Reset));
+    assert_eq!(scheduler.phase("a"), Some(sched::TargetPhase::Warming));
+    // A crash after that counts.
+    scheduler.release(secs(20), beside.id, report(RunEnd::Reset));
     assert_eq!(scheduler.suspects().len(), 1);
 }
 
--- a/crates/sched/tests/queue.rs
+++ b/crates/sched/tests/queue.rs
@@ -20,101 +20,49 @@
     (scheduler, permit.id)
 }
 
-/// Guards against a lower tier that passes a higher one.
+/// Guards against a lower tier that passes a higher one, also by small work that would fit.
 #[test]
 fn higher_tiers_go_first() {
-    let (mut scheduler, first) = full(10);
-    for (id, tier) in [("c", 2), ("b", 1), ("a", 0)] {
-        scheduler.offer(ZERO, work(id, tier, "w", 100));
+    let (mut scheduler, mut permit) = full(10);
+    for (id, tier, cost) in [("d", 2, 1), ("b", 1, 60), ("c", 1, 60), ("a", 0, 100)] {
+        scheduler.offer(ZERO, work(id, tier, id, cost));
     }
-    let mut order = Vec::new();
-    let mut permit = first;
-    for _ in 0..3 {
+    for expected in [&["a"][..], &["b"], &["c", "d"]] {
         scheduler.release(ZERO, permit, report(RunEnd::Complete));
         let granted = grants(&scheduler.poll(ZERO));
-        assert_eq!(granted.len(), 1);
+        let ids: Vec<_> = granted.iter().map(|own| &*own.request).collect();
+        assert_eq!(ids, expected);
         permit = granted[0].id;
-        order.push(granted[0].request.to_string());
     }
-    assert_eq!(order, ["a", "b", "c"]);
-}
-
-/// Guards against small work of a lower tier that takes the room a higher one waits for.
-#[test]
-fn lower_tiers_do_not_pass_a_blocked_head() {
-    let mut scheduler = warm(&["a"], 100);
-    run(&mut scheduler, ZERO, work("first", 0, "w", 50));
-    scheduler.offer(ZERO, work("large", 0, "w", 60));
-    scheduler.offer(ZERO, work("small", 1, "w", 10));
-    assert_eq!(scheduler.poll(ZERO), []);
 }
 
 /// Guards against a full queue that sheds the wrong descriptor.
 #[test]
 fn full_queue_evicts_newest_of_lowest_tier() {
-    // Waiting as (id, tier, workspace), the arrival, and the expected shed.
-    type Case<'a> = (
-        &'a [(&'a str, u8, &'a str)],
-        (&'a str, u8, &'a str),
-        (&'a str, ShedReason),
-    );
-    let cases: [Case; 6] = [
+    // Id, tier and workspace of the three that wait and of the arrival; then the expected shed.
+    let cases = [
         // The lowest tier gives way to any higher one.
-        (
-            &[("a", 1, "w"), ("b", 3, "w"), ("c", 3, "w")],
-            ("d", 2, "w"),
-            ("c", ShedReason::Evicted),
-        ),
+        ("a1w b3w c3w d2w", "c3w", ShedReason::Evicted),
         // Inside it, the workspace with most waiting.
-        (
-            &[("a", 3, "w"), ("b", 3, "w"), ("c", 3, "v")],
-            ("d", 0, "w"),
-            ("b", ShedReason::Evicted),
-        ),
+        ("a3w b3w c3v d0w", "b3w", ShedReason::Evicted),
         // An arrival below all that wait is shed itself.
-        (
-            &[("a", 1, "w"), ("b", 1, "w"), ("c", 1, "w")],
-            ("d", 2, "v"),
-            ("d", ShedReason::QueueFull),
-        ),
+        ("a1w b1w c1w d2v", "d2v", ShedReason::QueueFull),
         // So is one of the same tier and workspace.
-        (
-            &[("a", 1, "w"), ("b", 1, "w"), ("c", 1, "w")],
-            ("d", 1, "w"),
-            ("d", ShedReason::QueueFull),
-        ),
+        ("a1w b1w c1w d1w", "d1w", ShedReason::QueueFull),
         // A workspace that fills the queue gives way to another one of the same tier,
-        (
-            &[("a", 1, "w"), ("b", 1, "w"), ("c", 1, "w")],
-            ("d", 1, "v"),
-            ("c", ShedReason::QueueFull),
-        ),
+        ("a1w b1w c1w d1v", "c1w", ShedReason::QueueFull),
         // but not if that would only swap their shares.
-        (
-            &[("a", 1, "w"), ("b", 1, "w"), ("c", 1, "v")],
-            ("d", 1, "v"),
-            ("d", ShedReason::QueueFull),
-        ),
+        ("a1w b1w c1v d1v", "d1v", ShedReason::QueueFull),
     ];
-    for (waiting, arrival, (shed, reason)) in cases {
+    for (offers, shed, reason) in cases {
         let (mut scheduler, _) = full(3);
-        for &(id, tier, workspace) in waiting {
-            scheduler.offer(ZERO, work(id, tier, workspace, 100));
+        let tier = |id: &str| id[1..2].parse().unwrap();
+        for id in offers.split(' ') {
+            scheduler.offer(ZERO, work(id, tier(id), &id[2..], 100));
         }
-        scheduler.offer(ZERO, work(arrival.0, arrival.1, arrival.2, 100));
         let events = scheduler.poll(ZERO);
-        assert_eq!(
-            sheds(&events),
-            [(shed.to_string(), reason)],
-            "{waiting:?} {arrival:?}"
-        );
-        let tier = waiting
-            .iter()
-            .chain([&arrival])
-            .find(|own| own.0 == shed)
-            .unwrap()
-            .1;
-        assert_eq!(scheduler.stats().sheds(tier, reason), 1);
+        assert_eq!(sheds(&events), [(shed.to_string(), reason)], "{offers}");
+        assert_eq!(scheduler.stats().sheds(tier(shed), reason), 1);
     }
 }
 
@@ -222,41 +170,16 @@
     }
 }
 
-/// Guards against a withdrawn request that is decided on all the same.
+/// Guards against resent offers that wait twice, and withdrawn ones that are decided on.
 #[test]
-fn withdrawn_requests_get_no_decision() {
+fn offers_wait_once_until_withdrawn() {
     let (mut scheduler, first) = full(10);
-    scheduler.offer(ZERO, work("a", 0, "w", 100));
-    scheduler.offer(ZERO, work("b", 0, "w", 100));
+    for id in ["a", "a", "b"] {
+        scheduler.offer(ZERO, work(id, 0, "w", 100));
+    }
+    assert_eq!(scheduler.digest().waiting, [2, 0, 0, 0, 0]);
     assert!(scheduler.withdraw(ZERO, "a"));
     assert!(!scheduler.withdraw(ZERO, "a"));
-    assert_eq!(scheduler.digest().waiting, [1, 0, 0, 0, 0]);
     scheduler.release(ZERO, first, report(RunEnd::Complete));
-    let granted = grants(&scheduler.poll(ZERO));
-    assert_eq!(granted.len(), 1);
-    assert_eq!(&*granted[0].request, "b");
-}
-
-/// Guards against requests that wait for targets that are gone.
-#[test]
-fn without_an_open_target_all_are_shed() {
-    let (mut scheduler, _) = full(10);
-    scheduler.offer(ZERO, work("a", 0, "w", 100));
-    scheduler.set_target(ZERO, common::closed("a", 100, 1), false);
-    scheduler.offer(ZERO, work("b", 0, "w", 100));
-    let shed = sheds(&scheduler.poll(ZERO));
-    assert_eq!(shed.len(), 2);
-    assert!(
-        shed.iter()
-            .all(|(_, reason)| *reason == ShedReason::NoTarget)
-    );
-}
-
-/// Guards against resent offers that wait twice.
-#[test]
-fn a_waiting_id_is_offered_once() {
-    let (mut scheduler, _) = full(10);
-    scheduler.offer(ZERO, work("a", 0, "w", 100));
-    scheduler.offer(ZERO, work("a", 0, "w", 100));
-    assert_eq!(scheduler.digest().waiting, [1, 0, 0, 0, 0]);
+    assert_eq!(&*grants(&scheduler.poll(ZERO))[0].request, "b");
 }
--- a/crates/sched/tests/targets.rs
+++ b/crates/sched/tests/targets.rs
@@ -23,52 +23,41 @@
 /// Guards against full load on a target that was restarted, in each way that can be seen.
 #[test]
 fn signs_of_a_restart_turn_a_target_cold() {
-    type Sign = fn(&mut Scheduler, PermitId);
-    let signs: [(&str, Sign, TargetPhase); 8] = [
-        ("nothing", |_, _| (), TargetPhase::Serving),
-        (
-            "reset",
-            |s, id| s.release(secs(1), id, report(RunEnd::Reset)),
-            TargetPhase::Cold,
-        ),
-        (
-            "overloaded at little load",
-            |s, id| s.release(secs(1), id, report(RunEnd::Overloaded)),
-            TargetPhase::Cold,
-        ),
-        (
-            "new start",
-            |s, _| s.load_report(secs(1), "a", load(1, false, 2)),
-            TargetPhase::Cold,
-        ),
-        (
-            "same start",
-            |s, _| s.load_report(secs(1), "a", load(1, false, 1)),
-            TargetPhase::Serving,
-        ),
-        (
-            "cold report",
-            |s, _| s.load_report(secs(1), "a", load(1, true, 1)),
-            TargetPhase::Cold,
-        ),
-        ("gap", |s, _| drop(s.poll(secs(16))), TargetPhase::Cold),
-        (
-            "zone out and in",
-            |s, _| {
-                s.set_target(secs(1), closed("a", 1_000, 2), false);
-                assert_eq!(s.phase("a"), Some(TargetPhase::Draining));
-                s.set_target(secs(1), spec("a", 1_000, 2), false);
-            },
-            TargetPhase::Cold,
-        ),
+    enum Sign {
+        End(RunEnd),
+        Report(bool, u64),
+        Silence(u64),
+        Zone,
+    }
+    let signs = [
+        (Sign::End(RunEnd::Complete), TargetPhase::Serving),
+        (Sign::End(RunEnd::Reset), TargetPhase::Cold),
+        // At little load, so that it may be loading.
+        (Sign::End(RunEnd::Overloaded), TargetPhase::Cold),
+        (Sign::Report(false, 1), TargetPhase::Serving),
+        (Sign::Report(false, 2), TargetPhase::Cold),
+        (Sign::Report(true, 1), TargetPhase::Cold),
+        (Sign::Silence(15), TargetPhase::Serving),
+        (Sign::Silence(16), TargetPhase::Cold),
+        (Sign::Zone, TargetPhase::Cold),
     ];
-    for (name, sign, phase) in signs {
-        let mut scheduler = Scheduler::new(Config::default());
-        add_warm(&mut scheduler, ZERO, &spec("a", 1_000, 2));
+    for (number, (sign, phase)) in signs.into_iter().enumerate() {
+        let mut scheduler = warm(&["a"], 1_000);
         scheduler.load_report(ZERO, "a", load(0, false, 1));
         let permit = run(&mut scheduler, ZERO, work("r", 0, "w", 10));
-        sign(&mut scheduler, permit.id);
-        assert_eq!(scheduler.phase("a"), Some(phase), "{name}");
+        match sign {
+            Sign::End(end) => scheduler.release(secs(1), permit.id, report(end)),
+            Sign::Report(cold, start) => {
+                scheduler.load_report(secs(1), "a", load(1, cold, start));
+            }
+            Sign::Silence(seconds) => drop(scheduler.poll(secs(seconds))),
+            Sign::Zone => {
+                scheduler.set_target(secs(1), closed("a", 1_000, 2), false);
+                assert_eq!(scheduler.phase("a"), Some(TargetPhase::Draining));
+                scheduler.set_target(secs(1), spec("a", 1_000, 2), false);
+            }
+        }
+        assert_eq!(scheduler.phase("a"), Some(phase), "sign {number}");
     }
 }
 
@@ -160,13 +149,12 @@
 /// Guards against a second owner that loads cold targets during a partition.
 #[test]
 fn in_doubt_cold_targets_get_nothing() {
-    let mut scheduler = Scheduler::new(Config::default());
+    let mut scheduler = warm(&["warm"], 20);
     scheduler.set_target(ZERO, spec("cold", 1_000, 4), false);
-    add_warm(&mut scheduler, ZERO, &spec("warm", 20, 1));
     scheduler.set_in_doubt(true);
     let granted = offer_many(&mut scheduler, ZERO, 5);
-    assert_eq!(granted.len(), 2);
     assert!(granted.iter().all(|permit| &*permit.target == "warm"));
+    assert_eq!(granted.len(), 2);
     scheduler.set_in_doubt(false);
     assert_eq!(grants(&scheduler.poll(ZERO)).len(), 3);
 }
