sched: count a burst of refusals once

Each refused run of a burst cut the limit by 0.7, and once the tokens in flight had fallen below half of it the next one looked like a restart: ten refusals of a full target turned it cold. Refusals of runs granted before the last one was seen are ignored now.

Baseline takes the same arguments as Scheduler, so that one can stand in for the other. Times passed to set_target, adopt, give_up and load_report never run backwards. The overload test now refuses all ten runs; without the rule it fails with phase Cold.

--- a/crates/sched/src/baseline.rs
+++ b/crates/sched/src/baseline.rs
@@ -3,9 +3,11 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use crate::config::Config;
 use crate::model::{Descriptor, Event, Name, Permit, PermitId, RunReport, ShedReason, TargetSpec};
 
-/// First in first out over a random target with room, without tiers, deadlines or warm-up.
+/// First in first out over a random target with room, without tiers, deadlines or warm-up. The
+/// methods take the same arguments as those of [`Scheduler`](crate::Scheduler).
 pub struct Baseline {
     queue: VecDeque<Descriptor>,
     max_waiting: usize,
@@ -19,13 +21,14 @@
 }
 
 impl Baseline {
-    /// Creates a baseline scheduler; the seed fixes its choices.
+    /// Creates a baseline scheduler; the seed fixes its choices. Of the limits, only those of the
+    /// queue and of the life of permits apply.
     #[must_use]
-    pub fn new(max_waiting: usize, permit_life: Duration, seed: u64) -> Self {
+    pub fn new(cfg: &Config, seed: u64) -> Self {
         Baseline {
             queue: VecDeque::new(),
-            max_waiting,
-            permit_life,
+            max_waiting: cfg.max_waiting,
+            permit_life: cfg.permit_life,
             targets: Vec::new(),
             runs: HashMap::new(),
             random: fastrand::Rng::with_seed(seed),
@@ -35,7 +38,7 @@
     }
 
     /// Adds a target or changes its specification.
-    pub fn set_target(&mut self, spec: TargetSpec) {
+    pub fn set_target(&mut self, _: Duration, spec: TargetSpec, _: bool) {
         match self.targets.iter_mut().find(|own| own.0.name == spec.name) {
             Some(own) => own.0 = spec,
             None => self.targets.push((spec, 0, 0)),
@@ -43,7 +46,7 @@
     }
 
     /// Queues a request, or sheds it if the queue is full.
-    pub fn offer(&mut self, descriptor: Descriptor) {
+    pub fn offer(&mut self, _: Duration, descriptor: Descriptor) {
         if self.queue.len() < self.max_waiting {
             self.queue.push_back(descriptor);
         } else {
@@ -56,13 +59,13 @@
     }
 
     /// Removes a waiting request. Returns false if it does not wait.
-    pub fn withdraw(&mut self, id: &str) -> bool {
+    pub fn withdraw(&mut self, _: Duration, id: &str) -> bool {
         let at = self.queue.iter().position(|waiting| &*waiting.id == id);
         at.and_then(|at| self.queue.remove(at)).is_some()
     }
 
     /// Ends a permit.
-    pub fn release(&mut self, permit: PermitId, _: RunReport) {
+    pub fn release(&mut self, _: Duration, permit: PermitId, _: RunReport) {
         if let Some((name, cost)) = self.runs.remove(&permit)
             && let Some(own) = self.targets.iter_mut().find(|own| own.0.name == name)
         {
--- a/crates/sched/src/observe.rs
+++ b/crates/sched/src/observe.rs
@@ -41,7 +41,7 @@
         report: LoadReport,
         measured: Duration,
     ) {
-        self.see(now);
+        let now = self.see(now);
         if let Some(&at) = self.by_name.get(target) {
             let target = &mut self.targets[at];
             target.report(&self.cfg, now, measured.min(now), report, self.in_doubt);
@@ -73,7 +73,10 @@
         let current = run.epoch == target.epoch;
         let before = target.tokens.saturating_add(run.cost);
         match report.end {
-            RunEnd::Overloaded if current => target.overloaded(&self.cfg, self.now, before),
+            RunEnd::Overloaded if current && !run.handed_over => {
+                let next = PermitId(self.next_permit);
+                target.overloaded(&self.cfg, self.now, run.permit, before, next);
+            }
             RunEnd::Unused | RunEnd::Reset | RunEnd::Overloaded => {}
             RunEnd::Cancelled => {
                 self.learn(&run, report, current.then_some(before), false);
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -71,7 +71,7 @@
     /// counts as taken until a report or the hard deadline frees it. It has no effect on a target
     /// that is here already.
     pub fn set_target(&mut self, now: Duration, spec: TargetSpec, assume_full: bool) {
-        self.see(now);
+        let now = self.see(now);
         if let Some(&at) = self.by_name.get(&spec.name) {
             self.targets[at].set_spec(now, spec);
             return;
@@ -88,6 +88,7 @@
     /// Takes over a target with the state that its old owner handed over. It has no effect on the
     /// runs and the warmth of a target that is here already.
     pub fn adopt(&mut self, now: Duration, spec: TargetSpec, handover: &Handover) {
+        let now = self.see(now);
         let known = self.by_name.contains_key(&spec.name);
         let (name, open) = (spec.name.clone(), spec.open);
         self.set_target(now, spec, false);
@@ -121,7 +122,7 @@
     /// Gives up a target and returns its state for the new owner. Releases of its permits have no
     /// effect here any more; they go to the new owner by request id.
     pub fn give_up(&mut self, now: Duration, target: &str) -> Option<Handover> {
-        self.see(now);
+        let now = self.see(now);
         let at = self.by_name.remove(target)?;
         let target = self.targets.remove(at);
         self.prefixes.forget(at);
@@ -270,8 +271,10 @@
         &self.stats
     }
 
-    pub(crate) fn see(&mut self, now: Duration) {
+    /// Takes the time of a call, which never runs backwards.
+    pub(crate) fn see(&mut self, now: Duration) -> Duration {
         self.now = self.now.max(now);
+        self.now
     }
 
     pub(crate) fn has_open(&self) -> bool {
--- a/crates/sched/src/target.rs
+++ b/crates/sched/src/target.rs
@@ -54,6 +54,8 @@
     pub(crate) first_token: FirstToken,
     pub(crate) token_gap: Mean,
     pub(crate) last_grant: PermitId,
+    /// First permit that was not yet given when the target last refused work as overloaded.
+    refused: PermitId,
     assumed: Option<Assumed>,
     /// Time of measure and content of the newest load report.
     report: Option<(Duration, LoadReport)>,
@@ -81,6 +83,7 @@
             first_token: FirstToken::default(),
             token_gap: Mean::default(),
             last_grant: PermitId(0),
+            refused: PermitId(0),
             assumed: None,
             report: None,
             silent: false,
@@ -208,9 +211,23 @@
     }
 
     /// Takes a refusal as overloaded of a run that was granted in the present epoch. `before`
-    /// is the number of tokens in flight including that run.
-    pub(crate) fn overloaded(&mut self, cfg: &Config, now: Duration, before: u64) {
+    /// is the number of tokens in flight including that run, `next` the next permit.
+    ///
+    /// Runs granted before the last refusal was seen tell nothing new; a burst of refusals would
+    /// otherwise cut the limit many times and then look like a restart.
+    pub(crate) fn overloaded(
+        &mut self,
+        cfg: &Config,
+        now: Duration,
+        permit: PermitId,
+        before: u64,
+        next: PermitId,
+    ) {
         self.alive = true;
+        if permit < self.refused {
+            return;
+        }
+        self.refused = next;
         if self.is_cold() {
             self.back_off(cfg, now);
         } else if float(before) < float(self.limit.get()) * RESTART_LOAD {
--- a/crates/sched/tests/targets.rs
+++ b/crates/sched/tests/targets.rs
@@ -299,9 +299,11 @@
 fn overload_under_load_lowers_the_limit() {
     let mut scheduler = warm(&["a"], 100);
     let granted = offer_many(&mut scheduler, ZERO, 10);
-    scheduler.release(ZERO, granted[0].id, report(RunEnd::Overloaded));
+    for permit in &granted {
+        scheduler.release(ZERO, permit.id, report(RunEnd::Overloaded));
+    }
     assert_eq!(scheduler.phase("a"), Some(TargetPhase::Serving));
-    assert_eq!(scheduler.limit("a"), Some(70));
+    assert_eq!(scheduler.limit("a"), Some(70), "one burst counts once");
 }
 
 /// Guards against a stream of requests to a target that is down.
@@ -357,17 +359,21 @@
 /// Guards against a baseline that grants beyond the capacity or out of order.
 #[test]
 fn baseline_is_first_in_first_out_within_capacity() {
-    let mut baseline = Baseline::new(3, secs(1), 7);
-    baseline.set_target(spec("a", 100, 0));
+    let cfg = Config {
+        max_waiting: 3,
+        ..Config::default()
+    };
+    let mut baseline = Baseline::new(&cfg, 7);
+    baseline.set_target(ZERO, spec("a", 100, 0), false);
     for (id, tier) in [("a", 4), ("b", 0), ("c", 1), ("d", 0)] {
-        baseline.offer(work(id, tier, "w", 60));
+        baseline.offer(ZERO, work(id, tier, "w", 60));
     }
-    assert!(baseline.withdraw("b"));
+    assert!(baseline.withdraw(ZERO, "b"));
     let events = baseline.poll(ZERO);
     assert_eq!(common::sheds(&events).len(), 1);
     let granted = grants(&events);
     assert_eq!(granted.len(), 1);
     assert_eq!(&*granted[0].request, "a");
-    baseline.release(granted[0].id, report(RunEnd::Complete));
+    baseline.release(ZERO, granted[0].id, report(RunEnd::Complete));
     assert_eq!(&*grants(&baseline.poll(ZERO))[0].request, "c");
 }
