--- a/crates/member/src/lease.rs
+++ b/crates/member/src/lease.rs
@@ -46,13 +46,19 @@
             .is_some_and(|at| now.saturating_sub(at) <= self.cfg.silence)
     }
 
-    /// The rule that keeps the lease while the platform gives no list. It never holds without
-    /// peers, since a lone daemon can't tell an outage from its own isolation.
+    /// The rule that keeps the lease while the platform gives no list. A peer that has an older
+    /// list or none shows nothing, since it may have known a newer one before it restarted. The
+    /// rule never holds without peers, since a lone daemon can't tell an outage from its own
+    /// isolation.
     pub(crate) fn reaches_all(&self, now: Duration) -> bool {
+        let generation = self.generation();
         self.unlisted.is_none()
-            && self.newest <= self.generation()
+            && self.newest <= generation
             && !self.links.is_empty()
-            && self.links.iter().all(|vm| self.reaches(now, vm))
+            && self
+                .links
+                .iter()
+                .all(|vm| self.reaches(now, vm) && self.generation_of(vm) == generation)
     }
 
     /// Upper bound of an age that a peer gave.
--- a/crates/member/src/ownership.rs
+++ b/crates/member/src/ownership.rs
@@ -66,7 +66,9 @@
 ///    VM, and a start as [`Source::Fresh`](crate::Source) would be wrong.
 /// 8. If the platform gives lists to some VMs only, at least one VM of each older list that is
 ///    still in use reads the newer one or reaches a VM that did. Otherwise the older VMs may
-///    hold their leases by reaching each other.
+///    hold their leases by reaching each other. So that a restart doesn't lose the newer list, a
+///    process opens its links after its first read from the platform, or after
+///    [`Config::lease`](crate::Config::lease) without an answer.
 #[derive(Clone, Debug, Default)]
 pub struct Ownership {
     targets: BTreeMap<Name, Target>,
@@ -136,6 +138,26 @@
         actions
     }
 
+    /// Takes a peer's answer to a question of `generation`, as the method named by each
+    /// [`Answer`] does.
+    pub fn on_answer(
+        &mut self,
+        now: Duration,
+        view: &View,
+        target: &str,
+        (from, answer): (&Name, Answer),
+        generation: u64,
+    ) -> Vec<Action> {
+        match answer {
+            Answer::Given => self.on_handover(now, view, target, true, generation),
+            Answer::StillMine => self.on_handover(now, view, target, false, generation),
+            Answer::NeverOwned => self.on_never_owned(now, view, target, from, generation),
+            Answer::Clear => self.on_clear(now, view, target, from, generation),
+            Answer::Yours => self.on_yours(now, view, target, generation),
+            Answer::GivenUp | Answer::Wait => Vec::new(),
+        }
+    }
+
     /// Takes the reply to a question of `generation`: `given` if the old owner stopped granting.
     pub fn on_handover(
         &mut self,
--- a/crates/member/src/peer.rs
+++ b/crates/member/src/peer.rs
@@ -8,7 +8,7 @@
 /// Whether this daemon may rely on its list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lease {
-    /// A recent list contains this VM, or all peers are reached and none has a fresher list.
+    /// A recent list contains this VM, or all peers are reached and have the same list.
     Held,
     /// Neither is the case: no grants to cold targets, no growth, no new targets.
     InDoubt,
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -18,6 +18,7 @@
     incarnation: Option<Incarnation>,
     restarted: bool,
     heard: Option<Duration>,
+    generation: u64,
     refused: Option<Duration>,
     ready: bool,
 }
@@ -123,6 +124,7 @@
         }
         peer.refused = None;
         peer.ready = beat.ready;
+        peer.generation = beat.generation;
         self.newest = self.newest.max(beat.generation);
         if self.list.is_some() && beat.generation == self.generation() {
             let age = self.relayed(now, beat.age);
@@ -153,6 +155,16 @@
         }
     }
 
+    /// The heartbeat to send.
+    #[must_use]
+    pub fn beat(&self, now: Duration) -> Beat {
+        Beat {
+            generation: self.generation(),
+            age: self.list_age(now),
+            ready: self.ready,
+        }
+    }
+
     /// The link to `vm` was silent and is closed; nothing is known about the process.
     pub fn on_silent(&mut self, _now: Duration, vm: &Name) {
         if let Some(peer) = self.known.get_mut(vm) {
@@ -295,6 +307,11 @@
         now + ORIGIN
     }
 
+    /// Generation that the last heartbeat of `vm` named.
+    pub(crate) fn generation_of(&self, vm: &str) -> u64 {
+        self.known.get(vm).map_or(0, |peer| peer.generation)
+    }
+
     pub(crate) fn refused(&self, vm: &str) -> Option<Duration> {
         self.known.get(vm)?.refused
     }
