--- a/crates/member/src/ownership.rs
+++ b/crates/member/src/ownership.rs
@@ -69,6 +69,32 @@
 ///    hold their leases by reaching each other. So that a restart doesn't lose the newer list, a
 ///    process opens its links after its first read from the platform, or after
 ///    [`Config::lease`](crate::Config::lease) without an answer.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use member::{Action, Config, Grants, Incarnation, Ownership, Source, View, Vm, VmList, VmState};
+///
+/// let address = "127.0.0.1:7000".parse().unwrap();
+/// let vm = Vm {
+///     name: "vm-1".into(),
+///     zone: "riga-a".into(),
+///     state: VmState::Live,
+///     entry: address,
+///     peer: address,
+/// };
+/// let list = VmList { generation: 1, vms: vec![vm] };
+/// let cfg = Config { standalone: true, ..Config::default() };
+/// let mut view = View::new(cfg, "vm-1".into(), Incarnation(1));
+/// let mut ownership = Ownership::default();
+/// let now = Duration::from_secs(60);
+/// view.on_list(now, list, Duration::ZERO);
+/// let actions = ownership.update(now, &view, [("engine-1".into(), "riga-a".into())]);
+/// let start = Action::Start { target: "engine-1".into(), source: Source::Fresh };
+/// assert_eq!(actions, [start]);
+/// assert_eq!(ownership.grants(now, &view, "engine-1"), Grants::Full);
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Ownership {
     targets: BTreeMap<Name, Target>,
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -24,6 +24,30 @@
 }
 
 /// The last VM list, what was heard of each VM, and the lease.
+///
+/// ```
+/// use std::time::Duration;
+/// use member::{Beat, Config, Incarnation, Lease, View, Vm, VmList, VmState};
+///
+/// let address = "127.0.0.1:7000".parse().unwrap();
+/// let vm = |name: &str| Vm {
+///     name: name.into(),
+///     zone: "riga-a".into(),
+///     state: VmState::Live,
+///     entry: address,
+///     peer: address,
+/// };
+/// let list = VmList { generation: 1, vms: vec![vm("vm-1"), vm("vm-2")] };
+/// let mut view = View::new(Config::default(), "vm-1".into(), Incarnation(1));
+/// let now = Duration::from_secs(60);
+/// view.on_list(now, list, Duration::ZERO);
+/// assert_eq!(view.lease(now), Lease::Held);
+///
+/// let beat = Beat { generation: 1, age: Duration::ZERO, ready: true };
+/// view.on_hello(&"vm-2".into(), Incarnation(2), address.ip());
+/// view.on_heartbeat(now, &"vm-2".into(), beat);
+/// assert_eq!(view.entries(now).count(), 1, "this daemon isn't ready yet");
+/// ```
 #[derive(Clone, Debug)]
 pub struct View {
     pub(crate) cfg: Config,
