--- a/crates/member/src/ownership.rs
+++ b/crates/member/src/ownership.rs
@@ -66,7 +66,35 @@
 ///    VM, and a start as [`Source::Fresh`](crate::Source) would be wrong.
 /// 8. If the platform gives lists to some VMs only, at least one VM of each older list that is
 ///    still in use reads the newer one or reaches a VM that did. Otherwise the older VMs may
-///    hold their leases by reaching each other.
+///    hold their leases by reaching each other. So that a restart doesn't lose the newer list, a
+///    process opens its links after its first read from the platform, or after
+///    [`Config::lease`](crate::Config::lease) without an answer.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use member::{Action, Config, Grants, Incarnation, Ownership, Source, View, Vm, VmList, VmState};
+///
+/// let address = "127.0.0.1:7000".parse().unwrap();
+/// let vm = Vm {
+///     name: "vm-1".into(),
+///     zone: "riga-a".into(),
+///     state: VmState::Live,
+///     entry: address,
+///     peer: address,
+/// };
+/// let list = VmList { generation: 1, vms: vec![vm] };
+/// let cfg = Config { standalone: true, ..Config::default() };
+/// let mut view = View::new(cfg, "vm-1".into(), Incarnation(1));
+/// let mut ownership = Ownership::default();
+/// let now = Duration::from_secs(60);
+/// view.on_list(now, list, Duration::ZERO);
+/// let actions = ownership.update(now, &view, [("engine-1".into(), "riga-a".into())]);
+/// let start = Action::Start { target: "engine-1".into(), source: Source::Fresh };
+/// assert_eq!(actions, [start]);
+/// assert_eq!(ownership.grants(now, &view, "engine-1"), Grants::Full);
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Ownership {
     targets: BTreeMap<Name, Target>,
@@ -136,6 +164,26 @@
         actions
     }
 
+    /// Takes a peer's answer to a question of `generation`, as the method named by each
+    /// [`Answer`] does.
+    pub fn on_answer(
+        &mut self,
+        now: Duration,
+        view: &View,
+        target: &str,
+        (from, answer): (&Name, Answer),
+        generation: u64,
+    ) -> Vec<Action> {
+        match answer {
+            Answer::Given => self.on_handover(now, view, target, true, generation),
+            Answer::StillMine => self.on_handover(now, view, target, false, generation),
+            Answer::NeverOwned => self.on_never_owned(now, view, target, from, generation),
+            Answer::Clear => self.on_clear(now, view, target, from, generation),
+            Answer::Yours => self.on_yours(now, view, target, generation),
+            Answer::GivenUp | Answer::Wait => Vec::new(),
+        }
+    }
+
     /// Takes the reply to a question of `generation`: `given` if the old owner stopped granting.
     pub fn on_handover(
         &mut self,
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -18,11 +18,36 @@
     incarnation: Option<Incarnation>,
     restarted: bool,
     heard: Option<Duration>,
+    generation: u64,
     refused: Option<Duration>,
     ready: bool,
 }
 
 /// The last VM list, what was heard of each VM, and the lease.
+///
+/// ```
+/// use std::time::Duration;
+/// use member::{Beat, Config, Incarnation, Lease, View, Vm, VmList, VmState};
+///
+/// let address = "127.0.0.1:7000".parse().unwrap();
+/// let vm = |name: &str| Vm {
+///     name: name.into(),
+///     zone: "riga-a".into(),
+///     state: VmState::Live,
+///     entry: address,
+///     peer: address,
+/// };
+/// let list = VmList { generation: 1, vms: vec![vm("vm-1"), vm("vm-2")] };
+/// let mut view = View::new(Config::default(), "vm-1".into(), Incarnation(1));
+/// let now = Duration::from_secs(60);
+/// view.on_list(now, list, Duration::ZERO);
+/// assert_eq!(view.lease(now), Lease::Held);
+///
+/// let beat = Beat { generation: 1, age: Duration::ZERO, ready: true };
+/// view.on_hello(&"vm-2".into(), Incarnation(2), address.ip());
+/// view.on_heartbeat(now, &"vm-2".into(), beat);
+/// assert_eq!(view.entries(now).count(), 1, "this daemon isn't ready yet");
+/// ```
 #[derive(Clone, Debug)]
 pub struct View {
     pub(crate) cfg: Config,
@@ -123,6 +148,7 @@
         }
         peer.refused = None;
         peer.ready = beat.ready;
+        peer.generation = beat.generation;
         self.newest = self.newest.max(beat.generation);
         if self.list.is_some() && beat.generation == self.generation() {
             let age = self.relayed(now, beat.age);
@@ -153,6 +179,16 @@
         }
     }
 
+    /// The heartbeat to send.
+    #[must_use]
+    pub fn beat(&self, now: Duration) -> Beat {
+        Beat {
+            generation: self.generation(),
+            age: self.list_age(now),
+            ready: self.ready,
+        }
+    }
+
     /// The link to `vm` was silent and is closed; nothing is known about the process.
     pub fn on_silent(&mut self, _now: Duration, vm: &Name) {
         if let Some(peer) = self.known.get_mut(vm) {
@@ -295,6 +331,11 @@
         now + ORIGIN
     }
 
+    /// Generation that the last heartbeat of `vm` named.
+    pub(crate) fn generation_of(&self, vm: &str) -> u64 {
+        self.known.get(vm).map_or(0, |peer| peer.generation)
+    }
+
     pub(crate) fn refused(&self, vm: &str) -> Option<Duration> {
         self.known.get(vm)?.refused
     }
