Show rejected sheets and unreadable platform values with their reason

Cause: a rejected sheet was visible in the log only, and the configuration service's was logged and counted again with each read, every 2 s. A sheet of the same revision with other content was ignored in silence. A failed read of the VM list or the sheet said only that it failed. `check` and `serve` accepted a zone that the sheet does not have. Change: /status has rejected_sheet (revision if known, first 5 errors) until a newer sheet is accepted; the same rejected sheet is logged and counted once; primrosechute_sheets_rejected_total has the reason invalid, conflict or older; primrosechute_platform_reads_failed_total counts by source and reason, and the log line names the reason, once per change. Names in the settings are checked against the sheet file.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -77,6 +77,7 @@
         "incarnation": node.incarnation.to_string(),
         "phase": format!("{:?}", node.phase()).to_lowercase(),
         "sheet": { "revision": sheet.revision, "hash": hex::encode(sheet.hash.0) },
+        "rejected_sheet": node.rejected.get(),
         "list_generation": node.fleet.view(member::View::generation),
         "lease": node.fleet.view(|view| lease_label(view.lease(now))),
         "shares": shares,
--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{CommandFactory, Parser, Subcommand};
-use sheet::{LogFormat, LogLevel, Settings, SheetSource};
+use sheet::{LogFormat, LogLevel, Settings, SettingsError, Sheet, SheetSource};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::logging::{self, Format};
@@ -70,8 +70,8 @@
 #[must_use]
 pub fn main() -> ExitCode {
     match Args::parse().command {
-        Command::Serve { config } => match read_settings(&config) {
-            Ok(settings) => block_on(serve(settings)),
+        Command::Serve { config } => match read_config(&config) {
+            Ok((settings, _)) => block_on(serve(settings)),
             Err(text) => fail(EXIT_CONFIG, &text),
         },
         Command::Demo { entry } => block_on(run_demo(entry)),
@@ -99,17 +99,23 @@
     }
 }
 
-fn read_settings(path: &Path) -> Result<Settings, String> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|err| format!("{}: cannot be read: {err}", path.display()))?;
-    Settings::parse(&text, &path.display().to_string()).map_err(|err| err.to_string())
+/// Reads and checks settings, and the sheet file if they name one.
+fn read_config(path: &Path) -> Result<(Settings, Option<Sheet>), String> {
+    let file = path.display().to_string();
+    let text =
+        std::fs::read_to_string(path).map_err(|err| format!("{file}: cannot be read: {err}"))?;
+    let settings = Settings::parse(&text, &file).map_err(|err| err.to_string())?;
+    let sheet = match &settings.sheet {
+        SheetSource::File(sheet) => feed::read_file(sheet)?,
+        SheetSource::Service(_) => return Ok((settings, None)),
+    };
+    let names = settings.check_names(&sheet);
+    names.map_err(|err| SettingsError::at(&text, &file, err).to_string())?;
+    Ok((settings, Some(sheet)))
 }
 
 fn check(path: &Path, json: bool) -> ExitCode {
-    let checked = read_settings(path).and_then(|settings| match &settings.sheet {
-        SheetSource::File(sheet) => feed::read_file(sheet).map(Some),
-        SheetSource::Service(_) => Ok(None),
-    });
+    let checked = read_config(path).map(|(_, sheet)| sheet);
     match (checked, json) {
         (Ok(_), true) => {
             println!("{{\"ok\":true}}");
@@ -188,7 +194,7 @@
             _ = hangup.recv() => match daemon.reload() {
                 Ok(true) => log::info!("config: the sheet file was read again"),
                 Ok(false) => log::info!("config: the sheet file has no newer revision"),
-                Err(text) => log::error!("config: sheet rejected: {text}"),
+                Err(_) => log::error!("config: the last accepted sheet stays in force"),
             },
         }
     }
--- a/crates/daemon/src/feed/http.rs
+++ b/crates/daemon/src/feed/http.rs
@@ -1,11 +1,13 @@
 //! Small HTTP reads from the platform.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use metrics::counter;
 use tokio::time::timeout;
 
 use crate::target::Connection;
@@ -13,27 +15,126 @@
 /// Largest value that the platform holds, with some room for its headers' worth of growth.
 const MAX_VALUE: usize = 2 << 20;
 
+/// Longest text of a failure in a log line. An error may repeat what the platform sent.
+const MAX_REASON: usize = 200;
+
 /// An answer of the platform.
 #[derive(Debug)]
 pub(super) struct Answer {
     pub(super) status: u16,
+    /// Value of `x-revision`.
+    pub(super) revision: Option<u64>,
     pub(super) body: Bytes,
 }
 
-/// Reads one value. `None` if the platform did not answer in time.
-pub(super) async fn get(address: SocketAddr, path: &str, wait: Duration) -> Option<Answer> {
+/// Why a value can't be read.
+#[derive(Clone, Debug)]
+pub(super) enum ReadError {
+    Connect,
+    Timeout,
+    Broken,
+    TooLarge,
+    Status(u16),
+    Malformed(String),
+}
+
+impl ReadError {
+    fn label(&self) -> &'static str {
+        match self {
+            ReadError::Connect => "connect",
+            ReadError::Timeout => "timeout",
+            ReadError::Broken => "broken",
+            ReadError::TooLarge => "too_large",
+            ReadError::Status(_) => "status",
+            ReadError::Malformed(_) => "malformed",
+        }
+    }
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ReadError::Connect => f.write_str("no connection"),
+            ReadError::Timeout => f.write_str("no answer in time"),
+            ReadError::Broken => f.write_str("the answer broke off or is not HTTP"),
+            ReadError::TooLarge => write!(f, "the answer has more than {MAX_VALUE} bytes"),
+            ReadError::Status(status) => write!(f, "the answer has status {status}"),
+            ReadError::Malformed(reason) => write!(f, "{reason:.MAX_REASON$}"),
+        }
+    }
+}
+
+/// Reports failed reads of one value: counts each, and logs one line per change of the reason.
+#[derive(Debug)]
+pub(super) struct Reads {
+    /// What is read, for log lines.
+    what: String,
+    /// Label of the value.
+    source: &'static str,
+    failing: Option<&'static str>,
+}
+
+impl Reads {
+    pub(super) fn new(what: String, source: &'static str) -> Self {
+        Reads {
+            what,
+            source,
+            failing: None,
+        }
+    }
+
+    pub(super) fn note(&mut self, err: Option<&ReadError>) {
+        let failing = err.map(ReadError::label);
+        if let Some(reason) = failing {
+            counter!(
+                "primrosechute_platform_reads_failed_total",
+                "source" => self.source,
+                "reason" => reason,
+            )
+            .increment(1);
+        }
+        match err {
+            _ if failing == self.failing => {}
+            Some(err) => log::warn!("config: {} can't be read: {err}", self.what),
+            None => log::info!("config: {} is readable again", self.what),
+        }
+        self.failing = failing;
+    }
+}
+
+/// Reads one value.
+pub(super) async fn get(
+    address: SocketAddr,
+    path: &str,
+    wait: Duration,
+) -> Result<Answer, ReadError> {
     let call = async {
-        let mut connection = Connection::open(address, wait).await.ok()?;
+        let connection = Connection::open(address, wait).await;
+        let mut connection = connection.map_err(|_| ReadError::Connect)?;
         let req = Request::builder()
             .uri(path)
             .header(http::header::HOST, address.to_string())
             .body(Full::default())
-            .ok()?;
-        let response = connection.send(req).await.ok()?;
+            .map_err(|_| ReadError::Broken)?;
+        let response = connection.send(req).await.map_err(|_| ReadError::Broken)?;
         let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), MAX_VALUE);
-        let body = body.collect().await.ok()?.to_bytes();
-        Some(Answer { status, body })
+        let revision = response.headers().get("x-revision");
+        let revision = revision.and_then(|value| value.to_str().ok()?.parse().ok());
+        let body = Limited::new(response.into_body(), MAX_VALUE)
+            .collect()
+            .await;
+        let body = body.map_err(|err| {
+            if err.is::<LengthLimitError>() {
+                ReadError::TooLarge
+            } else {
+                ReadError::Broken
+            }
+        })?;
+        Ok(Answer {
+            status,
+            revision,
+            body: body.to_bytes(),
+        })
     };
-    timeout(wait, call).await.ok().flatten()
+    timeout(wait, call).await.unwrap_or(Err(ReadError::Timeout))
 }
--- a/crates/daemon/src/feed/list.rs
+++ b/crates/daemon/src/feed/list.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::http::get;
+use super::http::{ReadError, Reads, get};
 use crate::node::Node;
 
 #[derive(Deserialize)]
@@ -33,12 +33,12 @@
     Leaving,
 }
 
-/// Reads the list again and again, while this daemon is a relay. Failed reads are reported once per change.
+/// Reads the list again and again, while this daemon is a relay.
 pub(crate) async fn poll(node: Arc<Node>, address: SocketAddr) {
     let timing = &node.settings.timing;
     let mut tick = interval(timing.list_poll);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut reachable = true;
+    let mut reads = Reads::new(format!("the VM list at {address}"), "vm_list");
     loop {
         tick.tick().await;
         if !node.fleet.reads_platform(node.now()) {
@@ -46,27 +46,21 @@
         }
         let asked = node.now();
         let list = read(address, timing.silent).await;
-        if list.is_some() != reachable {
-            reachable = list.is_some();
-            if reachable {
-                log::info!("config: the VM list is readable again");
-            } else {
-                log::warn!("config: the VM list at {address} can't be read");
-            }
-        }
-        if let Some(list) = list {
+        reads.note(list.as_ref().err());
+        if let Ok(list) = list {
             node.on_list(list, node.now().saturating_sub(asked));
         }
     }
 }
 
-async fn read(address: SocketAddr, wait: Duration) -> Option<VmList> {
+async fn read(address: SocketAddr, wait: Duration) -> Result<VmList, ReadError> {
     let answer = get(address, "/v1/vms", wait).await?;
     if answer.status != 200 {
-        return None;
+        return Err(ReadError::Status(answer.status));
     }
-    let rows: Rows = serde_json::from_slice(&answer.body).ok()?;
-    Some(VmList {
+    let rows: Rows = serde_json::from_slice(&answer.body)
+        .map_err(|err| ReadError::Malformed(format!("not a VM list: {err}")))?;
+    Ok(VmList {
         generation: rows.generation,
         vms: rows.vms.into_iter().map(vm).collect(),
     })
--- a/crates/daemon/src/feed/sheet.rs
+++ b/crates/daemon/src/feed/sheet.rs
@@ -6,7 +6,7 @@
 
 use sheet::{Sheet, SheetSource};
 
-use super::http::get;
+use super::http::{ReadError, Reads, get};
 use crate::node::Node;
 
 /// Reads a sheet file. The error text is ready to print.
@@ -33,7 +33,8 @@
 /// Watches the configuration service.
 async fn watch(node: &Arc<Node>, address: SocketAddr) {
     let timing = &node.settings.timing;
-    let mut reachable = true;
+    let what = format!("the configuration service at {address}");
+    let mut reads = Reads::new(what, "sheet");
     // The first read does not wait, so that a starting daemon takes the newest sheet at once.
     let mut path = "/v1/values/sheet".to_string();
     loop {
@@ -43,27 +44,23 @@
             continue;
         }
         let answer = get(address, &path, timing.watch_wait + timing.silent).await;
-        let ok = answer
-            .as_ref()
-            .is_some_and(|answer| matches!(answer.status, 200 | 204));
-        if ok != reachable {
-            reachable = ok;
-            if reachable {
-                log::info!("config: the configuration service is readable again");
-            } else {
-                log::warn!("config: the configuration service at {address} can't be read");
-            }
-        }
+        let answer = answer.and_then(|answer| match answer.status {
+            200 | 204 => Ok(answer),
+            status => Err(ReadError::Status(status)),
+        });
+        reads.note(answer.as_ref().err());
         match answer {
-            Some(answer) if answer.status == 200 => {
-                let newer = node.offer_sheet(&answer.body);
+            Ok(answer) if answer.status == 200 => {
+                let newer = node.offer_sheet(&answer.body, answer.revision);
                 if !newer {
                     // A stale service would answer at once again and again.
                     tokio::time::sleep(timing.redial_max).await;
                 }
             }
-            Some(answer) if answer.status == 204 => {}
-            _ => tokio::time::sleep(timing.redial_max.mul_f64(rand::random_range(0.5..1.5))).await,
+            Ok(_) => {}
+            Err(_) => {
+                tokio::time::sleep(timing.redial_max.mul_f64(rand::random_range(0.5..1.5))).await;
+            }
         }
         let wait = humantime::format_duration(timing.watch_wait).to_string();
         let seen = node.sheet().revision;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod owner;
 mod owners;
 mod peer;
+mod rejected;
 mod serve;
 mod shares;
 mod target;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,11 +7,13 @@
 
 use limit::Reservation;
 use member::{Beat, Greeting, Incarnation, View, VmList, VmState};
+use metrics::counter;
 use sched::Descriptor;
 use serde::Serialize;
 use sheet::{Name, Settings, Sheet};
 use tokio::sync::{oneshot, watch};
 use wire::{Body, Heartbeat, Hello, ListPush, Offer, OutcomeAsk, OutcomeReply, PROTOCOL_VERSION};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Clock;
 use crate::entry::{Table, return_permit};
@@ -19,6 +21,7 @@
 use crate::owner::{self, Msg};
 use crate::owners::Owners;
 use crate::peer::{LinkEvent, Peer, Peers};
+use crate::rejected::LastRejected;
 use crate::shares::{Holder, take_moves};
 
 /// An address for callers, as `/v1/entries` shows it.
@@ -52,6 +55,7 @@
     pub(crate) owner: owner::Handle,
     pub(crate) holder: Holder,
     pub(crate) fleet: Fleet,
+    pub(crate) rejected: LastRejected,
     clock: Box<dyn Clock>,
     sheet: watch::Sender<Arc<Sheet>>,
     /// Counts changes of the sheet and the list that peers should hear of at once.
@@ -86,6 +90,7 @@
             owner,
             holder,
             fleet,
+            rejected: LastRejected::default(),
             clock,
             sheet: watch::Sender::new(Arc::new(Sheet::default())),
             changes: watch::Sender::new(0),
@@ -168,15 +173,15 @@
         is_single(&self.settings)
     }
 
-    /// Puts a sheet in force if it is newer. Returns whether it was taken.
-    pub(crate) fn offer_sheet(self: &Arc<Self>, bytes: &[u8]) -> bool {
+    /// Puts a sheet in force if it is newer. Returns whether it was taken. `revision` is the one
+    /// that the sheet was offered with.
+    pub(crate) fn offer_sheet(self: &Arc<Self>, bytes: &[u8], revision: Option<u64>) -> bool {
         match Sheet::parse(bytes) {
             Ok(sheet) => self.take_sheet(sheet),
             Err(errors) => {
-                for err in errors.iter().take(5) {
-                    log::error!("config: sheet rejected: {err}");
-                }
-                metrics::counter!("primrosechute_sheets_rejected_total").increment(1);
+                let errors = errors.iter().map(ToString::to_string);
+                self.rejected
+                    .set("invalid", revision, xxh3_64(bytes), errors);
                 false
             }
         }
@@ -186,15 +191,33 @@
     pub(crate) fn take_sheet(self: &Arc<Self>, newer: Sheet) -> bool {
         let revision = newer.revision;
         let newer = Arc::new(newer);
+        let mut in_force = (revision, newer.hash);
         let taken = self.sheet.send_if_modified(|sheet| {
             let is_newer = revision > sheet.revision;
             if is_newer {
                 *sheet = Arc::clone(&newer);
             }
+            in_force = (sheet.revision, sheet.hash);
             is_newer
         });
+        if !taken && revision < in_force.0 {
+            counter!("primrosechute_sheets_rejected_total", "reason" => "older").increment(1);
+            log::debug!(
+                "config: sheet revision {revision} is older than {}",
+                in_force.0
+            );
+        } else if !taken && newer.hash != in_force.1 {
+            let err = format!(
+                "revision {revision} is in force with other content; give the change a higher \
+                 revision"
+            );
+            let hash = xxh3_64(&newer.hash.0);
+            self.rejected
+                .set("conflict", Some(revision), hash, std::iter::once(err));
+        }
         if taken {
             log::info!("config: sheet revision {revision} is in force");
+            self.rejected.clear();
             self.holder.configure(self.now(), &newer);
             self.sync();
             self.announce();
@@ -407,7 +430,7 @@
             }
             Body::SheetAsk(revision) => self.push_sheet(peer, revision),
             Body::SheetPush(push) => {
-                self.offer_sheet(&push.content);
+                self.offer_sheet(&push.content, Some(push.revision));
             }
             Body::ListAsk(generation) => self.push_list(peer, generation),
             Body::ListPush(push) => {
--- /dev/null
+++ b/crates/daemon/src/rejected.rs
@@ -0,0 +1,64 @@
+//! The last sheet that was offered and rejected.
+
+use std::sync::{Mutex, PoisonError};
+
+use metrics::counter;
+use serde::Serialize;
+
+/// Errors of a sheet that are logged and shown in the status.
+const MAX_ERRORS: usize = 5;
+
+/// A sheet that was rejected, as the status shows it.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Rejected {
+    /// Revision, if it is known.
+    revision: Option<u64>,
+    /// The first errors.
+    errors: Vec<String>,
+}
+
+/// The last rejected sheet, until a newer sheet is accepted.
+#[derive(Debug, Default)]
+pub(crate) struct LastRejected {
+    /// Hash of the content, to report the same sheet once, and what the status shows.
+    last: Mutex<Option<(u64, Rejected)>>,
+}
+
+impl LastRejected {
+    fn with<T>(&self, f: impl FnOnce(&mut Option<(u64, Rejected)>) -> T) -> T {
+        f(&mut self.last.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Notes, logs and counts a rejected sheet, unless it is the last one again.
+    pub(crate) fn set(
+        &self,
+        reason: &'static str,
+        revision: Option<u64>,
+        hash: u64,
+        errors: impl Iterator<Item = String>,
+    ) {
+        let errors: Vec<String> = errors.take(MAX_ERRORS).collect();
+        let is_new = self.with(|last| {
+            let is_new = last.as_ref().is_none_or(|(known, _)| *known != hash);
+            if is_new {
+                let errors = errors.clone();
+                *last = Some((hash, Rejected { revision, errors }));
+            }
+            is_new
+        });
+        if is_new {
+            counter!("primrosechute_sheets_rejected_total", "reason" => reason).increment(1);
+            for err in errors {
+                log::error!("config: sheet rejected: {err}");
+            }
+        }
+    }
+
+    pub(crate) fn clear(&self) {
+        self.with(|last| *last = None);
+    }
+
+    pub(crate) fn get(&self) -> Option<Rejected> {
+        self.with(|last| last.as_ref().map(|(_, rejected)| rejected.clone()))
+    }
+}
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::BootClock;
 use crate::connection::{self, Called};
@@ -152,7 +153,15 @@
     /// one stays in force.
     pub fn reload(&self) -> Result<bool, String> {
         match &self.node.settings.sheet {
-            SheetSource::File(path) => Ok(self.node.take_sheet(feed::read_file(path)?)),
+            SheetSource::File(path) => match feed::read_file(path) {
+                Ok(sheet) => Ok(self.node.take_sheet(sheet)),
+                Err(text) => {
+                    let errors = text.lines().map(ToOwned::to_owned);
+                    let hash = xxh3_64(text.as_bytes());
+                    self.node.rejected.set("invalid", None, hash, errors);
+                    Err(text)
+                }
+            },
             SheetSource::Service(_) => Ok(false),
         }
     }
