--- a/crates/daemon/benches/relay.rs
+++ b/crates/daemon/benches/relay.rs
@@ -19,6 +19,7 @@
 use rustix::process::Pid;
 use rustix::thread::{CpuSet, sched_setaffinity};
 use testkit::client::{Call, Client, Connection};
+use testkit::fleet::Usage;
 use testkit::{Port, RouteRow, SheetBuilder, TargetRow};
 
 /// Calls a second in the latency part.
@@ -65,12 +66,10 @@
 async fn measure() {
     let target = start_target().await;
     let daemon = start_daemon(target).await;
-    let idle = resident_kib(&daemon.child);
-    println!("idle resident: {:.1} MiB", f64::from(idle) / 1024.0);
+    println!("idle resident: {} MiB", resident_mib(&daemon.child));
     latency(target, &daemon).await;
     throughput(&daemon).await;
-    let used = resident_kib(&daemon.child);
-    println!("resident after load: {:.1} MiB", f64::from(used) / 1024.0);
+    println!("resident after load: {} MiB", resident_mib(&daemon.child));
 }
 
 /// A target that answers at once: a small JSON answer, or a stream as fast as it is read.
@@ -184,12 +183,13 @@
     sheet.csv()
 }
 
-fn resident_kib(child: &Child) -> u32 {
-    let status =
-        std::fs::read_to_string(format!("/proc/{}/status", child.id())).expect("the daemon runs");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    line.and_then(|line| line.split_whitespace().next()?.parse().ok())
-        .expect("the kernel shows the resident size")
+fn usage(child: &Child) -> Usage {
+    let pid = Pid::from_child(child);
+    Usage::of(pid).expect("the daemon runs")
+}
+
+fn resident_mib(child: &Child) -> u64 {
+    usage(child).resident >> 20
 }
 
 /// Open loop: each call has its planned time, and its latency counts from there.
@@ -246,7 +246,7 @@
 
 /// Streams at full speed; tokens and processor time of the daemon.
 async fn throughput(daemon: &Daemon) {
-    let cpu = cpu_seconds(&daemon.child);
+    let cpu = usage(&daemon.child).cpu;
     let start = Instant::now();
     let tasks: Vec<_> = (0..STREAMS)
         .map(|_| tokio::spawn(read_stream(daemon.entry)))
@@ -256,7 +256,7 @@
         events += task.await.expect("the caller runs to its end");
     }
     let took = start.elapsed().as_secs_f64();
-    let cpu = cpu_seconds(&daemon.child) - cpu;
+    let cpu = usage(&daemon.child).cpu.saturating_sub(cpu).as_secs_f64();
     println!(
         "relayed {events} tokens in {took:.2} s: {:.0} tokens/s on {:.2} cores, {:.1} us of processor time a token",
         f64::from(events) / took,
@@ -300,18 +300,3 @@
     assert_eq!(events, EVENTS + 1, "events of a stream");
     events
 }
-
-fn cpu_seconds(child: &Child) -> f64 {
-    /// Clock ticks a second in `/proc`, the same on all current platforms.
-    const TICKS: f64 = 100.0;
-    let stat =
-        std::fs::read_to_string(format!("/proc/{}/stat", child.id())).expect("the daemon runs");
-    let fields: Vec<_> = stat
-        .rsplit(')')
-        .next()
-        .unwrap_or("")
-        .split_whitespace()
-        .collect();
-    let ticks = |at: usize| fields[at].parse::<f64>().expect("the field is a number");
-    (ticks(11) + ticks(12)) / TICKS
-}
--- a/crates/testkit/src/fleet/process.rs
+++ b/crates/testkit/src/fleet/process.rs
@@ -22,6 +22,22 @@
     pub resident: u64,
 }
 
+impl Usage {
+    /// Usage of a child process until now.
+    ///
+    /// # Errors
+    /// The process does not run.
+    pub fn of(pid: Pid) -> io::Result<Self> {
+        let stat = stat(pid)?;
+        let hertz = rustix::param::clock_ticks_per_second().max(1);
+        let page = rustix::param::page_size() as u64;
+        Ok(Self {
+            cpu: Duration::from_millis(stat.ticks * 1000 / hertz),
+            resident: stat.pages * page,
+        })
+    }
+}
+
 /// A child process whose standard error goes to a file.
 pub(crate) struct Process {
     log: PathBuf,
@@ -87,14 +103,7 @@
     }
 
     pub(crate) fn usage(&self) -> io::Result<Usage> {
-        let pid = self.pid().ok_or_else(not_running)?;
-        let stat = stat(pid)?;
-        let hertz = rustix::param::clock_ticks_per_second().max(1);
-        let page = rustix::param::page_size() as u64;
-        Ok(Usage {
-            cpu: Duration::from_millis(stat.ticks * 1000 / hertz),
-            resident: stat.pages * page,
-        })
+        Usage::of(self.pid().ok_or_else(not_running)?)
     }
 
     pub(crate) fn log(&self) -> String {
