sched: give a workspace that starts to wait its first turn at once

A workspace that had nothing waiting joined the end of the round.

As in FQ-CoDel, flows that start to wait come before those that had a turn, a flow without work keeps its place until its next turn, and goes on with the rest of its last turn if new work comes before. The bound between two backlogged workspaces is the same, and so is the work per decision.

--- a/crates/sched/src/fairness.rs
+++ b/crates/sched/src/fairness.rs
@@ -1,4 +1,8 @@
 //! Deficit round robin by cost over the workspaces of one tier.
+//!
+//! A workspace that starts to wait has its first turn before those that wait already. Deadlines
+//! are short against a round: at the end of the round, the requests of a workspace that sends few
+//! would expire behind those of one that sends many.
 
 use std::collections::HashMap;
 
@@ -16,6 +20,8 @@
     deficit: u64,
     /// Whether this visit's quantum was added.
     visited: bool,
+    /// Whether its first turn is still to come.
+    fresh: bool,
     ring: Link,
     peers: Link,
 }
@@ -37,7 +43,13 @@
 pub(crate) struct Fair {
     flows: Slab<Flow>,
     by_name: HashMap<Name, usize>,
+    /// Flows that started to wait and had no turn yet.
+    fresh: List,
+    /// Flows that had a turn. One without work stays until its next turn, so that it is not fresh
+    /// again before the others had theirs.
     ring: List,
+    /// Number of descriptors.
+    len: usize,
     /// Flows by number of waiting descriptors, to find the longest in constant time.
     by_len: Vec<List>,
     longest: usize,
@@ -51,31 +63,48 @@
     pub(crate) fn push(&mut self, items: &mut Slab<Waiting>, at: usize) {
         let workspace = items[at].descriptor.workspace.clone();
         self.quantum = self.quantum.max(items[at].cost());
+        let cost = items[at].cost();
         let flow = match self.by_name.get(&workspace) {
             Some(&flow) => flow,
             None => self.add_flow(workspace),
         };
+        let own = &mut self.flows[flow];
+        if own.len == 0 && !own.fresh && cost <= own.deficit {
+            // It ran out of work before it had used its last turn, and goes on with that.
+            own.fresh = true;
+            own.visited = true;
+            self.ring.remove(&mut self.flows, ring, flow);
+            self.fresh.push_back(&mut self.flows, ring, flow);
+        }
         items[at].flow = Some(flow);
         self.flows[flow].waiting.push_back(items, link, at);
         self.resize(flow, self.flows[flow].len + 1);
+        self.len += 1;
     }
 
     /// The descriptor whose turn it is.
     pub(crate) fn head(&mut self, items: &Slab<Waiting>) -> Option<usize> {
         loop {
-            let at = self.ring.head()?;
+            let at = self.fresh.head().or(self.ring.head())?;
             let flow = &mut self.flows[at];
-            let first = flow.waiting.head().expect("a flow in the ring has work");
-            if !flow.visited {
-                flow.visited = true;
-                flow.deficit += self.quantum;
+            match flow.waiting.head() {
+                Some(first) => {
+                    if !flow.visited {
+                        flow.visited = true;
+                        flow.deficit += self.quantum;
+                    }
+                    if items[first].cost() <= flow.deficit {
+                        return Some(first);
+                    }
+                    self.end_turn(at);
+                }
+                None if flow.fresh => self.end_turn(at),
+                None => {
+                    self.ring.remove(&mut self.flows, ring, at);
+                    let flow = self.flows.remove(at);
+                    self.by_name.remove(&flow.workspace);
+                }
             }
-            if items[first].cost() <= flow.deficit {
-                return Some(first);
-            }
-            flow.visited = false;
-            self.ring.remove(&mut self.flows, ring, at);
-            self.ring.push_back(&mut self.flows, ring, at);
         }
     }
 
@@ -96,12 +125,8 @@
         };
         self.flows[flow].waiting.remove(items, link, at);
         self.resize(flow, self.flows[flow].len - 1);
-        if self.flows[flow].len == 0 {
-            self.ring.remove(&mut self.flows, ring, flow);
-            let flow = self.flows.remove(flow);
-            self.by_name.remove(&flow.workspace);
-        }
-        if self.flows.is_empty() {
+        self.len -= 1;
+        if self.len == 0 {
             self.quantum = 0;
         }
     }
@@ -126,14 +151,25 @@
             len: 0,
             deficit: 0,
             visited: false,
+            fresh: true,
             ring: Link::default(),
             peers: Link::default(),
         });
         self.by_name.insert(workspace, at);
-        self.ring.push_back(&mut self.flows, ring, at);
+        self.fresh.push_back(&mut self.flows, ring, at);
         at
     }
 
+    fn end_turn(&mut self, at: usize) {
+        self.flows[at].visited = false;
+        if std::mem::take(&mut self.flows[at].fresh) {
+            self.fresh.remove(&mut self.flows, ring, at);
+        } else {
+            self.ring.remove(&mut self.flows, ring, at);
+        }
+        self.ring.push_back(&mut self.flows, ring, at);
+    }
+
     /// Moves a flow to the list of its new length.
     fn resize(&mut self, at: usize, len: usize) {
         let old = std::mem::replace(&mut self.flows[at].len, len);
