sched: keep room free for the higher tiers that arrive

Runs last long against the time that a request may wait.

Lower tiers now leave free what arrives in the tiers above them in 4 s in the mean, at most a tenth of each limit. Without arrivals above nothing is kept free.

--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -40,6 +40,10 @@
     /// Below this relative load a target that served the prefix is preferred regardless of the
     /// least load.
     pub affinity_floor: f64,
+    /// Room for the tokens that arrive in higher tiers in this time is kept free of lower tiers.
+    pub reserve_time: Duration,
+    /// Largest part of a limit that is kept free for higher tiers.
+    pub max_reserve: f64,
     /// Most descriptors shed, and most runs freed by their hard deadline, in one poll; at least 1.
     pub sweep: usize,
 }
@@ -64,6 +68,8 @@
             max_prefixes: 8192,
             affinity_factor: 1.5,
             affinity_floor: 0.25,
+            reserve_time: Duration::from_secs(4),
+            max_reserve: 0.1,
             sweep: 256,
         }
     }
--- a/crates/sched/src/grant.rs
+++ b/crates/sched/src/grant.rs
@@ -4,6 +4,7 @@
 
 use crate::containment::Standing;
 use crate::model::{Descriptor, Event, Name, Permit, PermitId, ShedReason};
+use crate::num::float;
 use crate::runs::Run;
 use crate::scheduler::Scheduler;
 use crate::target::Target;
@@ -98,6 +99,7 @@
         // A target left to run empty for work that has to run alone.
         let mut reserved = None;
         for tier in 0..self.queue.tiers() {
+            self.reserve = self.reserve_for(tier);
             self.grant_alone(tier, &mut reserved);
             while let Some(at) = self.queue.head(tier) {
                 if self.sheds_left == 0 {
@@ -115,6 +117,17 @@
         }
     }
 
+    /// Part of the limits that work of a tier leaves free. Runs are long against the time that a
+    /// request may wait, so that a higher tier would find the targets full of lower tiers' work.
+    fn reserve_for(&self, tier: usize) -> f64 {
+        let above = self.demand.above(self.now, tier, self.cfg.reserve_time);
+        let open = self.targets.iter().filter(|(_, target)| target.spec.open);
+        let limit: u64 = open.map(|(_, target)| target.allowed()).sum();
+        (above / float(limit.max(1)))
+            .min(self.cfg.max_reserve)
+            .max(0.0)
+    }
+
     fn grant_alone(&mut self, tier: usize, reserved: &mut Option<usize>) {
         while let Some(at) = self.queue.alone(tier) {
             if self.sheds_left == 0 {
@@ -155,7 +168,7 @@
         }
         let cost = descriptor.cost.max(1);
         let mut open = self.targets.iter().filter(|(_, target)| target.spec.open);
-        let too_large = open.all(|(_, target)| target.allowed() < cost);
+        let too_large = open.all(|(_, target)| target.allowed_without(self.reserve) < cost);
         if too_large
             && self
                 .queue
@@ -176,7 +189,7 @@
         let mut near = None;
         for (at, target) in &self.targets {
             if Some(at) == reserved
-                || !target.has_room(cost)
+                || !target.has_room(cost, self.reserve)
                 || !target.is_usable(self.now, self.in_doubt)
             {
                 continue;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -46,6 +46,7 @@
 mod baseline;
 mod config;
 mod containment;
+mod demand;
 mod estimate;
 mod fairness;
 mod grant;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -9,6 +9,7 @@
 use crate::affinity::Prefixes;
 use crate::config::Config;
 use crate::containment::{Containment, Standing, Suspect};
+use crate::demand::Demand;
 use crate::estimate::{FirstToken, Mean};
 use crate::model::{
     Descriptor, Digest, Event, Handover, InFlight, Name, PermitId, ShedReason, TargetPhase,
@@ -34,6 +35,9 @@
     pub(crate) first_token: FirstToken,
     /// Time between tokens over all targets, as if each had speed 1.
     pub(crate) token_gap: Mean,
+    pub(crate) demand: Demand,
+    /// Part of the limits that is kept free for higher tiers while the present tier is decided.
+    pub(crate) reserve: f64,
     pub(crate) in_doubt: bool,
     /// Descriptors that the present poll may still shed.
     pub(crate) sheds_left: usize,
@@ -56,6 +60,8 @@
             prefixes: Prefixes::new(cfg.max_prefixes),
             first_token: FirstToken::default(),
             token_gap: Mean::default(),
+            demand: Demand::new(usize::from(cfg.tiers.max(1))),
+            reserve: 0.0,
             in_doubt: false,
             sheds_left: 1,
             next_permit: 1,
@@ -176,6 +182,8 @@
             self.shed(&descriptor, ShedReason::Deadline);
             return;
         }
+        let tier = self.queue.tier_of(descriptor.tier);
+        self.demand.arrived(now, tier, descriptor.cost);
         if self.queue.len() >= self.cfg.max_waiting && !self.make_room(&descriptor) {
             self.shed(&descriptor, ShedReason::QueueFull);
             return;
--- a/crates/sched/src/target.rs
+++ b/crates/sched/src/target.rs
@@ -6,7 +6,7 @@
 use crate::estimate::{FirstToken, Mean};
 use crate::limit::Limit;
 use crate::model::{LoadReport, PermitId, TargetPhase, TargetSpec};
-use crate::num::float;
+use crate::num::{float, whole};
 
 /// Exponent of the speed in the weight of a target's load. At equal load the faster target is
 /// preferred, but twice the speed shifts the load by 7% only: utilisation of each hardware
@@ -148,9 +148,18 @@
         self.spec.open && !self.alone && (!self.is_cold() || cold_use())
     }
 
+    /// Tokens that it may hold without the part that is kept free.
+    pub(crate) fn allowed_without(&self, reserve: f64) -> u64 {
+        if reserve > 0.0 {
+            whole(float(self.allowed()) * (1.0 - reserve))
+        } else {
+            self.allowed()
+        }
+    }
+
     /// Whether a run of this cost fits on top of the runs in flight.
-    pub(crate) fn has_room(&self, cost: u64) -> bool {
-        self.running == 0 || self.tokens.saturating_add(cost) <= self.allowed()
+    pub(crate) fn has_room(&self, cost: u64, reserve: f64) -> bool {
+        self.running == 0 || self.tokens.saturating_add(cost) <= self.allowed_without(reserve)
     }
 
     /// Load relative to the limit with a run of this cost on top, lower for faster targets.
@@ -344,7 +353,8 @@
     }
 
     fn back_off(&mut self, cfg: &Config, now: Duration) {
-        self.backoff = (self.backoff * 2).clamp(cfg.min_backoff, cfg.max_backoff);
+        let backoff = (self.backoff * 2).max(cfg.min_backoff);
+        self.backoff = backoff.min(cfg.max_backoff);
         self.hold = now + self.backoff;
     }
 }
--- a/crates/sched/tests/queue.rs
+++ b/crates/sched/tests/queue.rs
@@ -36,6 +36,48 @@
     }
 }
 
+/// Guards against a workspace that sends little and waits behind a round of all others.
+#[test]
+fn a_workspace_that_starts_to_wait_has_its_first_turn() {
+    let (mut scheduler, mut permit) = full(100);
+    for id in ["a1", "a2", "b1", "b2", "c1", "c2"] {
+        scheduler.offer(ZERO, work(id, 0, &id[..1], 100));
+    }
+    let mut order = Vec::new();
+    for turn in 0..8 {
+        if turn == 2 {
+            scheduler.offer(ZERO, work("d1", 0, "d", 100));
+            scheduler.offer(ZERO, work("d2", 0, "d", 100));
+        }
+        scheduler.release(ZERO, permit, report(RunEnd::Complete));
+        let granted = grants(&scheduler.poll(ZERO)).pop().unwrap();
+        permit = granted.id;
+        order.push(granted.request.to_string());
+    }
+    assert_eq!(order, ["a1", "b1", "c1", "d1", "a2", "b2", "c2", "d2"]);
+}
+
+/// Guards against lower tiers that fill the targets with long runs, so that a higher tier finds no
+/// room within its deadline.
+#[test]
+fn room_is_kept_for_higher_tiers_that_arrive() {
+    // 100 tokens in the mean over 5 s make 80 tokens in the 4 s that room is kept for.
+    for (high, left) in [(0, 0), (100, 80), (500, 100)] {
+        let mut scheduler = warm(&["a"], 1_000);
+        if high > 0 {
+            run(&mut scheduler, ZERO, work("high", 0, "w", high));
+        }
+        for number in 0..100 {
+            scheduler.offer(ZERO, work(&format!("low-{number}"), 1, "w", 10));
+        }
+        scheduler.poll(ZERO);
+        assert_eq!(scheduler.in_flight("a").unwrap().1, 1_000 - left, "{high}");
+        if left > 0 {
+            run(&mut scheduler, ZERO, work("next", 0, "w", left));
+        }
+    }
+}
+
 /// Guards against a full queue that sheds the wrong descriptor.
 #[test]
 fn full_queue_evicts_newest_of_lowest_tier() {
