--- a/crates/member/tests/rules.rs
+++ b/crates/member/tests/rules.rs
@@ -87,35 +87,90 @@
     }
 }
 
+/// Rank of VM 0, 1 and 2 for the target: the owner, the next one and the last one.
+fn ranks() -> [Name; 3] {
+    let names = [name(0), name(1), name(2)];
+    let ranked = member::ranked("t", names.iter().map(|name| &**name));
+    [0, 1, 2].map(|rank| ranked[rank].into())
+}
+
+/// A daemon that has read a first list of three VMs at 100 s.
+fn daemon(vm: &str) -> (View, Ownership) {
+    let view = view(vm[3..].parse().unwrap(), list(1, 0..3, 1));
+    let mut own = Ownership::default();
+    own.update(secs(100), &view, [("t".into(), "zone-0".into())]);
+    (view, own)
+}
+
+/// The owner, which started fresh at 100 s.
+fn owner() -> (View, Ownership) {
+    let [owner, next, last] = ranks();
+    let (view, mut own) = daemon(&owner);
+    let late = own.on_handover(secs(100), &view, "t", true, 0);
+    assert!(late.is_empty(), "an answer to an older question counted");
+    own.on_never_owned(secs(100), &view, "t", &next, 1);
+    assert!(
+        !own.on_never_owned(secs(100), &view, "t", &last, 1)
+            .is_empty()
+    );
+    (view, own)
+}
+
 /// Guards against a second daemon that gets the target after it was handed over.
 #[test]
 fn handed_over_target_is_promised_once() {
-    let (target, zone): (Name, Name) = ("t".into(), "zone-0".into());
-    let owner = list(1, 0..3, 1);
-    let owner = (0..3).find(|vm| view(*vm, owner.clone()).owner("t", "zone-0") == Some(&name(*vm)));
-    let owner = owner.unwrap();
-    let (asker, third) = (name((owner + 1) % 3), name((owner + 2) % 3));
-    let view = view(owner, list(1, 0..3, 1));
-    let mut own = Ownership::default();
-    own.update(secs(100), &view, [(target.clone(), zone)]);
-    for vm in [&asker, &third] {
-        own.on_never_owned(secs(100), &view, "t", vm, 1);
-    }
-    let cases = [
+    let [_, asker, third] = ranks();
+    let (view, mut own) = owner();
+    for (case, from, incarnation, generation, answer) in [
         ("the owner stops", &asker, OLD, 3, Answer::Given),
         ("the answer was lost", &asker, OLD, 3, Answer::Given),
         ("another process asks", &asker, NEW, 3, Answer::Wait),
         ("by another list", &asker, OLD, 4, Answer::Wait),
         ("a third VM asks", &third, OLD, 2, Answer::Wait),
-    ];
-    for (case, from, incarnation, generation, answer) in cases {
+    ] {
         let from = (from, incarnation);
-        let given = own.on_ask(secs(101), &view, &target, from, generation);
+        let given = own.on_ask(secs(101), &view, &"t".into(), from, generation);
         assert_eq!(given, answer, "{case}");
     }
     assert!(own.tick(secs(101), &view).is_empty(), "started again");
 }
 
+/// Guards against a hand-over while a third VM, the owner by a list between, may start by time.
+#[test]
+fn late_hand_over_needs_the_lists_between() {
+    let [first, next, _] = ranks();
+    for (generation, at, answer) in [
+        (3, 109, Answer::Given),
+        (3, 111, Answer::GivenUp),
+        (2, 111, Answer::Given),
+        (2, 128, Answer::GivenUp),
+    ] {
+        let (mut view, mut own) = owner();
+        let mut moved = list(generation, 0..3, 1);
+        let row = moved.vms.iter_mut().find(|row| row.name == first);
+        row.unwrap().state = VmState::Leaving;
+        view.on_list(secs(101), moved, secs(0));
+        own.update(secs(101), &view, [("t".into(), "zone-0".into())]);
+        let given = own.on_ask(secs(at), &view, &"t".into(), (&next, OLD), generation);
+        assert_eq!(given, answer, "generation {generation}, {at} s");
+    }
+}
+
+/// Guards against a fresh start while a VM that left the list may hold the target.
+#[test]
+fn departed_vm_may_have_owned() {
+    let [first, next, last] = ranks();
+    for (gone, answer) in [(None, Answer::NeverOwned), (Some(last), Answer::Wait)] {
+        let (mut view, mut own) = daemon(&next);
+        let mut left = list(2, 0..3, 1);
+        left.vms.retain(|row| Some(&row.name) != gone.as_ref());
+        view.on_list(secs(101), left, secs(0));
+        own.update(secs(101), &view, [("t".into(), "zone-0".into())]);
+        let given = own.on_ask(secs(102), &view, &"t".into(), (&first, OLD), 2);
+        assert_eq!(given, answer, "{gone:?} left");
+    }
+}
+
 /// Guards against links and readers of the platform that grow with the fleet.
 #[test]
 fn links_and_readers_are_bounded() {
