Keep a handed-over target cold until it reports

A new owner has no load report yet. It took the first completed run, which its predecessor had granted, as a reason to leave the cold state and gave a cold target more than its cold limit. Until the first report, or the report gap, a handed-over target now stays as it was.

--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -94,7 +94,7 @@
         let at = self.by_name[&name];
         let target = &mut self.targets[at];
         if open {
-            target.set_warm(&self.cfg, handover.phase, handover.limit);
+            target.set_warm(&self.cfg, now, handover.phase, handover.limit);
         }
         for run in &handover.in_flight {
             target.tokens = target.tokens.saturating_add(run.cost);
--- a/crates/sched/src/target.rs
+++ b/crates/sched/src/target.rs
@@ -58,6 +58,8 @@
     assumed: Option<Assumed>,
     /// Time of measure and content of the newest load report.
     report: Option<(Duration, LoadReport)>,
+    /// Time until which a target that was handed over counts as cold while no report came.
+    report_due: Option<Duration>,
     /// Whether the present silence of its load reports was noted.
     silent: bool,
     /// While cold it gets nothing until this time.
@@ -84,6 +86,7 @@
             last_grant: PermitId(0),
             assumed: None,
             report: None,
+            report_due: None,
             silent: false,
             hold: Duration::ZERO,
             backoff: Duration::ZERO,
@@ -180,8 +183,9 @@
     }
 
     /// Adopts the warmth that the old owner handed over.
-    pub(crate) fn set_warm(&mut self, cfg: &Config, phase: TargetPhase, limit: u64) {
+    pub(crate) fn set_warm(&mut self, cfg: &Config, now: Duration, phase: TargetPhase, limit: u64) {
         self.limit.set(limit);
+        self.report_due = Some(now.saturating_add(cfg.report_gap));
         self.warmth = match phase {
             TargetPhase::Serving => Warmth::Serving,
             TargetPhase::Warming => self.ramp(cfg),
@@ -270,6 +274,9 @@
     /// Applies what passes with time: silence of the load reports and the end of assumed places.
     pub(crate) fn advance(&mut self, cfg: &Config, now: Duration) {
         self.note_silence(cfg, now);
+        if self.report_due.is_some_and(|due| due <= now) {
+            self.report_due = None;
+        }
         if let Some(assumed) = self.assumed
             && (assumed.until <= now || assumed.places == 0)
         {
@@ -312,7 +319,10 @@
     }
 
     fn leave_cold(&mut self, cfg: &Config) {
-        let says_cold = self.report.is_some_and(|(_, report)| report.cold);
+        let says_cold = match self.report {
+            Some((_, report)) => report.cold,
+            None => self.report_due.is_some(),
+        };
         if !says_cold && self.assumed.is_none_or(|assumed| assumed.places == 0) {
             self.warmth = self.ramp(cfg);
         }
