Ask engines for runs that were handed over

The end of a run that an earlier owner granted reaches the new owner through the earlier one, which drops it while its own VM list does not name the new owner yet. The place then stayed taken until the hard deadline, more than five minutes later. The new owner now asks the engine for each run handed over to it. Questions about one run back off from 1 s to 8 s.

--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -77,8 +77,13 @@
     LinkClosed(Incarnation),
     /// The process of an entry is gone.
     EntryGone(Incarnation),
-    /// The engine says that a run of a gone entry is over.
-    RunGone { permit: PermitId, pool: Name },
+    /// The engine says that a run is over whose end was not reported. The run has no permit here if
+    /// an earlier owner granted it.
+    RunGone {
+        pool: Name,
+        id: Name,
+        permit: Option<PermitId>,
+    },
     /// Another owner found a fingerprint that crashes targets.
     Suspect {
         fingerprint: u64,
--- a/crates/daemon/src/owner/reclaim.rs
+++ b/crates/daemon/src/owner/reclaim.rs
@@ -1,4 +1,4 @@
-//! Permits of entries that are gone or whose link closed.
+//! Permits of entries that are gone or whose link closed, and of earlier owners.
 //!
 //! The place of such a permit is freed only when the engine says that the request is not there.
 
@@ -13,17 +13,21 @@
 use crate::node::Node;
 use crate::target::small_call;
 
-/// Time between two questions to the engine.
+/// First time between two questions to the engine; it doubles up to the largest.
 const ASK_EVERY: Duration = Duration::from_secs(1);
 
-/// Questions before the owner leaves the place to the hard deadline.
-const MAX_QUESTIONS: u32 = 300;
+/// Largest time between two questions.
+const MAX_ASK_EVERY: Duration = Duration::from_secs(8);
+
+/// Questions before the owner leaves the place to the hard deadline: about five minutes.
+const MAX_QUESTIONS: u32 = 40;
 
 /// A permit whose end may not be reported.
 #[derive(Debug)]
 pub(super) struct Lost {
     pub(super) pool: Name,
-    pub(super) permit: PermitId,
+    /// `None` if an earlier owner granted it.
+    pub(super) permit: Option<PermitId>,
     pub(super) target: Name,
     pub(super) id: Name,
     pub(super) expires: Duration,
@@ -40,6 +44,7 @@
     tokio::spawn(async move {
         // Before the permit is void its request may be on its way to the engine.
         tokio::time::sleep(lost.expires.saturating_sub(node.now()) + ASK_EVERY).await;
+        let mut pause = ASK_EVERY;
         for _ in 0..MAX_QUESTIONS {
             let Some(address) = node.sheet().targets.get(&lost.target).map(|t| t.address) else {
                 break;
@@ -49,17 +54,16 @@
             if let Some((200, body)) = small_call(address, Method::GET, &path, wait).await
                 && !is_running(&body)
             {
-                log::info!(
-                    "owner: request {} of an entry out of reach is over",
-                    lost.id
-                );
+                log::info!("owner: request {} is over, by its engine", lost.id);
                 node.owner.send(Msg::RunGone {
-                    permit: lost.permit,
                     pool: lost.pool,
+                    id: lost.id,
+                    permit: lost.permit,
                 });
                 return;
             }
-            tokio::time::sleep(ASK_EVERY).await;
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(MAX_ASK_EVERY);
         }
     });
 }
--- a/crates/daemon/src/owner/task.rs
+++ b/crates/daemon/src/owner/task.rs
@@ -118,7 +118,7 @@
             Msg::InDoubt(in_doubt) => self.set_in_doubt(in_doubt),
             Msg::LinkClosed(entry) => self.link_closed(entry),
             Msg::EntryGone(entry) => self.entry_gone(entry),
-            Msg::RunGone { permit, pool } => self.run_gone(&pool, permit),
+            Msg::RunGone { pool, id, permit } => self.run_gone(&pool, &id, permit),
             Msg::Suspect {
                 fingerprint,
                 crashed,
@@ -224,7 +224,10 @@
         match source {
             Source::Fresh | Source::Changed => found.scheduler.set_target(now, spec, false),
             Source::AssumeFull => found.scheduler.set_target(now, spec, true),
-            Source::Handed(handover) => found.scheduler.adopt(now, spec, &handover),
+            Source::Handed(handover) => {
+                found.scheduler.adopt(now, spec, &handover);
+                self.watch_handed_over(pool, &handover);
+            }
         }
     }
 
@@ -286,7 +289,7 @@
                     Arc::clone(&self.node),
                     super::reclaim::Lost {
                         pool: pool.clone(),
-                        permit: *permit,
+                        permit: Some(*permit),
                         target: given.target.clone(),
                         id: given.id.clone(),
                         expires: given.expires,
@@ -296,8 +299,32 @@
         }
     }
 
-    fn run_gone(&mut self, pool: &Name, permit: PermitId) {
-        self.end(pool, permit, without_run(RunEnd::Cancelled));
+    fn run_gone(&mut self, pool: &Name, id: &Name, permit: Option<PermitId>) {
+        let report = without_run(RunEnd::Cancelled);
+        let now = self.now();
+        if let Some(permit) = permit {
+            self.end(pool, permit, report);
+        } else if let Some(found) = self.pools.get_mut(pool) {
+            found.scheduler.release_request(now, id, report);
+        }
+    }
+
+    /// Looks after runs that an earlier owner granted. It can't pass on their ends once it has left,
+    /// or while its VM list does not name this owner.
+    fn watch_handed_over(&self, pool: &Name, handover: &sched::Handover) {
+        let expires = self.now() + self.node.settings.timing.permit_life;
+        for run in &handover.in_flight {
+            super::reclaim::watch(
+                Arc::clone(&self.node),
+                super::reclaim::Lost {
+                    pool: pool.clone(),
+                    permit: None,
+                    target: handover.target.clone(),
+                    id: run.request.clone(),
+                    expires,
+                },
+            );
+        }
     }
 
     /// Polls all schedulers and sends their decisions.
