--- a/crates/sched/src/target.rs
+++ b/crates/sched/src/target.rs
@@ -59,6 +59,8 @@
     assumed: Option<Assumed>,
     /// Time of measure and content of the newest load report.
     report: Option<(Duration, LoadReport)>,
+    /// Time until which a target that was handed over counts as cold while no report came.
+    report_due: Option<Duration>,
     /// Whether the present silence of its load reports was noted.
     silent: bool,
     /// While cold it gets nothing until this time.
@@ -86,6 +88,7 @@
             refused: PermitId(0),
             assumed: None,
             report: None,
+            report_due: None,
             silent: false,
             hold: Duration::ZERO,
             backoff: Duration::ZERO,
@@ -191,8 +194,9 @@
     }
 
     /// Adopts the warmth that the old owner handed over.
-    pub(crate) fn set_warm(&mut self, cfg: &Config, phase: TargetPhase, limit: u64) {
+    pub(crate) fn set_warm(&mut self, cfg: &Config, now: Duration, phase: TargetPhase, limit: u64) {
         self.limit.set(limit);
+        self.report_due = Some(now.saturating_add(cfg.report_gap));
         self.warmth = match phase {
             TargetPhase::Serving => Warmth::Serving,
             TargetPhase::Warming => self.ramp(cfg),
@@ -293,6 +297,9 @@
     /// Applies what passes with time: silence of the load reports and the end of assumed places.
     pub(crate) fn advance(&mut self, cfg: &Config, now: Duration) {
         self.note_silence(cfg, now);
+        if self.report_due.is_some_and(|due| due <= now) {
+            self.report_due = None;
+        }
         if let Some(assumed) = self.assumed
             && (assumed.until <= now || assumed.places == 0)
         {
@@ -335,8 +342,11 @@
     }
 
     fn leave_cold(&mut self, cfg: &Config) {
-        // What it said before it fell silent holds no longer.
-        let says_cold = !self.silent && self.report.is_some_and(|(_, report)| report.cold);
+        let says_cold = match self.report {
+            // What it said before it fell silent holds no longer.
+            Some((_, report)) => !self.silent && report.cold,
+            None => self.report_due.is_some(),
+        };
         if !says_cold && self.assumed.is_none_or(|assumed| assumed.places == 0) {
             self.warmth = self.ramp(cfg);
         }
