--- a/crates/daemon/src/peer/accept.rs
+++ b/crates/daemon/src/peer/accept.rs
@@ -12,6 +12,7 @@
 use tokio_util::codec::Framed;
 use wire::{Body, Codec, Frame, PROTOCOL_VERSION};
 
+use super::count::{Counted, counted};
 use super::dial::heartbeat;
 use crate::node::Node;
 use crate::owner::Msg;
@@ -45,7 +46,7 @@
 async fn link(node: Arc<Node>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let silent = node.settings.timing.silent;
-    let mut framed = Framed::new(stream, Codec::default());
+    let mut framed = Framed::new(counted(stream), Codec::default());
     let hello = match timeout(silent, framed.next()).await {
         Ok(Some(Ok(Frame {
             body: Some(Body::Hello(hello)),
@@ -82,7 +83,7 @@
     log::debug!("peer: link from {} closed", peer.vm);
 }
 
-async fn exchange(node: &Arc<Node>, peer: &Peer, framed: &mut Framed<TcpStream, Codec>) {
+async fn exchange(node: &Arc<Node>, peer: &Peer, framed: &mut Framed<Counted, Codec>) {
     let timing = &node.settings.timing;
     let (tx, mut rx) = mpsc::channel(REPLY_QUEUE);
     let mut beat = interval(timing.heartbeat);
--- a/crates/daemon/src/peer/dial.rs
+++ b/crates/daemon/src/peer/dial.rs
@@ -14,6 +14,7 @@
 use wire::{Body, Codec, Frame, Hello, PROTOCOL_VERSION};
 
 use super::Outgoing;
+use super::count::{Counted, counted};
 use crate::node::Node;
 
 /// What a link learns about its peer's process.
@@ -90,7 +91,7 @@
         _ => return End::Broken,
     };
     let _ = stream.set_nodelay(true);
-    let mut framed = Framed::new(stream, Codec::default());
+    let mut framed = Framed::new(counted(stream), Codec::default());
     let hello = Frame {
         seq: 0,
         body: Some(Body::Hello(node.hello())),
@@ -119,7 +120,7 @@
 async fn exchange(
     node: &Arc<Node>,
     vm: &Name,
-    framed: &mut Framed<TcpStream, Codec>,
+    framed: &mut Framed<Counted, Codec>,
     rx: &mut mpsc::Receiver<Outgoing>,
 ) -> End {
     let timing = &node.settings.timing;
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -4,6 +4,7 @@
 //! back on it, so that a pair of daemons that talk both ways has two connections.
 
 mod accept;
+mod count;
 mod dial;
 
 use std::collections::HashMap;
