--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod answer;
+mod baseline;
 mod dispatch;
 mod http;
 mod permit;
@@ -11,5 +12,6 @@
 mod table;
 
 pub(crate) use self::http::router;
+pub(crate) use baseline::Buckets;
 pub(crate) use permit::return_permit;
 pub(crate) use table::{Table, random_incarnation};
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -5,10 +5,11 @@
 
 use metrics::{counter, histogram};
 use sched::{RunEnd, RunReport};
-use sheet::PoolKind;
+use sheet::{Policy, PoolKind};
 
 use super::admit::Job;
 use super::answer::Answer;
+use super::baseline;
 use super::dispatch::{self, NotSent, Sent};
 use super::permit::{self, Held};
 use super::relay::{Relayed, Seen, cancel, relay};
@@ -20,7 +21,10 @@
 /// Runs a new request to its outcome. It goes on when its caller leaves, for a grace time.
 pub(super) async fn run(node: Arc<Node>, job: Job, record: Arc<Record>) {
     let started = node.now();
-    let outcome = reserved(&node, &job, &record.answer).await;
+    let outcome = match node.settings.policy {
+        Policy::Scheduler => reserved(&node, &job, &record.answer).await,
+        Policy::Baseline => baseline::run(&node, &job, &record.answer).await,
+    };
     let took = node.now().saturating_sub(started);
     counter!(
         "primrosechute_requests_total",
@@ -151,7 +155,7 @@
 }
 
 /// Tokens that a run used.
-fn used(job: &Job, seen: &Seen) -> u64 {
+pub(super) fn used(job: &Job, seen: &Seen) -> u64 {
     match job.kind {
         PoolKind::Service => job.cost,
         PoolKind::Engine => seen
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -17,7 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Clock;
-use crate::entry::{Table, return_permit};
+use crate::entry::{Buckets, Table, return_permit};
 use crate::fleet::Fleet;
 use crate::owner::{self, Msg};
 use crate::owners::Owners;
@@ -55,6 +55,8 @@
     pub(crate) peers: Peers,
     pub(crate) owner: owner::Handle,
     pub(crate) holder: Holder,
+    /// Limits of the baseline policy.
+    pub(crate) buckets: Buckets,
     pub(crate) fleet: Fleet,
     pub(crate) rejected: LastRejected,
     clock: Box<dyn Clock>,
@@ -96,6 +98,7 @@
             peers: Peers::default(),
             owner,
             holder,
+            buckets: Buckets::default(),
             fleet,
             rejected: LastRejected::default(),
             clock,
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -29,6 +29,6 @@
 };
 pub use parse::{MAX_ROWS, MAX_TIERS};
 pub use read::MAX_SETTINGS_BYTES;
-pub use settings::{Limits, Log, LogFormat, LogLevel, Settings, SheetSource, Timing};
+pub use settings::{Limits, Log, LogFormat, LogLevel, Policy, Settings, SheetSource, Timing};
 pub use settings_error::{CheckError, SettingsError, SettingsFault};
 pub use table::MAX_SHEET_BYTES;
--- a/crates/sheet/src/settings.rs
+++ b/crates/sheet/src/settings.rs
@@ -43,6 +43,21 @@
     /// Log output.
     #[serde(default)]
     pub log: Log,
+    /// How requests get their targets.
+    #[serde(default)]
+    pub policy: Policy,
+}
+
+/// How requests get their targets.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Policy {
+    /// By permits of target owners.
+    #[default]
+    Scheduler,
+    /// For measurement only: a random target, no tiers, the rate divided by the number of VMs in
+    /// the list, and a retry on errors. It keeps none of the promises of the scheduler.
+    Baseline,
 }
 
 /// Where the sheet comes from.
--- a/crates/sheet/tests/settings.rs
+++ b/crates/sheet/tests/settings.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use sheet::{CheckError, LogFormat, LogLevel, Settings, SettingsError, Sheet, SheetSource};
+use sheet::{CheckError, LogFormat, LogLevel, Policy, Settings, SettingsError, Sheet, SheetSource};
 
 const START: &str = r#"{"vm": "a-1", "zone": "a", "entry": "127.0.0.1:1", "admin": "127.0.0.1:2","#;
 const SHEET: &str = r#""sheet": {"file": "sheet.csv"}"#;
@@ -197,6 +197,16 @@
     );
 }
 
+// Guards against a daemon that runs the baseline without being told to.
+#[test]
+fn policy_is_the_scheduler_by_default() {
+    let by_default = parse(&format!("{START}{SHEET}}}")).unwrap();
+    let baseline = parse(&format!("{START}{SHEET},\"policy\": \"baseline\"}}")).unwrap();
+
+    assert_eq!(by_default.policy, Policy::Scheduler);
+    assert_eq!(baseline.policy, Policy::Baseline);
+}
+
 // Guards against a panic of humantime 2.4 when the nanoseconds carry into `u64::MAX` seconds.
 #[test]
 fn largest_duration_is_an_error() {
