Add the measuring binary of testkit

Nothing put this build beside the baseline in one run. measure starts a site once for each policy, with real daemons and stand-in engines at the speeds of the sheet, and runs each load on both in turn with primrosectl load. The capacity is computed from the model of the engines.

tests/measure.rs checks the aggregation on given records; it passes.

--- a/crates/ctl/src/load.rs
+++ b/crates/ctl/src/load.rs
@@ -79,6 +79,10 @@
     /// File for the result, JSON.
     #[arg(short, long, value_name = "FILE")]
     output: Option<PathBuf>,
+    /// File for one line of JSON a request, warm-up included: id, workload, outcome, reason and
+    /// whether it was served in time.
+    #[arg(long, value_name = "FILE")]
+    requests: Option<PathBuf>,
     /// Time for requests in flight at the end.
     #[arg(long, default_value = "60s", value_parser = duration::parse)]
     drain: Duration,
@@ -90,6 +94,8 @@
     site: Arc<Site>,
     start: Instant,
     tally: Mutex<Tally>,
+    /// Lines of the file of requests, if it is wanted.
+    requests: Option<Mutex<String>>,
     in_flight: Arc<Semaphore>,
 }
 
@@ -99,6 +105,7 @@
     let site = Site::start(&mix.entries).await?;
     let running = Arc::new(Running {
         tally: Mutex::new(Tally::new(&mix)),
+        requests: args.requests.as_ref().map(|_| Mutex::default()),
         mix,
         site,
         start: Instant::now() + LEAD,
@@ -114,6 +121,10 @@
     // Requests that are still in flight then are counted as unknown.
     let _ = tokio::time::timeout(args.drain, all).await;
     let events = events.await.map_err(|err| Error::failed(err.to_string()))?;
+    if let (Some(path), Some(lines)) = (&args.requests, &running.requests) {
+        let lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
+        file::write(path, lines.as_bytes())?;
+    }
     let result = running.result(args, events, over_limit);
     if let Some(path) = &args.output {
         let text = serde_json::to_string_pretty(&result)
@@ -163,6 +174,25 @@
         work(&mut self.tally.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Adds a line to the file of requests.
+    fn note(&self, record: &Record, measured: bool) {
+        let Some(lines) = &self.requests else {
+            return;
+        };
+        let workload = &self.mix.workloads[record.workload];
+        let line = serde_json::json!({
+            "id": record.id,
+            "workload": workload.name,
+            "outcome": record.outcome.label(),
+            "reason": record.reason,
+            "in_time": record.is_in_time(workload.deadline),
+            "measured": measured,
+        });
+        let mut lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.push_str(&line.to_string());
+        lines.push('\n');
+    }
+
     fn result(&self, args: &Load, events: Vec<EventResult>, over_limit: u64) -> LoadResult {
         let mix = &self.mix;
         let tally = self.with_tally(|tally| std::mem::replace(tally, Tally::new(mix)));
@@ -205,6 +235,7 @@
         let running = Arc::clone(&running);
         tokio::spawn(async move {
             let record = send_one(&running, workload, planned).await;
+            running.note(&record, measured);
             if measured {
                 running.with_tally(|tally| tally.ended(&record));
             }
@@ -221,6 +252,7 @@
     let arrival = running.start + planned.at;
     let mut record = Record {
         workload,
+        id: String::new(),
         outcome: Outcome::Failed,
         reason: "not_sent".into(),
         first: None,
@@ -247,6 +279,7 @@
             Err(NotSent(_)) => continue,
         };
         let end = Instant::now();
+        record.id.clone_from(&id);
         (record.outcome, record.reason) = check::judge(&ended, &id, &seen, mix.answer_ids);
         record.first = Some(seen.first.unwrap_or(end).saturating_duration_since(arrival));
         record.tokens = match ended.events {
--- a/crates/ctl/src/tally.rs
+++ b/crates/ctl/src/tally.rs
@@ -24,6 +24,8 @@
 pub(crate) struct Record {
     /// Index of the workload.
     pub(crate) workload: usize,
+    /// Request id, empty if nothing was sent.
+    pub(crate) id: String,
     pub(crate) outcome: Outcome,
     pub(crate) reason: String,
     /// Time from the planned arrival to the first byte of the answer.
@@ -36,6 +38,16 @@
     pub(crate) resumes: u32,
 }
 
+impl Record {
+    /// Whether the request was served with its first byte within the deadline, if it has one.
+    pub(crate) fn is_in_time(&self, deadline: Option<Duration>) -> bool {
+        let late = deadline
+            .zip(self.first)
+            .is_some_and(|(deadline, first)| first > deadline);
+        self.outcome == Outcome::Served && !late
+    }
+}
+
 /// Times in microseconds.
 struct Times(Histogram<u64>);
 
@@ -86,13 +98,11 @@
         let reasons = match record.outcome {
             Outcome::Served => {
                 row.tokens_served += record.tokens;
-                if let (Some(deadline), Some(first)) = (deadline, record.first)
-                    && first > deadline
-                {
-                    row.served_late += 1;
-                } else {
+                if record.is_in_time(deadline) {
                     row.served_in_time += 1;
                     row.tokens_in_time += record.tokens;
+                } else {
+                    row.served_late += 1;
                 }
                 if let Some(first) = record.first {
                     self.first.add(first);
--- a/crates/ctl/tests/load.rs
+++ b/crates/ctl/tests/load.rs
@@ -195,3 +195,35 @@
     assert_eq!(lines[..2], ["GET /v1/entries", "GET /v1/entries"]);
     assert!(result["total"]["sent"].as_u64().unwrap() > 0);
 }
+
+// Guards against measurements that can't tell which runs of the engines were delivered in time.
+#[test]
+fn requests_are_listed_with_their_ends() {
+    let server = site(serving);
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("requests.jsonl");
+
+    let done = load(&server, MODEL, &["--requests", path.to_str().unwrap()]);
+
+    assert_eq!(done.code, Some(0));
+    let lines: Vec<serde_json::Value> = std::fs::read_to_string(path)
+        .unwrap()
+        .lines()
+        .map(|line| serde_json::from_str(line).unwrap())
+        .collect();
+    let sent: Vec<String> = server
+        .seen()
+        .iter()
+        .filter(|seen| !seen.body.is_empty())
+        .map(|seen| seen.header("x-request-id").unwrap().to_owned())
+        .collect();
+    assert!(!sent.is_empty());
+    assert_eq!(lines.len(), sent.len());
+    for line in &lines {
+        assert!(sent.iter().any(|id| line["id"] == id.as_str()));
+        assert_eq!(
+            (&line["outcome"], &line["in_time"]),
+            (&"served".into(), &true.into())
+        );
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/bin/measure/main.rs
@@ -0,0 +1,132 @@
+//! Measures a site beside the baseline policy, with real daemon processes and stand-in engines.
+//!
+//! Both policies have a fleet and engines of their own, and the loads run on them in turn.
+
+mod mix;
+mod run;
+mod site;
+
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Command, ExitCode};
+
+use clap::{Parser, ValueEnum};
+use serde_json::json;
+use testkit::measure::{Point, goals, markdown};
+
+/// Site to measure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum SiteName {
+    LvRiga,
+    CostaAtl,
+}
+
+impl SiteName {
+    fn folder(self) -> &'static str {
+        match self {
+            SiteName::LvRiga => "lv-riga",
+            SiteName::CostaAtl => "costa-atl",
+        }
+    }
+}
+
+#[derive(Debug, Parser)]
+#[command(
+    about = "Measures a site beside the baseline policy.",
+    after_help = "Example:\n  cargo build --release -p daemon -p ctl\n  \
+        cargo run --release -p testkit --bin measure -- --site lv-riga --out measures.json\n\n\
+        The daemon and primrosectl are taken from the folder of this binary. The table goes to \
+        standard output, the points to the file. Exit codes: 0 measured, 1 failed."
+)]
+struct Args {
+    /// Site.
+    #[arg(long, value_enum)]
+    site: SiteName,
+    /// Loads as multiples of the capacity, which is computed from the model of the engines.
+    #[arg(long, value_delimiter = ',', default_value = "0.7,1.0,1.5,3.0")]
+    loads: Vec<f64>,
+    /// Seed of arrivals and sizes.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Factor on all times of the engines and on the deadlines of callers.
+    #[arg(long, default_value_t = 2.0)]
+    time_scale: f64,
+    /// Measured seconds a point.
+    #[arg(long, default_value_t = 10)]
+    seconds: u64,
+    /// Starts the engines warm. Without it they start cold, as after a restart.
+    #[arg(long)]
+    warm: bool,
+    /// File for the points, JSON.
+    #[arg(long)]
+    out: PathBuf,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match measure(&Args::parse()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("measure: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn measure(args: &Args) -> io::Result<()> {
+    let exe = std::env::current_exe()?;
+    let binaries = exe.parent().unwrap_or(Path::new("")).to_owned();
+    let folder = args.site.folder();
+    let sheet = site::read_sheet(folder)?;
+    let mix = mix::Mix::new(folder, &sheet, args.time_scale);
+    let mut sites = Vec::new();
+    for policy in ["scheduler", "baseline"] {
+        let started = site::Site::start(folder, policy, &binaries, &mix, args.warm).await?;
+        sites.push((policy, started));
+    }
+    let mut points: Vec<Point> = Vec::new();
+    for load in &args.loads {
+        for (policy, site) in &sites {
+            let mut point = run::run(site, &mix, &binaries, *load, args).await?;
+            folder.clone_into(&mut point.site);
+            (*policy).clone_into(&mut point.policy);
+            eprintln!(
+                "measure: {folder} {load} {policy}: {:.0} tokens/s in time",
+                point.total.goodput
+            );
+            points.push(point);
+        }
+    }
+    write(args, &mix, &points)
+}
+
+fn write(args: &Args, mix: &mix::Mix, points: &[Point]) -> io::Result<()> {
+    let commit = commit();
+    let document = json!({
+        "site": args.site.folder(),
+        "seed": args.seed,
+        "commit": commit,
+        "time_scale": args.time_scale,
+        "seconds": args.seconds,
+        "warm": args.warm,
+        "capacity_requests_per_second": mix.capacity,
+        "capacity_source": "computed from the model of the stand-in engines",
+        "points": points,
+        "goals": goals(points, mix.top_tier()),
+    });
+    std::fs::write(&args.out, serde_json::to_vec_pretty(&document)?)?;
+    println!(
+        "{}",
+        markdown(points, mix.top_tier(), args.seed, commit.trim())
+    );
+    Ok(())
+}
+
+/// Short commit of the checkout, with a mark if it has changes.
+fn commit() -> String {
+    let output = Command::new("git")
+        .args(["describe", "--always", "--dirty", "--exclude", "*"])
+        .output();
+    let text = output.map(|o| String::from_utf8_lossy(&o.stdout).trim().to_owned());
+    text.unwrap_or_default()
+}
--- /dev/null
+++ b/crates/testkit/src/bin/measure/site.rs
@@ -0,0 +1,176 @@
+//! An example site with the daemons of one policy.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use sheet::{PoolKind, Settings, Sheet};
+use testkit::client::Call;
+use testkit::fleet::Fleet;
+use testkit::{Engine, EngineConfig, PlainService};
+
+use crate::mix::Mix;
+
+/// Longest wait for daemons to be ready and for their buckets to fill.
+const START_WAIT: Duration = Duration::from_mins(1);
+/// Time between two looks at a state.
+const POLL: Duration = Duration::from_millis(100);
+
+pub struct Site {
+    pub fleet: Fleet,
+    pub engines: BTreeMap<String, Engine>,
+    sheet: Sheet,
+    /// Kept running while the site is measured.
+    _services: Vec<PlainService>,
+}
+
+fn example(site: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples")
+        .join(site)
+}
+
+/// Reads the sheet of an example site.
+pub fn read_sheet(site: &str) -> io::Result<Sheet> {
+    let csv = std::fs::read(example(site).join("sheet.csv"))?;
+    Sheet::parse(&csv).map_err(|errors| {
+        let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+        io::Error::other(lines.join("\n"))
+    })
+}
+
+/// Names and zones of the VMs of an example site.
+fn vms(site: &str) -> io::Result<Vec<(String, String)>> {
+    let mut vms = Vec::new();
+    for entry in std::fs::read_dir(example(site))? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|end| end == "jsonc") {
+            let text = std::fs::read_to_string(&path)?;
+            let settings = Settings::parse(&text, &path.display().to_string());
+            let settings = settings.map_err(|err| io::Error::other(err.to_string()))?;
+            vms.push((settings.vm.to_string(), settings.zone.to_string()));
+        }
+    }
+    vms.sort();
+    Ok(vms)
+}
+
+/// Timing that lets a new fleet hold its shares after about 8 s.
+fn timing() -> Value {
+    json!({
+        "heartbeat": "100ms",
+        "silent": "600ms",
+        "lease": "1s",
+        "list_lag": "200ms",
+        "list_poll": "200ms",
+        "propagation": "1s",
+        "load_poll": "200ms",
+        "redial_max": "500ms",
+    })
+}
+
+impl Site {
+    /// Starts engines, services and daemons and waits until the daemons have tokens.
+    pub async fn start(
+        site: &str,
+        policy: &str,
+        binaries: &Path,
+        mix: &Mix,
+        warm: bool,
+    ) -> io::Result<Self> {
+        let mut builder = Fleet::builder(binaries.join("primrosechute"))
+            .setting("timing", timing())
+            .setting("policy", json!(policy))
+            .setting("log", json!({ "level": "warn" }))
+            .ready_timeout(START_WAIT);
+        for (vm, zone) in vms(site)? {
+            builder = builder.vm(&vm, &zone);
+        }
+        let mut sheet = read_sheet(site)?;
+        mix.set_rates(&mut sheet);
+        let (mut engines, mut services) = (BTreeMap::new(), Vec::new());
+        for (name, target) in &mut sheet.targets {
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let pool = sheet.pools.get(&target.pool);
+            if pool.is_some_and(|pool| pool.kind == PoolKind::Engine) {
+                let engine = Engine::start(any, engine(target, mix, warm)).await?;
+                target.address = engine.addr();
+                engines.insert(name.to_string(), engine);
+            } else {
+                let service = PlainService::start(any).await?;
+                target.address = service.addr();
+                services.push(service);
+            }
+        }
+        let mut fleet = builder.start().await?;
+        let sheets = &fleet.platform().sheets;
+        sheets.publish(sheet.revision, sheet.to_csv());
+        fleet.launch_all().await?;
+        let site = Site {
+            fleet,
+            engines,
+            sheet,
+            _services: services,
+        };
+        let filled = tokio::time::timeout(START_WAIT, site.wait_tokens()).await;
+        filled.map_err(|_| io::Error::other("the buckets do not fill"))??;
+        Ok(site)
+    }
+
+    /// Waits until each workspace has a quarter of its burst: the parts of a new fleet start empty.
+    async fn wait_tokens(&self) -> io::Result<()> {
+        while !self.has_tokens().await? {
+            tokio::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    async fn has_tokens(&self) -> io::Result<bool> {
+        let mut tokens: BTreeMap<String, u64> = BTreeMap::new();
+        for vm in self.fleet.names() {
+            let status: Value = serde_json::from_slice(&self.admin(&vm, "/status").await?)?;
+            for share in status["shares"].as_array().into_iter().flatten() {
+                let workspace = share["workspace"].as_str().unwrap_or_default();
+                *tokens.entry(workspace.to_owned()).or_default() +=
+                    share["tokens"].as_u64().unwrap_or(0);
+            }
+        }
+        Ok(self.sheet.workspaces.iter().all(|(name, workspace)| {
+            tokens.get(&**name).copied().unwrap_or(0) >= workspace.burst / 4
+        }))
+    }
+
+    /// Reads a document of a daemon's admin address.
+    pub async fn admin(&self, vm: &str, path: &str) -> io::Result<Vec<u8>> {
+        let answer = self.fleet.admin_client(vm).call(Call::get(path)).await;
+        let answer = answer.map_err(|err| io::Error::other(format!("{vm}{path}: {err}")))?;
+        Ok(answer.body.to_vec())
+    }
+
+    /// Waits until no engine runs anything, or for a while.
+    pub async fn wait_idle(&self, wait: Duration) {
+        let idle = async {
+            for engine in self.engines.values() {
+                engine.wait_for(|stats| stats.running == 0).await;
+            }
+        };
+        if tokio::time::timeout(wait, idle).await.is_err() {
+            eprintln!("measure: engines still run work of the last point");
+        }
+    }
+}
+
+fn engine(target: &sheet::Target, mix: &Mix, warm: bool) -> EngineConfig {
+    EngineConfig {
+        speed: target.speed,
+        time_scale: mix.time_scale,
+        cold_limit: usize::try_from(target.cold_limit).unwrap_or(usize::MAX),
+        check_fencing: target.fencing,
+        start_cold: !warm,
+        record_headers: false,
+        ..EngineConfig::default()
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 mod engine;
 pub mod fleet;
 mod host;
+pub mod measure;
 mod platform;
 mod port;
 mod proxy;
--- /dev/null
+++ b/crates/testkit/src/measure/goals.rs
@@ -0,0 +1,70 @@
+use serde::Serialize;
+
+use super::point::{Point, Share};
+
+/// A goal of the design beside its measured value.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Goal {
+    /// What is measured.
+    pub name: String,
+    /// Bound of the goal.
+    pub target: String,
+    /// Measured value.
+    pub value: f64,
+    /// Whether the value keeps the bound.
+    pub met: bool,
+}
+
+impl Goal {
+    fn at_least(name: &str, bound: f64, value: f64) -> Self {
+        Goal {
+            name: name.into(),
+            target: format!(">= {bound}"),
+            value,
+            met: value >= bound,
+        }
+    }
+
+    fn at_most(name: &str, bound: f64, value: f64) -> Self {
+        Goal {
+            name: name.into(),
+            target: format!("<= {}", (bound * 1e4).round() / 1e4),
+            value,
+            met: value <= bound,
+        }
+    }
+}
+
+/// The goals that the points of one site can show. A goal whose loads were not measured is absent.
+#[must_use]
+pub fn goals(points: &[Point], top_tier: &str) -> Vec<Goal> {
+    let at = |policy: &str, load: f64| {
+        points
+            .iter()
+            .find(|p| p.policy == policy && (p.load - load).abs() < 1e-9)
+    };
+    let own = || points.iter().filter(|p| p.policy == "scheduler");
+    let mut goals = Vec::new();
+    if let (Some(low), Some(high)) = (at("scheduler", 0.7), at("scheduler", 3.0)) {
+        let share = |p: &Point| p.tiers.get(top_tier).map_or(0.0, Share::in_time_share);
+        let kept = share(high) / share(low).max(f64::MIN_POSITIVE);
+        let name = "top tier: in-time share at 3x over 0.7x";
+        goals.push(Goal::at_least(name, 0.99, kept));
+        let peak = own().map(|p| p.total.goodput).fold(0.0, f64::max);
+        let kept = high.total.goodput / peak.max(f64::MIN_POSITIVE);
+        goals.push(Goal::at_least("total goodput at 3x over peak", 0.95, kept));
+    }
+    if let Some(own) = at("scheduler", 1.5) {
+        let wasted = own.work.wasted_share();
+        goals.push(Goal::at_most("wasted prefill at 1.5x", 0.02, wasted));
+        if let Some(base) = at("baseline", 1.5) {
+            let bound = base.work.wasted_share() / 10.0;
+            let name = "wasted prefill at 1.5x, a tenth of the baseline";
+            goals.push(Goal::at_most(name, bound, wasted));
+        }
+    }
+    let refused = own().map(Point::rate_refused_share).fold(0.0, f64::max);
+    let name = "refused inside the rate, worst load";
+    goals.push(Goal::at_most(name, 0.005, refused));
+    goals
+}
--- /dev/null
+++ b/crates/testkit/src/measure/point.rs
@@ -0,0 +1,139 @@
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::work::Work;
+
+/// Counts by reason.
+pub type Reasons = BTreeMap<String, u64>;
+
+/// Requests of one group as their callers saw them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    /// Requests sent.
+    pub sent: u64,
+    /// Requests served in time.
+    pub in_time: u64,
+    /// Output tokens served in time, a second.
+    pub goodput: f64,
+    /// 95th percentile of the time to the first byte, of served requests.
+    pub first_p95: Option<f64>,
+}
+
+/// What the daemons of a site spent, per daemon.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Costs {
+    /// Mean part of one core.
+    pub cores: f64,
+    /// Part of one core of the busiest daemon.
+    pub most_cores: f64,
+    /// Mean bytes a second sent and received on links to peers.
+    pub peer_bytes: f64,
+}
+
+/// One policy at one load.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Point {
+    /// Name of the site.
+    pub site: String,
+    /// Policy of the daemons.
+    pub policy: String,
+    /// Offered load as a multiple of the capacity.
+    pub load: f64,
+    /// Requests offered a second.
+    pub offered: f64,
+    /// All requests.
+    pub total: Share,
+    /// Served after the deadline.
+    pub late: u64,
+    /// Shed requests by reason.
+    pub shed: Reasons,
+    /// Refused requests by reason.
+    pub refused: Reasons,
+    /// Failed requests by reason.
+    pub failed: Reasons,
+    /// Requests of unknown outcome by reason.
+    pub unknown: Reasons,
+    /// Requests by tier.
+    pub tiers: BTreeMap<String, Share>,
+    /// Name of the workspace with the smallest share of requests in time.
+    pub worst_workspace: String,
+    /// Its share relative to the median workspace.
+    pub worst_to_median: Option<f64>,
+    /// 99th percentile of the time by which the generator sent too late.
+    pub send_lag_p99: f64,
+    /// Requests that the generator left out.
+    pub over_limit: u64,
+    /// What the engines computed.
+    pub work: Work,
+    /// Fall-overs of cold engines.
+    pub cold_overloads: u64,
+    /// What the daemons spent.
+    pub costs: Costs,
+}
+
+impl Share {
+    /// Part of the requests that was served in time.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^53")]
+    pub fn in_time_share(&self) -> f64 {
+        self.in_time as f64 / self.sent.max(1) as f64
+    }
+
+    fn of(row: &Value) -> Self {
+        Share {
+            sent: number(&row["sent"]),
+            in_time: number(&row["served_in_time"]),
+            goodput: row["goodput_tokens_per_second"].as_f64().unwrap_or(0.0),
+            first_p95: row["first_token_seconds"]["p95"].as_f64(),
+        }
+    }
+}
+
+impl Point {
+    /// Takes what callers saw from a result of `primrosectl load --json`.
+    #[must_use]
+    pub fn of_load(result: &Value) -> Self {
+        let total = &result["total"];
+        let tiers = result["tiers"].as_object().into_iter().flatten();
+        let worst = &result["worst_workspace"];
+        Point {
+            total: Share::of(total),
+            late: number(&total["served_late"]),
+            shed: reasons(&total["shed"]),
+            refused: reasons(&total["refused"]),
+            failed: reasons(&total["failed"]),
+            unknown: reasons(&total["unknown"]),
+            tiers: tiers
+                .map(|(name, row)| (name.clone(), Share::of(row)))
+                .collect(),
+            worst_workspace: worst["workspace"].as_str().unwrap_or_default().to_owned(),
+            worst_to_median: worst["ratio_to_median"].as_f64(),
+            send_lag_p99: result["generator"]["send_lag_seconds"]["p99"]
+                .as_f64()
+                .unwrap_or(0.0),
+            over_limit: number(&result["generator"]["over_limit"]),
+            ..Point::default()
+        }
+    }
+
+    /// Part of the requests that was refused by the rate.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^53")]
+    pub fn rate_refused_share(&self) -> f64 {
+        let refused = self.refused.get("rate").copied().unwrap_or(0);
+        refused as f64 / self.total.sent.max(1) as f64
+    }
+}
+
+fn number(value: &Value) -> u64 {
+    value.as_u64().unwrap_or(0)
+}
+
+fn reasons(value: &Value) -> Reasons {
+    let reasons = value.as_object().into_iter().flatten();
+    reasons
+        .map(|(reason, count)| (reason.clone(), number(count)))
+        .collect()
+}
--- /dev/null
+++ b/crates/testkit/src/measure/table.rs
@@ -0,0 +1,93 @@
+use std::fmt::Write;
+
+use super::goals::goals;
+use super::point::{Point, Reasons};
+
+/// One number of a point.
+type Take = fn(&Point) -> f64;
+
+/// Numbers of each point. Shares are in percent.
+const ROWS: [(&str, Take); 12] = [
+    ("goodput, tokens/s", |p| p.total.goodput),
+    ("served in time, %", |p| 100.0 * p.total.in_time_share()),
+    ("late, %", |p| percent(p.late, p)),
+    ("shed, %", |p| percent(sum(&p.shed), p)),
+    ("refused, %", |p| percent(sum(&p.refused), p)),
+    ("failed, %", |p| percent(sum(&p.failed), p)),
+    ("unknown, %", |p| percent(sum(&p.unknown), p)),
+    ("wasted prefill, %", |p| 100.0 * p.work.wasted_share()),
+    ("cold overloads", |p| whole(p.cold_overloads)),
+    ("worst workspace to median", |p| {
+        p.worst_to_median.unwrap_or(0.0)
+    }),
+    ("cores per daemon", |p| p.costs.cores),
+    ("peer KB/s per daemon", |p| p.costs.peer_bytes / 1000.0),
+];
+
+/// A Markdown table of both policies at each load of a site, and its goals.
+#[must_use]
+pub fn markdown(points: &[Point], top_tier: &str, seed: u64, commit: &str) -> String {
+    let mut text = String::from(
+        "| site | load | measure | this build | baseline | ratio | seed | commit |\n\
+         |---|---|---|---|---|---|---|---|\n",
+    );
+    for own in points.iter().filter(|p| p.policy == "scheduler") {
+        let base = points.iter().find(|p| {
+            p.policy == "baseline" && p.site == own.site && (p.load - own.load).abs() < 1e-9
+        });
+        let mut line = |name: &str, a: f64, b: Option<f64>| {
+            let shown = b.map_or("-".into(), number);
+            let ratio = b.filter(|b| *b > 0.0).map_or("-".into(), |b| number(a / b));
+            // Writing to a string can't fail.
+            let _ = writeln!(
+                text,
+                "| {} | {} | {name} | {} | {shown} | {ratio} | {seed} | {commit} |",
+                own.site,
+                own.load,
+                number(a),
+            );
+        };
+        for (name, take) in ROWS {
+            line(name, take(own), base.map(take));
+        }
+        for (tier, share) in &own.tiers {
+            let other = base.and_then(|p| p.tiers.get(tier));
+            line(
+                &format!("tier {tier}: in time, %"),
+                100.0 * share.in_time_share(),
+                other.map(|s| 100.0 * s.in_time_share()),
+            );
+        }
+    }
+    text.push_str("\n| goal | target | measured | |\n|---|---|---|---|\n");
+    for goal in goals(points, top_tier) {
+        let met = if goal.met { "met" } else { "missed" };
+        let _ = writeln!(
+            text,
+            "| {} | {} | {:.4} | {met} |",
+            goal.name, goal.target, goal.value
+        );
+    }
+    text
+}
+
+fn number(value: f64) -> String {
+    if value.abs() >= 100.0 {
+        format!("{value:.0}")
+    } else {
+        format!("{value:.2}")
+    }
+}
+
+fn sum(reasons: &Reasons) -> u64 {
+    reasons.values().sum()
+}
+
+fn percent(part: u64, point: &Point) -> f64 {
+    100.0 * whole(part) / whole(point.total.sent.max(1))
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^53")]
+fn whole(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/crates/testkit/src/measure/work.rs
@@ -0,0 +1,55 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::engine::{End, RunRecord};
+
+/// What engines computed in one run, and how much of it was for nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// Runs.
+    pub runs: u64,
+    /// Prompt tokens computed.
+    pub prefill_tokens: u64,
+    /// Prompt tokens computed for requests that were not served in time, and by all runs of a
+    /// request but its first complete one.
+    pub wasted_tokens: u64,
+    /// Most runs of one request id.
+    pub most_runs: u64,
+    /// Request ids that ran more than once.
+    pub repeated_ids: u64,
+}
+
+impl Work {
+    /// Sums up the runs of all engines. `in_time` holds the ids of the requests that their callers
+    /// were served in time.
+    #[must_use]
+    pub fn of<'a>(
+        records: impl IntoIterator<Item = &'a RunRecord>,
+        in_time: &BTreeSet<String>,
+    ) -> Self {
+        let mut work = Work::default();
+        let mut runs: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut delivered = BTreeSet::new();
+        for record in records {
+            let id = record.request_id.as_str();
+            work.runs += 1;
+            work.prefill_tokens += record.prefilled_tokens;
+            *runs.entry(id).or_default() += 1;
+            let useful = record.end == Some(End::Complete) && in_time.contains(id);
+            if !useful || !delivered.insert(id) {
+                work.wasted_tokens += record.prefilled_tokens;
+            }
+        }
+        work.most_runs = runs.values().copied().max().unwrap_or(0);
+        work.repeated_ids = runs.values().filter(|n| **n > 1).count() as u64;
+        work
+    }
+
+    /// Wasted part of the computed prompt tokens.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^53")]
+    pub fn wasted_share(&self) -> f64 {
+        self.wasted_tokens as f64 / self.prefill_tokens.max(1) as f64
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/measure.rs
@@ -0,0 +1,125 @@
+//! Aggregation of measurements.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde_json::json;
+use testkit::measure::{Point, Work, goals, markdown};
+use testkit::{End, RunRecord};
+
+fn run(id: &str, end: Option<End>, prefilled: u64) -> RunRecord {
+    RunRecord {
+        request_id: id.into(),
+        path: "/v1/completions".into(),
+        headers: Vec::new(),
+        workspace: None,
+        body_hash: 0,
+        order: 0,
+        started_at: Duration::ZERO,
+        ended_at: None,
+        end,
+        prompt_tokens: prefilled,
+        cached_tokens: 0,
+        prefilled_tokens: prefilled,
+        max_tokens: 1,
+        generated: 0,
+        in_flight: 1,
+        cold: false,
+        engine_start: 1,
+    }
+}
+
+// Guards against waste that is not counted: late answers, second runs and runs without an end.
+#[test]
+fn prefill_counts_as_wasted_unless_it_was_delivered_in_time_once() {
+    let records = [
+        run("in-time", Some(End::Complete), 100),
+        run("late", Some(End::Complete), 10),
+        run("retried", Some(End::Reset), 20),
+        run("retried", Some(End::Complete), 200),
+        run("twice", Some(End::Complete), 300),
+        run("twice", Some(End::Complete), 40),
+        run("endless", None, 80),
+    ];
+    let in_time = ["in-time", "retried", "twice", "endless"].map(String::from);
+
+    let work = Work::of(&records, &BTreeSet::from(in_time));
+
+    assert_eq!((work.runs, work.prefill_tokens), (7, 750));
+    assert_eq!(work.wasted_tokens, 10 + 20 + 40 + 80);
+    assert_eq!((work.most_runs, work.repeated_ids), (2, 2));
+    assert!((work.wasted_share() - 0.2).abs() < 1e-9);
+    assert!(Work::of(&[], &BTreeSet::new()).wasted_share().abs() < 1e-9);
+}
+
+fn point(policy: &str, load: f64, quick: (u64, u64), goodput: f64, wasted: u64) -> Point {
+    let result = json!({
+        "total": {
+            "sent": 1000, "served_in_time": 900, "served_late": 20,
+            "shed": { "queue_full": 60 }, "refused": { "rate": 15, "expired": 5 },
+            "failed": {}, "unknown": {}, "goodput_tokens_per_second": goodput,
+        },
+        "tiers": { "quick": { "sent": quick.0, "served_in_time": quick.1 } },
+        "worst_workspace": { "workspace": "academy", "ratio_to_median": 0.8 },
+        "generator": { "send_lag_seconds": { "p99": 0.002 }, "over_limit": 3 },
+    });
+    Point {
+        site: "lv-riga".into(),
+        policy: policy.into(),
+        load,
+        work: Work {
+            prefill_tokens: 1000,
+            wasted_tokens: wasted,
+            ..Work::default()
+        },
+        ..Point::of_load(&result)
+    }
+}
+
+// Guards against goals that compare the wrong points or the wrong way round.
+#[test]
+fn goals_compare_loads_and_policies() {
+    let points = [
+        point("scheduler", 0.7, (100, 100), 500.0, 0),
+        point("baseline", 0.7, (100, 50), 900.0, 0),
+        point("scheduler", 1.5, (200, 200), 1000.0, 15),
+        point("baseline", 1.5, (200, 10), 100.0, 100),
+        point("scheduler", 3.0, (400, 398), 940.0, 30),
+    ];
+
+    let goals = goals(&points, "quick");
+
+    let shown: Vec<(f64, bool)> = goals.iter().map(|g| (g.value, g.met)).collect();
+    let expected = [
+        (0.995, true),  // top tier at 3x over 0.7x
+        (0.94, false),  // goodput at 3x over the peak of the same policy
+        (0.015, true),  // wasted prefill
+        (0.015, false), // beside a tenth of the baseline's
+        (0.015, false), // refused by the rate, not for other reasons
+    ];
+    assert_eq!(shown.len(), expected.len());
+    for ((value, met), (wanted, wanted_met)) in shown.iter().zip(expected) {
+        assert!((value - wanted).abs() < 1e-9, "{value} instead of {wanted}");
+        assert_eq!(*met, wanted_met, "{value}");
+    }
+}
+
+// Guards against a table whose ratio or columns belong to another point.
+#[test]
+fn table_shows_both_policies_and_their_ratio() {
+    let points = [
+        point("scheduler", 1.5, (200, 200), 1000.0, 15),
+        point("baseline", 1.5, (200, 10), 100.0, 100),
+    ];
+
+    let text = markdown(&points, "quick", 7, "abc");
+
+    for line in [
+        "| lv-riga | 1.5 | goodput, tokens/s | 1000 | 100 | 10.00 | 7 | abc |",
+        "| lv-riga | 1.5 | wasted prefill, % | 1.50 | 10.00 | 0.15 | 7 | abc |",
+        "| lv-riga | 1.5 | tier quick: in time, % | 100 | 5.00 | 20.00 | 7 | abc |",
+        "| wasted prefill at 1.5x | <= 0.02 | 0.0150 | met |",
+    ] {
+        assert!(text.contains(line), "{line:?} is not in\n{text}");
+    }
+}
