--- a/crates/daemon/src/feed/load.rs
+++ b/crates/daemon/src/feed/load.rs
@@ -4,14 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::Method;
 use sched::{LoadReport, Name};
 use serde::Deserialize;
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::node::Node;
 use crate::owner::Msg;
-use crate::target::small_call;
+use crate::target::{Probe, probe};
 
 #[derive(Deserialize)]
 struct Load {
@@ -41,8 +40,13 @@
 
 async fn read(node: Arc<Node>, target: Name, address: SocketAddr) {
     let wait = node.settings.timing.silent;
-    let Some((200, body)) = small_call(address, Method::GET, "/load", wait).await else {
-        return;
+    let body = match probe(address, "/load", wait).await {
+        Probe::Answer(200, body) => body,
+        Probe::Refused => {
+            node.owner.send(Msg::TargetRefused(target));
+            return;
+        }
+        Probe::Answer(..) | Probe::Silent => return,
     };
     let Ok(load) = serde_json::from_slice::<Load>(&body) else {
         return;
--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -60,6 +60,8 @@
         report: LoadReport,
         measured: Duration,
     },
+    /// A target refuses connections.
+    TargetRefused(Name),
     /// This daemon came to own a target, or its specification changed.
     Own {
         pool: Name,
--- a/crates/daemon/src/owner/task.rs
+++ b/crates/daemon/src/owner/task.rs
@@ -110,6 +110,7 @@
                 report,
                 measured,
             } => self.load(&target, report, measured),
+            Msg::TargetRefused(target) => self.target_refused(&target),
             Msg::Own { pool, spec, source } => self.own(&pool, spec, source),
             Msg::GiveUp { target, reply } => {
                 // The asking task may be gone; the target is given up all the same.
@@ -202,6 +203,14 @@
         }
     }
 
+    fn target_refused(&mut self, target: &Name) {
+        let now = self.now();
+        let pool = self.targets.get(target);
+        if let Some(pool) = pool.and_then(|pool| self.pools.get_mut(pool)) {
+            pool.scheduler.refused(now, target);
+        }
+    }
+
     fn own(&mut self, pool: &Name, spec: sched::TargetSpec, source: Source) {
         let now = self.now();
         let tiers = u8::try_from(self.node.sheet().tiers.len().max(1)).unwrap_or(u8::MAX);
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -57,28 +57,63 @@
     }
 }
 
-/// Largest answer to a small request of the daemon itself.
-const MAX_SMALL_ANSWER: usize = 64 << 10;
-
-/// Sends a small request of the daemon itself and returns status and body, if all goes well.
-pub(crate) async fn small_call(
-    address: SocketAddr,
-    method: Method,
-    path: &str,
-    wait: Duration,
-) -> Option<(u16, Bytes)> {
-    let call = async {
-        let mut connection = Connection::open(address, wait).await.ok()?;
+impl Connection {
+    /// Sends a small request of the daemon itself and returns status and body.
+    async fn small_call(
+        mut self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+    ) -> Option<(u16, Bytes)> {
         let req = Request::builder()
             .method(method)
             .uri(path)
             .header(http::header::HOST, address.to_string())
             .body(Full::default())
             .ok()?;
-        let response = connection.send(req).await.ok()?;
+        let response = self.send(req).await.ok()?;
         let status = response.status().as_u16();
         let body = Limited::new(response.into_body(), MAX_SMALL_ANSWER);
         Some((status, body.collect().await.ok()?.to_bytes()))
+    }
+}
+
+/// Load report of a target, as far as it gave one.
+#[derive(Debug)]
+pub(crate) enum Probe {
+    /// Status and body.
+    Answer(u16, Bytes),
+    /// The port refuses, so the target's process is gone.
+    Refused,
+    /// Nothing is known.
+    Silent,
+}
+
+/// Reads a target's load report.
+pub(crate) async fn probe(address: SocketAddr, path: &str, wait: Duration) -> Probe {
+    let connection = match Connection::open(address, wait).await {
+        Ok(connection) => connection,
+        Err(ConnectError::Refused) => return Probe::Refused,
+        Err(ConnectError::Unreachable) => return Probe::Silent,
     };
+    let call = connection.small_call(address, Method::GET, path);
+    match timeout(wait, call).await {
+        Ok(Some((status, body))) => Probe::Answer(status, body),
+        _ => Probe::Silent,
+    }
+}
+
+/// Largest answer to a small request of the daemon itself.
+const MAX_SMALL_ANSWER: usize = 64 << 10;
+
+/// Sends a small request of the daemon itself and returns status and body, if all goes well.
+pub(crate) async fn small_call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    wait: Duration,
+) -> Option<(u16, Bytes)> {
+    let connection = Connection::open(address, wait).await.ok()?;
+    let call = connection.small_call(address, method, path);
     timeout(wait, call).await.ok().flatten()
 }
--- a/crates/sched/src/observe.rs
+++ b/crates/sched/src/observe.rs
@@ -48,6 +48,15 @@
         }
     }
 
+    /// Takes that a target refuses connections. Without this a target that restarts while it has
+    /// nothing in flight would be taken for warm until its next load report.
+    pub fn refused(&mut self, now: Duration, target: &str) {
+        self.see(now);
+        if let Some(&at) = self.by_name.get(target) {
+            self.targets[at].gone(&self.cfg, now);
+        }
+    }
+
     /// Ends a run without a report.
     pub(crate) fn free(&mut self, at: usize) -> Run {
         let run = self.runs.remove(at);
--- a/crates/sched/src/target.rs
+++ b/crates/sched/src/target.rs
@@ -193,6 +193,17 @@
         self.cold_since = now;
     }
 
+    /// Takes that its process is gone: what comes back is cold, and what the old one reported says
+    /// nothing about it.
+    pub(crate) fn gone(&mut self, cfg: &Config, now: Duration) {
+        if !self.is_cold() {
+            self.chill(now);
+        }
+        if self.report.take().is_some() {
+            self.report_due = Some(now.saturating_add(cfg.report_gap));
+        }
+    }
+
     /// Adopts the warmth that the old owner handed over.
     pub(crate) fn set_warm(&mut self, cfg: &Config, now: Duration, phase: TargetPhase, limit: u64) {
         self.limit.set(limit);
