--- a/crates/sched/src/grant.rs
+++ b/crates/sched/src/grant.rs
@@ -121,6 +121,9 @@
     /// request may wait, so that a higher tier would find the targets full of lower tiers' work.
     fn reserve_for(&self, tier: usize) -> f64 {
         let above = self.demand.above(self.now, tier, self.cfg.reserve_time);
+        if above <= 0.0 {
+            return 0.0;
+        }
         let open = self.targets.iter().filter(|(_, target)| target.spec.open);
         let limit: u64 = open.map(|(_, target)| target.allowed()).sum();
         (above / float(limit.max(1)))
