--- a/crates/sched/tests/queue.rs
+++ b/crates/sched/tests/queue.rs
@@ -209,6 +209,18 @@
             assert_eq!(more, *count == 256, "{reason:?}");
         }
         assert_eq!(shed, [256, 256, 256, 232], "{reason:?}");
+        let mut arrival = work("arrival", 0, "w", 10);
+        arrival.fingerprint = 666;
+        arrival.deadline = secs(if reason == ShedReason::Deadline {
+            1
+        } else {
+            10
+        });
+        scheduler.offer(secs(2), arrival);
+        assert_eq!(
+            sheds(&scheduler.poll(secs(2))),
+            [("arrival".into(), reason)]
+        );
     }
 }
 
