--- a/crates/member/src/answer.rs
+++ b/crates/member/src/answer.rs
@@ -67,15 +67,17 @@
                 && gift.generation == generation;
             return if again { Answer::Given } else { Answer::Wait };
         }
-        let knows = self.generation >= generation && self.owner.as_ref() == Some(from);
-        if knows && self.claims.none_but(from, cx.now) {
+        let current = self.generation >= generation;
+        let same_owner = current && self.owner.as_ref() == Some(from);
+        if same_owner && self.claims.none_but(from, cx.now) {
             return Answer::Yours;
         }
         if self.held || !recent(self.created) {
             return Answer::Clear;
         }
-        let unowned = !other && !cx.view.departures(cx.now) && !cx.view.restarted(from);
-        if unowned {
+        let last = cx.view.incarnation_of(from).unwrap_or(incarnation);
+        let restarted = last != incarnation || cx.view.restarted(from);
+        if current && !other && !restarted && !cx.view.departures(cx.now) {
             Answer::NeverOwned
         } else {
             Answer::Wait
--- a/crates/member/tests/rules.rs
+++ b/crates/member/tests/rules.rs
@@ -160,14 +160,18 @@
 #[test]
 fn departed_vm_may_have_owned() {
     let [first, next, last] = ranks();
-    for (gone, answer) in [(None, Answer::NeverOwned), (Some(last), Answer::Wait)] {
+    for (gone, generation, answer) in [
+        (None, 2, Answer::NeverOwned),
+        (None, 3, Answer::Wait),
+        (Some(last), 2, Answer::Wait),
+    ] {
         let (mut view, mut own) = daemon(&next);
         let mut left = list(2, 0..3, 1);
         left.vms.retain(|row| Some(&row.name) != gone.as_ref());
         view.on_list(secs(101), left, secs(0));
         own.update(secs(101), &view, [("t".into(), "zone-0".into())]);
-        let given = own.on_ask(secs(102), &view, &"t".into(), (&first, OLD), 2);
-        assert_eq!(given, answer, "{gone:?} left");
+        let given = own.on_ask(secs(102), &view, &"t".into(), (&first, OLD), generation);
+        assert_eq!(given, answer, "{gone:?} left, generation {generation}");
     }
 }
 
