Check that no served prompt or answer is in the debug log

The test sent its prompt in refused calls only. It now serves the same prompt, too, and searches the log for the answer's text. Test of bad calls: passes.

--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -259,10 +259,14 @@
         let name = "primrosechute_requests_total";
         assert_eq!(single.counter(name, &[&label]).await, count, "{reason}");
     }
-    single.assert_serves().await;
+    let served = send(&single, &request(MODEL, &[&key(KEY)], &body())).await;
+    assert_eq!(served.status, 200, "{served:?}");
+    let served = served.json();
+    let answer = served["choices"][0]["text"].as_str().unwrap();
     let log = single.log();
     assert!(log.contains("refused: malformed"), "no debug lines:\n{log}");
-    for secret in [KEY, LOW_KEY, OLD_KEY, "a-key-that-nobody-has", PROMPT] {
+    let keys = [KEY, LOW_KEY, OLD_KEY, "a-key-that-nobody-has"];
+    for secret in keys.into_iter().chain([PROMPT, answer]) {
         assert!(!log.contains(secret), "the log shows {secret:?}");
     }
 }
