Close links of peers that break the protocol, with one line each

Cause: a link without a hello, with another first frame or silent was closed without a line; frames without content were skipped; a hello's VM name went to the log as it was; a list with a malformed address was dropped in silence; request ids, names and offer deadlines of peers had no bound (an offer could hold the place of its permit for ever); digests for any pool were kept; writes to a peer that does not read waited without a limit, so its link was never closed; sums over a digest could overflow. Unknown workspaces, pools and targets do not close a link, since sheets may differ for a while.

--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -37,8 +37,12 @@
             .retain(|(vm, pool), _| pools.get(pool).is_some_and(|vms| vms.contains(vm)));
     }
 
-    /// Takes a digest from an owner.
+    /// Takes a digest from an owner. Others are not kept, which bounds the memory.
     pub(crate) fn on_digest(&mut self, now: Duration, vm: &Name, digest: Digest) {
+        let owners = self.pools.get(digest.pool.as_str());
+        if !owners.is_some_and(|vms| vms.contains(vm)) {
+            return;
+        }
         let key = (vm.clone(), Name::from(digest.pool.as_str()));
         let known = Known {
             digest,
@@ -76,7 +80,7 @@
             })?
             .clone();
         if let Some(known) = self.digests.get_mut(&(picked.clone(), pool.clone())) {
-            known.offered += cost;
+            known.offered = known.offered.saturating_add(cost);
         }
         Some(picked)
     }
@@ -104,9 +108,9 @@
         const UNKNOWN: f64 = 0.5;
         match self.known(now, vm, pool) {
             Some(known) if known.digest.limit > 0 => {
-                let waiting: u32 = known.digest.waiting.iter().sum();
+                let waiting: f64 = known.digest.waiting.iter().copied().map(f64::from).sum();
                 let used = known.digest.limit.saturating_sub(known.digest.free);
-                ratio(used + known.offered, known.digest.limit) + f64::from(waiting)
+                ratio(used.saturating_add(known.offered), known.digest.limit) + waiting
             }
             Some(_) => f64::INFINITY,
             None => UNKNOWN,
--- a/crates/daemon/src/peer/accept.rs
+++ b/crates/daemon/src/peer/accept.rs
@@ -10,8 +10,10 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, interval, timeout};
 use tokio_util::codec::Framed;
-use wire::{Body, Codec, Frame, PROTOCOL_VERSION};
+use wire::{Body, Codec, Frame, FrameError, PROTOCOL_VERSION};
 
+use super::check;
+use super::close::Close;
 use super::dial::heartbeat;
 use crate::node::Node;
 
@@ -41,45 +43,55 @@
     }
 }
 
+/// Serves one link, and reports once why it was closed.
 async fn link(node: Arc<Node>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
-    let silent = node.settings.timing.silent;
+    let mut who = match stream.peer_addr() {
+        Ok(address) => address.to_string(),
+        Err(_) => "a closed connection".to_owned(),
+    };
     let mut framed = Framed::new(stream, Codec::default());
-    let hello = match timeout(silent, framed.next()).await {
-        Ok(Some(Ok(Frame {
+    let close = match greet(&node, &mut framed).await {
+        Ok(peer) => {
+            who = peer.vm.to_string();
+            exchange(&node, &peer, &mut framed).await
+        }
+        Err(close) => close,
+    };
+    close.report(&who);
+}
+
+/// Exchanges the first frames.
+async fn greet(node: &Arc<Node>, framed: &mut Framed<TcpStream, Codec>) -> Result<Peer, Close> {
+    let silent = node.settings.timing.silent;
+    let first = timeout(silent, framed.next()).await;
+    let hello = match first.map_err(|_| Close::NoHello)? {
+        Some(Ok(Frame {
             body: Some(Body::Hello(hello)),
             ..
-        }))) => hello,
-        Ok(Some(Err(err))) => {
-            log::warn!("peer: {err}");
-            return;
-        }
-        _ => return,
+        })) => hello,
+        Some(Ok(_)) => return Err(Close::Message("the first frame is no hello")),
+        Some(Err(err)) => return Err(Close::Frame(err)),
+        None => return Err(Close::NoHello),
     };
     let reply = Frame {
         seq: 0,
         body: Some(Body::Hello(node.hello())),
     };
-    if framed.send(reply).await.is_err() {
-        return;
+    if !matches!(timeout(silent, framed.send(reply)).await, Ok(Ok(()))) {
+        return Err(Close::Ended);
     }
     if hello.version != PROTOCOL_VERSION {
-        log::warn!(
-            "peer: {} speaks protocol version {}, not {PROTOCOL_VERSION}",
-            hello.vm,
-            hello.version
-        );
-        return;
+        return Err(Close::Version(hello.version));
     }
-    let peer = Peer {
+    check::hello(&hello).map_err(Close::Message)?;
+    Ok(Peer {
         vm: Name::from(hello.vm),
         incarnation: Incarnation(hello.incarnation),
-    };
-    exchange(&node, &peer, &mut framed).await;
-    log::debug!("peer: link from {} closed", peer.vm);
+    })
 }
 
-async fn exchange(node: &Arc<Node>, peer: &Peer, framed: &mut Framed<TcpStream, Codec>) {
+async fn exchange(node: &Arc<Node>, peer: &Peer, framed: &mut Framed<TcpStream, Codec>) -> Close {
     let timing = &node.settings.timing;
     let (tx, mut rx) = mpsc::channel(REPLY_QUEUE);
     let mut beat = interval(timing.heartbeat);
@@ -88,43 +100,53 @@
     loop {
         tokio::select! {
             frame = framed.next() => match frame {
-                Some(Ok(Frame { seq, body: Some(body) })) => {
+                Some(Ok(frame)) => {
                     heard = Instant::now();
-                    receive(node, peer, seq, body, &tx);
+                    let body = match check::body(frame.body) {
+                        Ok(body) => body,
+                        Err(text) => return Close::Message(text),
+                    };
+                    receive(node, peer, frame.seq, body, &tx);
                 }
-                Some(Ok(_)) => {}
-                Some(Err(err)) => {
-                    log::warn!("peer: link from {} closed: {err}", peer.vm);
-                    return;
-                }
-                None => return,
+                Some(Err(err)) => return Close::Frame(err),
+                None => return Close::Ended,
             },
             Some(reply) = rx.recv() => {
-                if framed.feed(reply).await.is_err() {
-                    return;
-                }
-                while let Ok(reply) = rx.try_recv() {
-                    if framed.feed(reply).await.is_err() {
-                        return;
-                    }
-                }
-                if !matches!(timeout(timing.silent, framed.flush()).await, Ok(Ok(()))) {
-                    return;
+                // A peer that does not read must not stop this task: feeding waits for it, too.
+                let sent = timeout(timing.silent, send(framed, reply, &mut rx)).await;
+                match sent {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return Close::Ended,
+                    Err(_) => return Close::Stuck,
                 }
             }
             _ = beat.tick() => {
                 if heard.elapsed() > timing.silent {
-                    return;
+                    return Close::Silent;
                 }
-                let sent = timeout(timing.silent, framed.send(heartbeat(node))).await;
-                if !matches!(sent, Ok(Ok(()))) {
-                    return;
+                match timeout(timing.silent, framed.send(heartbeat(node))).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return Close::Ended,
+                    Err(_) => return Close::Stuck,
                 }
             }
         }
     }
 }
 
+/// Sends a reply and those that wait behind it, with one flush.
+async fn send(
+    framed: &mut Framed<TcpStream, Codec>,
+    reply: Frame,
+    rx: &mut mpsc::Receiver<Frame>,
+) -> Result<(), FrameError> {
+    framed.feed(reply).await?;
+    while let Ok(reply) = rx.try_recv() {
+        framed.feed(reply).await?;
+    }
+    framed.flush().await
+}
+
 fn receive(node: &Arc<Node>, peer: &Peer, seq: u64, body: Body, tx: &mpsc::Sender<Frame>) {
     if let Body::Heartbeat(heartbeat) = body {
         node.on_heartbeat(&peer.vm, &heartbeat);
--- a/crates/daemon/src/peer/dial.rs
+++ b/crates/daemon/src/peer/dial.rs
@@ -11,9 +11,10 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 use tokio_util::codec::Framed;
-use wire::{Body, Codec, Frame, Hello, PROTOCOL_VERSION};
+use wire::{Body, Codec, Frame, FrameError, Hello, PROTOCOL_VERSION};
 
-use super::Outgoing;
+use super::close::Close;
+use super::{Outgoing, check};
 use crate::node::Node;
 
 /// What a link learns about its peer's process.
@@ -132,30 +133,25 @@
     loop {
         tokio::select! {
             outgoing = rx.recv() => {
-                let Some(mut outgoing) = outgoing else {
+                let Some(outgoing) = outgoing else {
                     return End::Closed;
                 };
-                // Feeds what waits and flushes once, to save system calls under load.
-                loop {
-                    let frame = number(outgoing, &mut pending, &mut next_seq);
-                    if framed.feed(frame).await.is_err() {
-                        return End::Broken;
-                    }
-                    match rx.try_recv() {
-                        Ok(next) => outgoing = next,
-                        Err(_) => break,
-                    }
-                }
-                if !matches!(timeout(timing.silent, framed.flush()).await, Ok(Ok(()))) {
+                let sent = send(framed, outgoing, rx, &mut pending, &mut next_seq);
+                // A peer that does not read must not stop this task: feeding waits for it, too.
+                if !matches!(timeout(timing.silent, sent).await, Ok(Ok(()))) {
                     return End::Broken;
                 }
             }
             frame = framed.next() => match frame {
-                Some(Ok(frame)) => {
+                Some(Ok(Frame { seq, body })) => {
                     heard = Instant::now();
-                    receive(node, vm, frame, &mut pending);
+                    match check::body(body) {
+                        Ok(body) => receive(node, vm, seq, body, &mut pending),
+                        Err(text) => return broken(vm, &Close::Message(text)),
+                    }
                 }
-                _ => return End::Broken,
+                Some(Err(err)) => return broken(vm, &Close::Frame(err)),
+                None => return End::Broken,
             },
             _ = beat.tick() => {
                 if heard.elapsed() > timing.silent {
@@ -178,6 +174,28 @@
     }
 }
 
+fn broken(vm: &Name, close: &Close) -> End {
+    close.report(vm);
+    End::Broken
+}
+
+/// Sends a message and those that wait behind it, with one flush to save system calls under load.
+async fn send(
+    framed: &mut Framed<TcpStream, Codec>,
+    mut outgoing: Outgoing,
+    rx: &mut mpsc::Receiver<Outgoing>,
+    pending: &mut HashMap<u64, oneshot::Sender<Body>>,
+    next_seq: &mut u64,
+) -> Result<(), FrameError> {
+    loop {
+        framed.feed(number(outgoing, pending, next_seq)).await?;
+        match rx.try_recv() {
+            Ok(next) => outgoing = next,
+            Err(_) => return framed.flush().await,
+        }
+    }
+}
+
 fn number(
     outgoing: Outgoing,
     pending: &mut HashMap<u64, oneshot::Sender<Body>>,
@@ -203,18 +221,18 @@
 fn receive(
     node: &Arc<Node>,
     vm: &Name,
-    frame: Frame,
+    seq: u64,
+    body: Body,
     pending: &mut HashMap<u64, oneshot::Sender<Body>>,
 ) {
-    match (frame.body, pending.remove(&frame.seq)) {
-        (Some(Body::Heartbeat(heartbeat)), _) => node.on_heartbeat(vm, &heartbeat),
-        (Some(body), Some(reply)) => {
+    match (body, pending.remove(&seq)) {
+        (Body::Heartbeat(heartbeat), _) => node.on_heartbeat(vm, &heartbeat),
+        (body, Some(reply)) => {
             if let Err(body) = reply.send(body) {
                 node.on_orphan(vm, &body);
             }
         }
-        (Some(body), None) => node.on_orphan(vm, &body),
-        (None, _) => {}
+        (body, None) => node.on_orphan(vm, &body),
     }
 }
 
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -4,6 +4,8 @@
 //! back on it, so that a pair of daemons that talk both ways has two connections.
 
 mod accept;
+mod check;
+mod close;
 mod dial;
 
 use std::collections::HashMap;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod messages;
 pub mod single;
 
 use std::collections::BTreeMap;
