--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -293,12 +293,18 @@
     /// Whether no peer can have a newer sheet: all were heard, or those that are silent were given
     /// time to answer. A restarted daemon must not go back to the sheet of a stale service.
     fn has_newest_sheet(&self, now: Duration) -> bool {
-        let heard_all = self
-            .fleet
-            .view(|view| view.peers().iter().all(|vm| view.heard(vm).is_some()));
-        let waited = now.saturating_sub(self.started) > 2 * self.settings.timing.silent;
-        (heard_all || waited)
-            && self.sheet().revision >= self.newest_revision.load(Ordering::SeqCst)
+        let linked = self.peers.linked();
+        // Tokens are asked for on the links that this daemon dials, so these must be up as well.
+        let heard_all = self.fleet.view(|view| {
+            let mut peers = view.peers().iter();
+            peers.all(|vm| view.heard(vm).is_some() && linked.contains(vm))
+        });
+        let waited = now.saturating_sub(self.started);
+        let timing = &self.settings.timing;
+        let newest = self.newest_revision.load(Ordering::SeqCst);
+        // A revision that no peer can send, as from a peer with a fault, must not stop a start.
+        (heard_all || waited > 2 * timing.silent)
+            && (self.sheet().revision >= newest || waited > 2 * timing.propagation)
     }
 
     /// Applies the list and the known incarnations to the share holder role.
--- a/crates/testkit/src/fleet/control.rs
+++ b/crates/testkit/src/fleet/control.rs
@@ -21,8 +21,11 @@
     /// # Errors
     /// A daemon can't be started, ends or is not ready in time.
     pub async fn launch_all(&mut self) -> io::Result<()> {
+        // All are listed before the first one starts: each change of the list moves targets.
         for name in self.names() {
             self.list(&name);
+        }
+        for name in self.names() {
             self.spawn(&name)?;
         }
         for name in self.names() {
