Report why a dialled link was closed

Cause: on the dialling side a link that ended by a bad frame, a missing hello, silence or a peer that does not read was closed without a line or a count. Change: the dialling side reports the same reasons as the accepting one; a wrong VM and a wrong version are two of them.

--- a/crates/daemon/src/peer/close.rs
+++ b/crates/daemon/src/peer/close.rs
@@ -14,6 +14,8 @@
     NoHello,
     /// The peer speaks this version of the protocol.
     Version(u32),
+    /// The address answers for another VM than the list says.
+    WrongVm,
     /// A frame can't be read.
     Frame(FrameError),
     /// A message breaks the protocol.
@@ -30,6 +32,7 @@
             Close::Ended => "ended",
             Close::NoHello => "no_hello",
             Close::Version(_) => "version",
+            Close::WrongVm => "wrong_vm",
             Close::Frame(_) => "frame",
             Close::Message(_) => "message",
             Close::Silent => "silent",
@@ -58,6 +61,7 @@
                     "it speaks protocol version {version}, not {PROTOCOL_VERSION}"
                 )
             }
+            Close::WrongVm => f.write_str("its address answers for another VM"),
             Close::Frame(err) => err.fmt(f),
             Close::Message(text) => f.write_str(text),
             Close::Silent => f.write_str("nothing came for too long"),
--- a/crates/daemon/src/peer/dial.rs
+++ b/crates/daemon/src/peer/dial.rs
@@ -33,9 +33,6 @@
 enum End {
     Refused,
     Broken,
-    Version(u32),
-    /// The address answers for another VM than the list says.
-    WrongVm,
     /// The daemon closed the link itself.
     Closed,
 }
@@ -56,14 +53,6 @@
             End::Closed => return,
             End::Refused => node.on_link(&vm, address, &LinkEvent::Refused),
             End::Broken => node.on_link(&vm, address, &LinkEvent::Down),
-            End::Version(version) => {
-                node.on_link(&vm, address, &LinkEvent::Down);
-                log::warn!("peer: {vm} speaks protocol version {version}, not {PROTOCOL_VERSION}");
-            }
-            End::WrongVm => {
-                node.on_link(&vm, address, &LinkEvent::Down);
-                log::warn!("peer: {address} does not answer as {vm}");
-            }
         }
         // Requests that waited for the broken link fail now, so that callers go elsewhere.
         while rx.try_recv().is_ok() {}
@@ -99,18 +88,21 @@
     if framed.send(hello).await.is_err() {
         return End::Broken;
     }
-    let Ok(Some(Ok(Frame {
-        body: Some(Body::Hello(hello)),
-        ..
-    }))) = timeout(timing.silent, framed.next()).await
-    else {
-        return End::Broken;
+    let hello = match timeout(timing.silent, framed.next()).await {
+        Ok(Some(Ok(Frame {
+            body: Some(Body::Hello(hello)),
+            ..
+        }))) => hello,
+        Ok(Some(Ok(_))) => return broken(vm, &Close::Message("the first frame is no hello")),
+        Ok(Some(Err(err))) => return broken(vm, &Close::Frame(err)),
+        Ok(None) => return End::Broken,
+        Err(_) => return broken(vm, &Close::NoHello),
     };
     if hello.version != PROTOCOL_VERSION {
-        return End::Version(hello.version);
+        return broken(vm, &Close::Version(hello.version));
     }
     if hello.vm != **vm {
-        return End::WrongVm;
+        return broken(vm, &Close::WrongVm);
     }
     node.on_link(vm, address, &LinkEvent::Up(hello));
     exchange(node, vm, &mut framed, rx).await
@@ -138,8 +130,10 @@
                 };
                 let sent = send(framed, outgoing, rx, &mut pending, &mut next_seq);
                 // A peer that does not read must not stop this task: feeding waits for it, too.
-                if !matches!(timeout(timing.silent, sent).await, Ok(Ok(()))) {
-                    return End::Broken;
+                match timeout(timing.silent, sent).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return End::Broken,
+                    Err(_) => return broken(vm, &Close::Stuck),
                 }
             }
             frame = framed.next() => match frame {
@@ -155,7 +149,7 @@
             },
             _ = beat.tick() => {
                 if heard.elapsed() > timing.silent {
-                    return End::Broken;
+                    return broken(vm, &Close::Silent);
                 }
                 pending.retain(|_, reply| !reply.is_closed());
                 let sent = timeout(timing.silent, framed.send(heartbeat(node))).await;
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 
+use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
 use serde_json::{Value, json};
 use support::messages::{bad_messages, frame, hello, odd_messages};
@@ -11,16 +12,26 @@
 use support::{LONG, fast_timing};
 use testkit::{VmEntry, VmListService, VmState};
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
-use tokio_util::codec::Framed;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::{Encoder, Framed};
 use wire::{Body, Codec, Digest, Frame, Heartbeat, Hello, MAX_FRAME, PROTOCOL_VERSION, PartQuery};
 
 const CLOSED: &str = "primrosechute_links_closed_total";
 
+fn listed(vm: &str, entry: SocketAddr, peer: SocketAddr) -> VmEntry {
+    VmEntry {
+        name: vm.into(),
+        zone: "zone-a".into(),
+        state: VmState::Live,
+        entry,
+        peer,
+    }
+}
+
 /// A daemon of a fleet whose list has no other VM.
 struct Lone {
     single: Single,
-    _vms: VmListService,
+    vms: VmListService,
 }
 
 fn timing() -> Value {
@@ -34,13 +45,7 @@
         let vms = VmListService::start(SocketAddr::from(([127, 0, 0, 1], 0)));
         let vms = vms.await.unwrap();
         let mut single = Single::prepare().await;
-        vms.put(VmEntry {
-            name: "vm-1".into(),
-            zone: "zone-a".into(),
-            state: VmState::Live,
-            entry: single.entry,
-            peer: single.peer,
-        });
+        vms.put(listed("vm-1", single.entry, single.peer));
         single.spawn(&json!({
             "peer": single.peer,
             "vm_list": vms.addr(),
@@ -48,7 +53,7 @@
             "log": { "level": "info" },
         }));
         single.wait_ready().await;
-        Lone { single, _vms: vms }
+        Lone { single, vms }
     }
 
     async fn connect(&self) -> TcpStream {
@@ -78,22 +83,26 @@
     }
 }
 
+/// Bytes of a frame.
+fn encode(body: Body) -> Vec<u8> {
+    let mut buf = BytesMut::new();
+    Codec::default().encode(frame(0, body), &mut buf).unwrap();
+    buf.to_vec()
+}
+
+fn newer() -> Body {
+    Body::Hello(Hello {
+        version: PROTOCOL_VERSION + 1,
+        vm: "vm-2".into(),
+        ..Hello::default()
+    })
+}
+
 /// Guards against a link that stays open although nothing it carries can be used, against lines
 /// in the log that a peer writes, and against a fault of one link that reaches others.
 #[tokio::test]
 async fn bad_first_frames_close_the_link() {
     let lone = Lone::start().await;
-    let encode = |body: Body| {
-        let mut buf = bytes::BytesMut::new();
-        tokio_util::codec::Encoder::encode(&mut Codec::default(), frame(0, body), &mut buf)
-            .unwrap();
-        buf.to_vec()
-    };
-    let newer = Body::Hello(Hello {
-        version: PROTOCOL_VERSION + 1,
-        vm: "vm-9".into(),
-        ..Hello::default()
-    });
     let too_large = u32::try_from(MAX_FRAME + 1).unwrap().to_be_bytes();
     let cases = [
         (
@@ -121,7 +130,7 @@
             encode(Body::Heartbeat(Heartbeat::default())),
             "the first frame is no hello",
         ),
-        (encode(newer), "it speaks protocol version 2, not 1"),
+        (encode(newer()), "it speaks protocol version 2, not 1"),
         (encode(hello("")), "the hello has no valid VM name"),
         (
             encode(hello("vm-2\nentry: forged")),
@@ -191,6 +200,48 @@
     lone.single.assert_serves().await;
 }
 
+/// Guards against a peer whose answers break the protocol being taken as linked, on the side that
+/// dials.
+#[tokio::test]
+async fn bad_answers_of_a_dialled_peer_close_the_link() {
+    let lone = Lone::start().await;
+    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let listener = listener.await.unwrap();
+    let address = listener.local_addr().unwrap();
+    lone.vms.put(listed("vm-2", address, address));
+    let good = encode(hello("vm-2"));
+    let after = |bytes: &[u8]| [&good, bytes].concat();
+    let cases = [
+        (
+            b"\0\0\0\x04\xff\xff\xff\xff".to_vec(),
+            "a frame holds no valid message: ",
+        ),
+        (
+            encode(Body::Heartbeat(Heartbeat::default())),
+            "the first frame is no hello",
+        ),
+        (encode(newer()), "it speaks protocol version 2, not 1"),
+        (encode(hello("vm-3")), "its address answers for another VM"),
+        (Vec::new(), "no hello came"),
+        (
+            after(b"GET / HTTP/1.1"),
+            "cannot read a frame: frame size too big",
+        ),
+        (after(b"\0\0\0\0"), "a frame has no known content"),
+        (after(&good), "a second hello came"),
+        (after(b""), "nothing came for too long"),
+    ];
+    for (bytes, reason) in cases {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.write_all(&bytes).await.unwrap();
+        read_to_end(&mut stream).await;
+        let text = format!("peer: link with vm-2 closed: {reason}");
+        lone.single.wait_log(&text, 1).await;
+    }
+    let unlinked = |status: &Value| status["linked"] == json!([]);
+    lone.single.wait_status("no link", unlinked).await;
+}
+
 /// Guards against a task of the daemon that panics on a value from a peer, such as by an overflow.
 #[tokio::test]
 async fn odd_values_do_no_harm() {
