Test calls before the first sheet and bodies announced with expect

A daemon without a sheet answers draining instead of route, and a body announced with "expect: 100-continue" is refused before it is sent.

--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -346,3 +346,18 @@
     check_refusal("late", &late.remove(0), 400, "malformed", detail);
     assert_eq!(single.runs(), 0);
 }
+
+/// Guards against a caller that waits to send a body that is refused already.
+#[tokio::test]
+async fn expected_bodies_are_refused_before_they_are_sent() {
+    let single = Single::start(&json!({})).await;
+    let expect = ["content-length: 5000", "expect: 100-continue"];
+    let large = [&key(KEY), expect[0], expect[1]];
+    let unknown = [&key(OLD_KEY), expect[0], expect[1]];
+
+    let reply = send(&single, &request(MODEL, &large, "")).await;
+    check_refusal("large", &reply, 413, "too_large", TOO_LARGE);
+    let reply = send(&single, &request(MODEL, &unknown, "")).await;
+    check_refusal("unknown", &reply, 401, "key", BAD_KEY);
+    assert_eq!(single.runs(), 0);
+}
--- a/crates/daemon/tests/config.rs
+++ b/crates/daemon/tests/config.rs
@@ -7,7 +7,7 @@
 
 use rustix::process::Signal;
 use serde_json::json;
-use support::single::{KEY, Single, run};
+use support::single::{KEY, Single, check_refusal, request, run, send};
 use testkit::ConfigService;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -300,6 +300,23 @@
     single.assert_serves().await;
 }
 
+/// Guards against a daemon that tells callers that a route does not exist before it knows any.
+#[tokio::test]
+async fn calls_before_the_first_sheet_are_told_to_go_elsewhere() {
+    let platform = Canned::start().await;
+    let mut single = Single::prepare().await;
+    single.spawn(&json!({ "sheet": { "service": platform.address } }));
+    single
+        .wait_status("a start", |status| status["phase"] == "starting")
+        .await;
+
+    let reply = send(&single, &request("GET /open", &[], "")).await;
+
+    let detail = "this daemon takes no new requests; ask for other entries";
+    check_refusal("no sheet", &reply, 503, "draining", detail);
+    assert_eq!(reply.header("retry-after"), "1");
+}
+
 /// Guards against a VM list that is taken in part, and against bad answers that stop the polling.
 #[tokio::test]
 async fn bad_vm_lists_are_not_taken() {
--- a/crates/daemon/tests/support/single.rs
+++ b/crates/daemon/tests/support/single.rs
@@ -177,7 +177,8 @@
 
     pub async fn status(&self) -> Value {
         let call = Client::new(self.admin).call(Call::get("/status")).await;
-        call.unwrap().json()
+        // Without an answer the daemon has not started yet.
+        call.map_or(Value::Null, |answer| answer.json())
     }
 
     /// Sum over the series of a counter that have all the given labels, as `reason="key"`.
