Send waiting requests on when their owner hands all targets over

Requests that waited at an owner which gave its last target of the pool away were shed with 'no target of the pool may get work', although the new owners serve the pool. The owner now answers that it owns none, so that the entry offers them to another owner.

--- a/crates/daemon/src/owner/task.rs
+++ b/crates/daemon/src/owner/task.rs
@@ -338,7 +338,7 @@
             for event in pool.scheduler.poll(now) {
                 match event {
                     Event::Granted(permit) => self.grant(&name, permit),
-                    Event::Shed { id, tier, reason } => self.shed(&id, tier, reason),
+                    Event::Shed { id, tier, reason } => self.shed(&name, &id, tier, reason),
                 }
             }
             self.gossip_suspects(&name);
@@ -386,7 +386,15 @@
         self.end(pool, permit, without_run(RunEnd::Unused));
     }
 
-    fn shed(&mut self, id: &Name, tier: u8, reason: sched::ShedReason) {
+    fn shed(&mut self, pool: &Name, id: &Name, tier: u8, reason: sched::ShedReason) {
+        if reason == sched::ShedReason::NoTarget && !self.targets.values().any(|p| p == pool) {
+            // The targets were handed over while the request waited; their new owners decide.
+            if let Some(waiting) = self.waiting.remove(id) {
+                let revision = self.node.sheet().revision;
+                let _ = waiting.reply.send(verdict(Verdict::NotOwner(revision)));
+            }
+            return;
+        }
         let label = shed_label(reason);
         counter!("primrosechute_owner_shed_total", "reason" => label, "tier" => tier.to_string())
             .increment(1);
