Prove fleet-wide rates with fleets of 7, 8 and 9 daemons

No test showed that burst + rate x window holds over all daemons with real processes. tests/rates.rs sends ten times the rate through one VM, all VMs, both sides of a partition, during list lag, a lowered rate, a rolling restart and after a pause of all VMs, and checks the engines' records over any window.

--- /dev/null
+++ b/crates/daemon/tests/rates.rs
@@ -0,0 +1,296 @@
+//! No workspace gets more than burst + rate x window over all daemons, and requests inside the rate
+//! are not refused for it.
+//!
+//! Tokens are counted from the engines' records, refusals at the callers.
+
+mod support;
+
+use std::time::Duration;
+
+use sheet::Timing;
+use support::load::{Load, Tally, builder, call, one_fleet, sheet, tokens};
+use support::small::wait_until;
+use support::{Site, outcome};
+use testkit::RunRecord;
+
+const RATE: u64 = 2_000;
+const BURST: u64 = 8_000;
+const LOWERED: u64 = 500;
+
+/// Bytes of the text of a prompt, generated tokens, and interval of ten times the rate.
+const LARGE: (usize, u32) = (720, 8);
+const TENFOLD: Duration = Duration::from_millis(10);
+
+/// The same for 0.9 of the rate.
+const SMALL: (usize, u32) = (80, 8);
+
+/// Length of one phase of load.
+const PHASE: Duration = Duration::from_secs(2);
+
+/// Largest amount by which tokens over any window exceed the sum of rate x time over it: the
+/// running maximum of used minus allowed. A burst is the most that it may be.
+///
+/// `allowed` is the integral of the rate since the first start, by the time on the engines' clock.
+/// A run counts at its start, with its prompt as the daemon estimates it and what it generated.
+fn excess(runs: &[RunRecord], allowed: impl Fn(Duration) -> f64) -> f64 {
+    let mut used = 0.0;
+    let mut lowest = f64::INFINITY;
+    let mut worst = 0.0_f64;
+    for run in runs {
+        let allowed = allowed(run.started_at);
+        // A window that begins with this run holds all of it.
+        lowest = lowest.min(used - allowed);
+        used += f64::from(u32::try_from(tokens(run)).unwrap());
+        worst = worst.max(used - allowed - lowest);
+    }
+    worst
+}
+
+fn seconds_of(rate: u64, time: Duration) -> f64 {
+    f64::from(u32::try_from(rate).unwrap()) * time.as_secs_f64()
+}
+
+/// Runs of the workspace `w1` over all engines in the order of their start.
+fn runs(site: &Site) -> Vec<RunRecord> {
+    let mut runs: Vec<_> = site
+        .engines
+        .values()
+        .flat_map(testkit::Engine::records)
+        .filter(|run| !run.request_id.ends_with("-marker"))
+        .collect();
+    runs.sort_by_key(|run| run.started_at);
+    runs
+}
+
+/// Asserts the bound at a constant rate and prints how near the runs came to it.
+fn assert_bound(site: &Site, what: &str) {
+    let runs = runs(site);
+    let worst = excess(&runs, |at| seconds_of(RATE, at));
+    println!(
+        "{what}: {} runs, {worst:.0} of {BURST} tokens over",
+        runs.len()
+    );
+    assert!(
+        worst <= seconds_of(BURST, Duration::from_secs(1)),
+        "{what}: {worst:.0} tokens above the rate, the burst is {BURST}"
+    );
+}
+
+async fn start(vms: usize) -> Site {
+    let limits = [("w1", RATE, BURST), ("w2", 1_000, 1_000)];
+    let sheet = sheet(&["quick"], &limits, 4, 1 << 20, 64);
+    let mut site = Site::prepare(sheet, builder(vms)).await;
+    site.launch().await;
+    site
+}
+
+/// Ten times the rate through these VMs in turn.
+fn tenfold(site: &Site, vms: &[String], seed: u64) -> Load {
+    let clients: Vec<_> = vms.iter().map(|vm| site.client(vm)).collect();
+    Load::start(TENFOLD, move |n| {
+        let index = usize::try_from(n).unwrap() % clients.len();
+        let (bytes, output) = LARGE;
+        (clients[index], call("w1", seed + n, bytes, output))
+    })
+}
+
+/// 0.9 of the rate, evenly, through these VMs in turn, each for so many calls.
+fn inside(site: &Site, vms: &[String], stay: u64, seed: u64) -> Load {
+    let clients: Vec<_> = vms.iter().map(|vm| site.client(vm)).collect();
+    let (bytes, output) = SMALL;
+    let body = call("w1", seed, bytes, output).sent_body().len() / 4 + 1;
+    let cost = u64::try_from(body).unwrap() + u64::from(output);
+    let per_second =
+        seconds_of(RATE, Duration::from_secs(1)) * 0.9 / seconds_of(cost, Duration::from_secs(1));
+    Load::start(Duration::from_secs_f64(1.0 / per_second), move |n| {
+        let index = usize::try_from(n / stay).unwrap() % clients.len();
+        (clients[index], call("w1", seed + n, bytes, output))
+    })
+}
+
+async fn phase(load: Load) -> Tally {
+    // The load is a rate, so its length is a time.
+    tokio::time::sleep(PHASE).await;
+    load.stop().await
+}
+
+/// Waits until the holders have so many tokens of `w1`.
+async fn wait_level(site: &Site, tokens: u64) {
+    wait_until("the bucket fills", async || {
+        let mut level = 0;
+        for vm in site.fleet.names() {
+            let status = site.status(&vm).await;
+            for share in status["shares"].as_array().unwrap() {
+                if share["workspace"] == "w1" {
+                    level += share["tokens"].as_u64().unwrap();
+                }
+            }
+        }
+        level >= tokens
+    })
+    .await;
+}
+
+/// Asserts that fewer than 1% of requests inside the rate were refused for it.
+fn assert_inside(what: &str, tally: &Tally) {
+    let refused = tally.count("refused", "rate");
+    println!("{what}: {refused} of {} refused for rate", tally.sent);
+    assert!(refused * 100 < tally.sent, "{what}: {tally:?}");
+}
+
+/// Guards against tokens above the limit and refusals inside it without faults, when the traffic
+/// of a workspace comes to one VM, to all, or moves between them.
+#[tokio::test]
+async fn limits_hold_for_traffic_to_one_vm_and_to_all() {
+    let _one = one_fleet().await;
+    let site = start(7).await;
+    let names = site.fleet.names();
+    wait_level(&site, BURST / 10 * 9).await;
+
+    println!("one VM: {:?}", phase(tenfold(&site, &names[..1], 0)).await);
+    assert_bound(&site, "ten times the rate to one VM");
+    println!("all VMs: {:?}", phase(tenfold(&site, &names, 10_000)).await);
+    assert_bound(&site, "ten times the rate to all VMs");
+
+    wait_level(&site, BURST / 2).await;
+    let one = phase(inside(&site, &names[1..2], 1, 20_000)).await;
+    let moving = phase(inside(&site, &names, 30, 30_000)).await;
+    let spread = phase(inside(&site, &names, 1, 40_000)).await;
+    assert_bound(&site, "inside the rate");
+    assert_inside("inside the rate to one VM", &one);
+    assert_inside("inside the rate, moving between VMs", &moving);
+    assert_inside("inside the rate to all VMs in turn", &spread);
+}
+
+/// Guards against shares that both sides of a partition spend, or that a lagging list gives to a
+/// second holder, and against tokens at the old rate after it was lowered.
+#[tokio::test]
+async fn limits_hold_in_a_partition_with_list_lag_and_while_the_rate_is_lowered() {
+    let _one = one_fleet().await;
+    let mut site = start(8).await;
+    let names = site.fleet.names();
+    wait_level(&site, BURST / 10 * 9).await;
+    let refs: Vec<&str> = names.iter().map(String::as_str).collect();
+
+    site.fleet.partition(&refs[..4], &refs[4..]);
+    let tally = phase(tenfold(&site, &names, 0)).await;
+    println!("both sides of a partition: {tally:?}");
+    let tally = phase(inside(&site, &names, 1, 10_000)).await;
+    println!("inside the rate, both sides of a partition: {tally:?}");
+    let load = tenfold(&site, &names, 20_000);
+    site.fleet.heal();
+    let tally = phase(load).await;
+    println!("after the partition: {tally:?}");
+    assert_bound(&site, "through both sides of a partition");
+
+    // Readers see the departure after the largest lag, while the VM that left still serves.
+    site.fleet
+        .platform()
+        .vms
+        .set_lag(Duration::from_millis(200));
+    let load = tenfold(&site, &names, 30_000);
+    site.fleet.unlist(&names[0]);
+    let started = async || {
+        let mut started = 0.0;
+        for vm in &names[1..] {
+            started += site.metric(vm, "primrosechute_parts_started_total").await;
+        }
+        started
+    };
+    let before = started().await;
+    wait_until(
+        "the parts of the VM that left are started again",
+        async || started().await > before,
+    )
+    .await;
+    let tally = phase(load).await;
+    println!("while a VM leaves a lagging list: {tally:?}");
+    site.fleet.list(&names[0]);
+    assert_bound(&site, "with list lag");
+
+    let load = tenfold(&site, &names[1..], 40_000);
+    site.change(|sheet| {
+        sheet.workspaces.get_mut("w1").unwrap().rate = LOWERED;
+    });
+    for vm in &names[1..] {
+        let revision = site.sheet.revision;
+        site.wait_status(vm, "the lower rate", |status| {
+            status["sheet"]["revision"] == revision
+        })
+        .await;
+    }
+    let id = site.id(&names[1], "marker").await;
+    let marker = call("w2", 50_000, 40, 1).request_id(&id);
+    let answer = site.client(&names[1]).call(marker).await.unwrap();
+    assert!(answer.status.is_success(), "{:?}", outcome(&answer));
+    let tally = phase(load).await;
+    println!("while the rate is lowered: {tally:?}");
+    let records = site.engines.values().flat_map(testkit::Engine::records);
+    let marker = records
+        .into_iter()
+        .find(|run| run.request_id == id)
+        .unwrap();
+    let lowered = marker.started_at;
+    let worst = excess(&runs(&site), |at| {
+        let after = at.saturating_sub(lowered);
+        seconds_of(RATE, at.min(lowered)) + seconds_of(LOWERED, after)
+    });
+    println!("lowered rate: {worst:.0} of {BURST} tokens over");
+    assert!(
+        worst <= seconds_of(BURST, Duration::from_secs(1)),
+        "{worst:.0}"
+    );
+}
+
+/// Guards against shares that restart in two places during a rolling restart, and against shares
+/// that stay unusable after all VMs were paused at once.
+#[tokio::test]
+async fn limits_hold_in_a_rolling_restart_and_after_a_pause_of_all_vms() {
+    let _one = one_fleet().await;
+    let mut site = start(9).await;
+    let names = site.fleet.names();
+    wait_level(&site, BURST / 10 * 9).await;
+
+    let load = tenfold(&site, &names, 0);
+    for vm in &names {
+        site.fleet.terminate(vm).unwrap();
+        site.fleet.wait_exit(vm, support::LONG).await.unwrap();
+        site.fleet.restart(vm).await.unwrap();
+    }
+    println!("during a rolling restart: {:?}", load.stop().await);
+    assert_bound(&site, "during a rolling restart");
+    let tally = phase(inside(&site, &names, 1, 100_000)).await;
+    println!("inside the rate after a rolling restart: {tally:?}");
+
+    wait_level(&site, BURST / 4).await;
+    for vm in &names {
+        site.fleet.pause(vm).await.unwrap();
+    }
+    // Longer than lease and list lag: each daemon must assume that others took over.
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    for vm in &names {
+        site.fleet.resume(vm).unwrap();
+    }
+    let timing = Timing {
+        silent: Duration::from_millis(600),
+        lease: Duration::from_secs(1),
+        list_lag: Duration::from_millis(200),
+        ..Timing::default()
+    };
+    let limit = timing.hold_down() + Duration::from_secs(10);
+    let usable = async {
+        for (n, vm) in (200_000..).zip(names.iter().cycle()) {
+            let client = site.client(vm);
+            let served = client.call(call("w1", n, SMALL.0, SMALL.1)).await;
+            if served.is_ok_and(|answer| answer.status.is_success()) {
+                return;
+            }
+        }
+    };
+    let came = tokio::time::timeout(limit, usable).await.is_ok();
+    assert!(came, "no share is usable {limit:?} after the pause");
+    let tally = phase(tenfold(&site, &names, 300_000)).await;
+    println!("after a pause of all VMs: {tally:?}");
+    assert!(tally.count("served", "") > 0, "{tally:?}");
+    assert_bound(&site, "after a pause of all VMs");
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod gate;
+pub mod load;
 pub mod single;
 pub mod small;
 
