--- a/crates/testkit/src/bin/measure/main.rs
+++ b/crates/testkit/src/bin/measure/main.rs
@@ -74,6 +74,8 @@
 }
 
 async fn measure(args: &Args) -> io::Result<()> {
+    // Read before the run: the checkout may change while it goes.
+    let commit = commit();
     let exe = std::env::current_exe()?;
     let binaries = exe.parent().unwrap_or(Path::new("")).to_owned();
     let folder = args.site.folder();
@@ -97,11 +99,10 @@
             points.push(point);
         }
     }
-    write(args, &mix, &points)
+    write(args, &mix, &points, &commit)
 }
 
-fn write(args: &Args, mix: &mix::Mix, points: &[Point]) -> io::Result<()> {
-    let commit = commit();
+fn write(args: &Args, mix: &mix::Mix, points: &[Point], commit: &str) -> io::Result<()> {
     let document = json!({
         "site": args.site.folder(),
         "seed": args.seed,
@@ -115,10 +116,7 @@
         "goals": goals(points, mix.top_tier()),
     });
     std::fs::write(&args.out, serde_json::to_vec_pretty(&document)?)?;
-    println!(
-        "{}",
-        markdown(points, mix.top_tier(), args.seed, commit.trim())
-    );
+    println!("{}", markdown(points, mix.top_tier(), args.seed, commit));
     Ok(())
 }
 
