Wait instead of refusing by the rate while a daemon must not spend

Cause: on a starved machine a daemon took a gap of its clock for a pause, suspended its shares, and refused a request far inside its workspace's rate with reason "rate" (seen in the zone test). Change: without lease or after a pause the reservation is tried again until the request's deadline, and then refused as expired.

--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -15,7 +15,7 @@
 use super::relay::{Relayed, Seen, cancel, relay};
 use super::table::Record;
 use crate::node::Node;
-use crate::outcome::{Failure, Outcome, Refusal};
+use crate::outcome::{Failure, Outcome};
 use crate::shares;
 
 /// Runs a new request to its outcome. It goes on when its caller leaves, for a grace time.
@@ -50,8 +50,9 @@
     let Some(workspace) = job.workspace() else {
         return permitted(node, job, answer).await.outcome;
     };
-    let Some(reservation) = shares::reserve(node, workspace, job.cost).await else {
-        return Outcome::Refused(Refusal::Rate);
+    let reservation = match shares::reserve(node, workspace, job.cost, job.deadline).await {
+        Ok(reservation) => reservation,
+        Err(refusal) => return Outcome::Refused(refusal),
     };
     let ended = permitted(node, job, answer).await;
     node.settle(reservation, ended.used);
--- a/crates/daemon/src/shares.rs
+++ b/crates/daemon/src/shares.rs
@@ -15,6 +15,7 @@
 use wire::{Body, PartAck, PartAsk, PartClaim, PartClaims, PartMove, PartMoves, PartQuery};
 
 use crate::node::Node;
+use crate::outcome::Refusal;
 use crate::peer::Peer;
 
 /// Peers that are asked for tokens before a request is refused.
@@ -290,38 +291,66 @@
     }
 }
 
-/// Reserves tokens for a request, with parts of other holders if the own ones are short.
+/// Time between two tries while this daemon must not spend.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// Reserves tokens for a request that has to begin before `deadline`.
 pub(crate) async fn reserve(
     node: &Arc<Node>,
     workspace: &Name,
     tokens: u64,
-) -> Option<Reservation> {
-    let mut short = match node.holder.try_reserve(node.now(), workspace, tokens) {
-        Ok(reservation) => return Some(reservation),
-        Err(short) => short,
-    };
-    if short.reason == Reason::Level {
-        for vm in holders_to_ask(node, workspace) {
-            let ask = PartAsk {
-                workspace: workspace.to_string(),
-                tokens: short.missing,
-            };
-            let wait = node.settings.timing.silent;
-            let Some(giver) = node.peers.incarnation(&vm) else {
+    deadline: Duration,
+) -> Result<Reservation, Refusal> {
+    loop {
+        let short = match reserve_once(node, workspace, tokens).await {
+            Ok(reservation) => return Ok(reservation),
+            Err(short) => short,
+        };
+        let refusal = match short.reason {
+            // After a pause or without a lease the daemon must not spend, which says nothing about
+            // the workspace's rate.
+            Reason::Suspended | Reason::Lease if node.now() + RETRY < deadline => {
+                tokio::time::sleep(RETRY).await;
                 continue;
-            };
-            if let Ok(Body::PartMoves(moves)) = node.peers.call(&vm, Body::PartAsk(ask), wait).await
-            {
-                take_moves(node, &vm, giver, &moves);
-            }
-            match node.holder.try_reserve(node.now(), workspace, tokens) {
-                Ok(reservation) => return Some(reservation),
-                Err(still) => short = still,
             }
+            Reason::Suspended | Reason::Lease => Refusal::Expired,
+            Reason::Unknown | Reason::TooLarge | Reason::Level => Refusal::Rate,
+        };
+        let reason = short.reason.as_str();
+        counter!("primrosechute_rate_refused_total", "reason" => reason).increment(1);
+        return Err(refusal);
+    }
+}
+
+/// Reserves tokens, with parts of other holders if the own ones are short.
+async fn reserve_once(
+    node: &Arc<Node>,
+    workspace: &Name,
+    tokens: u64,
+) -> Result<Reservation, limit::Short> {
+    let mut reserved = node.holder.try_reserve(node.now(), workspace, tokens);
+    if reserved.is_ok() {
+        return reserved;
+    }
+    for vm in holders_to_ask(node, workspace) {
+        let short = match &reserved {
+            Err(short) if short.reason == Reason::Level => *short,
+            _ => break,
+        };
+        let ask = PartAsk {
+            workspace: workspace.to_string(),
+            tokens: short.missing,
+        };
+        let wait = node.settings.timing.silent;
+        let Some(giver) = node.peers.incarnation(&vm) else {
+            continue;
+        };
+        if let Ok(Body::PartMoves(moves)) = node.peers.call(&vm, Body::PartAsk(ask), wait).await {
+            take_moves(node, &vm, giver, &moves);
         }
+        reserved = node.holder.try_reserve(node.now(), workspace, tokens);
     }
-    counter!("primrosechute_rate_refused_total", "reason" => short.reason.as_str()).increment(1);
-    None
+    reserved
 }
 
 /// Peers to ask for tokens: those that had most, then the others.
