Stop a crash request after two crashes when its caller resends at once

Cause: gossip between owners lost the race with a caller that resent as soon as it had the answer; a second crash on the same target did not count, nor one of a target that had done nothing since its restart. With 7 daemons three crashes happened before the first refusal.

Change: an entry answers a reset run after all owners of the pool have noted the suspect, or after the silence time. A crash of a run alone counts on any target.

--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod rebuild;
 mod relay;
 mod run;
+mod suspect;
 mod table;
 
 pub(crate) use self::http::router;
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -12,6 +12,7 @@
 use super::dispatch::{self, NotSent, Sent};
 use super::permit::{self, Held};
 use super::relay::{Relayed, Seen, cancel, relay};
+use super::suspect::tell_owners;
 use super::table::Record;
 use crate::node::Node;
 use crate::outcome::{Failure, Outcome, Refusal};
@@ -124,7 +125,9 @@
                 job.id.as_str(),
                 held.target
             );
-            return failed(RunEnd::Reset, Outcome::Unknown);
+            let ended = failed(RunEnd::Reset, Outcome::Unknown);
+            tell_owners(node, job, held).await;
+            return ended;
         }
         Sent::TimedOut => {
             cancel(node, job, address).await;
@@ -143,7 +146,11 @@
     let overloaded = response.status() == ::http::StatusCode::SERVICE_UNAVAILABLE;
     let relayed = relay(node, job, address, response, answer).await;
     let used = used(job, &relayed.seen);
-    held.release(node, job, report(&relayed, sent_at, overloaded));
+    let report = report(&relayed, sent_at, overloaded);
+    held.release(node, job, report);
+    if report.end == RunEnd::Reset {
+        tell_owners(node, job, held).await;
+    }
     Ended {
         outcome: relayed.outcome,
         used,
--- /dev/null
+++ b/crates/daemon/src/entry/suspect.rs
@@ -0,0 +1,45 @@
+//! Containment of a request whose target crashed.
+
+use std::sync::Arc;
+
+use futures_util::future::join_all;
+use sheet::Name;
+use wire::{Body, Suspect};
+
+use super::admit::Job;
+use super::permit::Held;
+use crate::node::Node;
+
+/// Tells all owners of the pool what the permit's owner knows of the request after its crash, and
+/// waits until they have noted it, or for the time after which a link counts as silent.
+///
+/// Gossip between owners alone loses a race with a caller that sends the request again as soon as
+/// it has the answer, so that each owner would let it crash a target.
+pub(super) async fn tell_owners(node: &Arc<Node>, job: &Job, held: &Held) {
+    // A time of zero only asks. The release was sent before on the same link.
+    let ask = Suspect {
+        fingerprint: job.fingerprint,
+        targets: vec![held.target.to_string()],
+        remember_us: 0,
+    };
+    let Some(known) = note(node, &held.owner, ask).await else {
+        return;
+    };
+    if known.targets.is_empty() {
+        return;
+    }
+    let owners = node.owners_of(&job.pool);
+    let others = owners.iter().filter(|vm| **vm != held.owner);
+    join_all(others.map(|vm| note(node, vm, known.clone()))).await;
+}
+
+async fn note(node: &Arc<Node>, vm: &Name, suspect: Suspect) -> Option<Suspect> {
+    if *vm == node.settings.vm {
+        return node.note_suspect(suspect).await;
+    }
+    let wait = node.settings.timing.silent;
+    match node.peers.call(vm, Body::Suspect(suspect), wait).await {
+        Ok(Body::Suspect(known)) => Some(known),
+        _ => None,
+    }
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -466,19 +466,27 @@
             }
             Body::PartMoves(moves) => take_moves(self, &peer.vm, peer.incarnation, &moves),
             Body::PartAck(ack) => self.holder.on_ack(self.now(), peer.incarnation, &ack),
-            Body::Suspect(suspect) => self.owner.send(Msg::Suspect {
-                fingerprint: suspect.fingerprint,
-                crashed: suspect.targets.into_iter().map(Name::from).collect(),
-                remember: Duration::from_micros(suspect.remember_us),
-            }),
+            Body::Suspect(suspect) => self.owner.send(suspect_msg(suspect, None)),
             _ => log::debug!("peer: message from {} without use", peer.vm),
         }
     }
 
+    /// Tells the owner role of this daemon of a suspect and returns what it knows afterwards.
+    pub(crate) async fn note_suspect(&self, suspect: wire::Suspect) -> Option<wire::Suspect> {
+        let ask = |reply| suspect_msg(suspect, Some(reply));
+        self.owner.ask(ask).await
+    }
+
+    /// VMs that own targets of a pool.
+    pub(crate) fn owners_of(&self, pool: &Name) -> Vec<Name> {
+        lock(&self.owners).of(pool)
+    }
+
     /// Answers a request of a peer.
     pub(crate) async fn on_request(self: &Arc<Self>, peer: &Peer, body: Body) -> Option<Body> {
         match body {
             Body::Offer(offer) => self.offer(offer, peer.incarnation).await.ok(),
+            Body::Suspect(suspect) => self.note_suspect(suspect).await.map(Body::Suspect),
             Body::HandoverAsk(ask) => crate::fleet::on_ask(self, peer, &ask).await,
             Body::PartAsk(ask) => Some(Body::PartMoves(self.holder.on_ask(self.now(), peer, &ask))),
             Body::PartQuery(query) => {
@@ -647,3 +655,12 @@
         vms: vms.collect::<Option<_>>()?,
     })
 }
+
+fn suspect_msg(suspect: wire::Suspect, reply: Option<oneshot::Sender<wire::Suspect>>) -> Msg {
+    Msg::Suspect {
+        fingerprint: suspect.fingerprint,
+        crashed: suspect.targets.into_iter().map(Name::from).collect(),
+        remember: Duration::from_micros(suspect.remember_us),
+        reply,
+    }
+}
--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -84,6 +84,8 @@
         fingerprint: u64,
         crashed: Vec<Name>,
         remember: Duration,
+        /// Takes what is known afterwards.
+        reply: Option<oneshot::Sender<wire::Suspect>>,
     },
     /// Asks for the load of all pools.
     Digests(oneshot::Sender<Vec<Digest>>),
--- a/crates/daemon/src/owner/task.rs
+++ b/crates/daemon/src/owner/task.rs
@@ -123,7 +123,13 @@
                 fingerprint,
                 crashed,
                 remember,
-            } => self.suspect(fingerprint, &crashed, remember),
+                reply,
+            } => {
+                let known = self.suspect(fingerprint, &crashed, remember);
+                if let Some(reply) = reply {
+                    let _ = reply.send(known);
+                }
+            }
             Msg::Digests(reply) => {
                 let _ = reply.send(self.digests());
             }
@@ -243,10 +249,19 @@
         }
     }
 
-    fn suspect(&mut self, fingerprint: u64, crashed: &[Name], remember: Duration) {
-        let until = self.now() + remember;
-        for pool in self.pools.values_mut() {
-            pool.scheduler.suspect(fingerprint, crashed, until);
+    fn suspect(&mut self, fingerprint: u64, crashed: &[Name], remember: Duration) -> wire::Suspect {
+        let now = self.now();
+        let known = self
+            .pools
+            .values_mut()
+            .filter_map(|pool| pool.scheduler.suspect(fingerprint, crashed, now + remember))
+            .max_by_key(|suspect| suspect.crashed.len());
+        match known {
+            Some(suspect) => suspect_message(now, &suspect),
+            None => wire::Suspect {
+                fingerprint,
+                ..wire::Suspect::default()
+            },
         }
     }
 
@@ -377,19 +392,13 @@
         };
         let now = self.node.now();
         for suspect in pool.scheduler.suspects() {
-            let targets: Vec<String> = suspect.crashed.iter().map(ToString::to_string).collect();
+            let message = suspect_message(now, &suspect);
             log::warn!(
                 "owner: fingerprint {:016x} crashed {}",
                 suspect.fingerprint,
-                targets.join(", ")
+                message.targets.join(", ")
             );
-            self.node
-                .peers
-                .broadcast(&wire::Body::Suspect(wire::Suspect {
-                    fingerprint: suspect.fingerprint,
-                    targets,
-                    remember_us: micros(suspect.until.saturating_sub(now)),
-                }));
+            self.node.peers.broadcast(&Body::Suspect(message));
         }
     }
 
@@ -431,6 +440,14 @@
     }
 }
 
+fn suspect_message(now: Duration, suspect: &sched::Suspect) -> wire::Suspect {
+    wire::Suspect {
+        fingerprint: suspect.fingerprint,
+        targets: suspect.crashed.iter().map(ToString::to_string).collect(),
+        remember_us: micros(suspect.until.saturating_sub(now)),
+    }
+}
+
 fn report_of(release: &Release) -> RunReport {
     RunReport {
         end: run_end(release.end),
--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -37,6 +37,11 @@
             .retain(|(vm, pool), _| pools.get(pool).is_some_and(|vms| vms.contains(vm)));
     }
 
+    /// Owners of a pool.
+    pub(crate) fn of(&self, pool: &Name) -> Vec<Name> {
+        self.pools.get(pool).cloned().unwrap_or_default()
+    }
+
     /// Takes a digest from an owner.
     pub(crate) fn on_digest(&mut self, now: Duration, vm: &Name, digest: Digest) {
         let key = (vm.clone(), Name::from(digest.pool.as_str()));
--- /dev/null
+++ b/crates/daemon/tests/crash_request.rs
@@ -0,0 +1,100 @@
+//! A request that crashes each engine that runs it stops after two engines, whoever resends it.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::json;
+use support::load::{Load, builder, call, key, one_fleet, sheet};
+use support::small::wait_until;
+use support::{LONG, Site, outcome};
+use testkit::client::Call;
+
+const COLD_LIMIT: u32 = 2;
+const ENGINES: usize = 6;
+const VMS: usize = 7;
+const MARKER: &str = "crash marker";
+
+async fn start() -> Site {
+    let limits = [("w1", 10_000_000, 10_000_000)];
+    let sheet = sheet(&["quick"], &limits, ENGINES, 16_384, COLD_LIMIT);
+    let mut site = Site::prepare(sheet, builder(VMS)).await;
+    for engine in site.engines.values() {
+        engine.crash_on_marker(Some(MARKER));
+    }
+    site.launch().await;
+    wait_until("all targets are owned", async || {
+        site.owners().await.len() == ENGINES
+    })
+    .await;
+    site
+}
+
+/// The call that crashes engines; each time with the same body and without an id of the caller, so
+/// that the entry gives it a new one.
+fn crash_call() -> Call {
+    let body = json!({ "prompt": MARKER, "max_tokens": 4 });
+    Call::json("/v1/completions", &body)
+        .key(&key("w1"))
+        .timeout(LONG)
+}
+
+fn poisoned(site: &Site) -> u64 {
+    let engines = site.engines.values();
+    engines.map(|engine| engine.stats().poisoned).sum()
+}
+
+/// Guards against a request that crashes one engine after the other because its caller resends it
+/// through other VMs as soon as it fails, and against other requests of its workspace that suffer
+/// for it.
+#[tokio::test]
+async fn a_crash_request_is_refused_after_two_engines() {
+    let _one = one_fleet().await;
+    let site = start().await;
+    let names = site.fleet.names();
+    let clients: Vec<_> = names.iter().map(|vm| site.client(vm)).collect();
+    // As much work as needs all engines: an owner of cold engines alone gets none while others idle.
+    for engine in site.engines.values() {
+        engine.set_slowdown(10.0);
+    }
+    let work = Load::start(Duration::from_millis(10), move |n| {
+        let index = usize::try_from(n).unwrap() % clients.len();
+        (clients[index], call("w1", n, 80, 20))
+    });
+    for engine in site.engines.values() {
+        engine.wait_for(|stats| stats.completed > 0).await;
+    }
+
+    let mut ends = Vec::new();
+    for vm in names.iter().cycle().take(3 * VMS) {
+        let answer = site.client(vm).call(crash_call()).await.unwrap();
+        ends.push(outcome(&answer));
+    }
+
+    println!("ends of the crash request: {ends:?}");
+    let crashed = poisoned(&site);
+    assert!(crashed <= 2, "{crashed} engines crashed: {ends:?}");
+    let poison = ("refused".to_string(), "poison".to_string());
+    for end in &ends[ends.len() - VMS..] {
+        assert_eq!(*end, poison, "not refused at every VM: {ends:?}");
+    }
+    for (name, engine) in &site.engines {
+        let before = engine.stats().completed;
+        let ran = engine.wait_for(|stats| stats.completed >= before + 3);
+        let came = tokio::time::timeout(LONG, ran).await.is_ok();
+        assert!(came, "{name} gets no work: {:?}", engine.stats());
+        let stats = engine.stats();
+        assert!(
+            stats.peak_cold <= usize::try_from(COLD_LIMIT).unwrap(),
+            "{name}: {stats:?}"
+        );
+        assert_eq!(stats.overloads, 0, "{name}: {stats:?}");
+    }
+    let tally = work.stop().await;
+    println!("other requests of the workspace: {tally:?}");
+    // Only those that ran beside it on a crashed engine may fail.
+    let lost = tally.sent - tally.count("served", "");
+    assert!(lost <= 2 * u64::from(COLD_LIMIT) * 8, "{tally:?}");
+    assert_eq!(tally.count("refused", "poison"), 0, "{tally:?}");
+    assert_eq!(poisoned(&site), crashed, "it ran once more");
+}
--- a/crates/sched/src/containment.rs
+++ b/crates/sched/src/containment.rs
@@ -5,7 +5,7 @@
 
 use crate::model::Name;
 
-/// Crashes on this many distinct targets make a fingerprint refused.
+/// This many crashes make a fingerprint refused: on distinct targets, or of runs alone.
 const REFUSED_AFTER: usize = 2;
 
 /// What is known of one fingerprint, for other owners.
@@ -13,7 +13,8 @@
 pub struct Suspect {
     /// Hash of the body.
     pub fingerprint: u64,
-    /// Targets that crashed while it ran; empty if a run alone has cleared it.
+    /// Targets that crashed while it ran, one name more than once if a run alone crashed it again;
+    /// empty if a run alone has cleared it.
     pub crashed: Vec<Name>,
     /// Time until which this holds, on the clock of this owner.
     pub until: Duration,
@@ -73,6 +74,16 @@
         record.map_or(&[], |record| &record.crashed)
     }
 
+    /// What is known of a fingerprint that is suspect or refused.
+    pub(crate) fn get(&self, now: Duration, fingerprint: u64) -> Option<Suspect> {
+        let record = self.records.get(&fingerprint)?;
+        (record.until > now).then(|| Suspect {
+            fingerprint,
+            crashed: record.crashed.clone(),
+            until: record.until,
+        })
+    }
+
     /// Whether a run alone of this fingerprint is in flight.
     pub(crate) fn is_running(&self, fingerprint: u64) -> bool {
         let record = self.records.get(&fingerprint);
@@ -85,10 +96,18 @@
         }
     }
 
-    /// Notes that the fingerprint was in flight when the target crashed.
-    pub(crate) fn blame(&mut self, now: Duration, fingerprint: u64, target: &Name) {
+    /// Notes that the fingerprint was in flight when the target crashed, as the only run (`alone`)
+    /// or with others.
+    ///
+    /// A crash of a run alone counts also on a target that crashed before: an owner may have no
+    /// other target, and would let the request crash this one without end.
+    pub(crate) fn blame(&mut self, now: Duration, fingerprint: u64, target: &Name, alone: bool) {
         self.forget_expired(now, fingerprint);
-        self.add(now, fingerprint, std::slice::from_ref(target), now);
+        let mut crashed = vec![target.clone()];
+        if alone {
+            crashed.extend(self.crashed(fingerprint).iter().cloned());
+        }
+        self.add(now, fingerprint, &crashed, now);
         self.changed.insert(fingerprint);
     }
 
@@ -154,9 +173,12 @@
             until,
             running: false,
         });
-        for name in crashed {
+        for (i, name) in crashed.iter().enumerate() {
+            let count = |names: &[Name]| names.iter().filter(|other| *other == name).count();
             // More names change nothing; the bound keeps the record small.
-            if record.crashed.len() < REFUSED_AFTER && !record.crashed.contains(name) {
+            if record.crashed.len() < REFUSED_AFTER
+                && count(&record.crashed) < count(&crashed[..=i])
+            {
                 record.crashed.push(name.clone());
             }
         }
--- a/crates/sched/src/grant.rs
+++ b/crates/sched/src/grant.rs
@@ -213,7 +213,7 @@
         if suspect && self.containment.is_running(fingerprint) {
             return false;
         }
-        // A second crash on another target decides; one on the same target decides nothing.
+        // A crash on another target is the better evidence; the same one may be faulty itself.
         let crashed = if suspect {
             self.containment.crashed(fingerprint)
         } else {
--- a/crates/sched/src/observe.rs
+++ b/crates/sched/src/observe.rs
@@ -104,14 +104,16 @@
         let (place, epoch) = (run.target, run.epoch);
         let target = &mut self.targets[place];
         if epoch >= target.blamed {
-            if target.alive {
-                let blamed = target.blamed;
-                for (_, run) in self.runs.on(place) {
-                    if let Some(fingerprint) = run.fingerprint
-                        && (blamed..=epoch).contains(&run.epoch)
-                    {
-                        self.containment.blame(now, fingerprint, &target.spec.name);
-                    }
+            let (alive, blamed) = (target.alive, target.blamed);
+            for (_, run) in self.runs.on(place) {
+                // A target that has done nothing yet may be faulty itself, but a suspect that
+                // crashes it alone must not try one restarted target after the other.
+                if (alive || run.alone)
+                    && let Some(fingerprint) = run.fingerprint
+                    && (blamed..=epoch).contains(&run.epoch)
+                {
+                    self.containment
+                        .blame(now, fingerprint, &target.spec.name, run.alone);
                 }
             }
             target.blamed = epoch + 1;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -202,10 +202,17 @@
 
     /// Merges what another owner found of a fingerprint: it was in flight when the given targets
     /// crashed. With one target it is suspect, with two it is refused until the given time. An
-    /// empty list means that a run alone was complete and clears a suspect one.
-    pub fn suspect(&mut self, fingerprint: u64, crashed: &[Name], until: Duration) {
+    /// empty list means that a run alone was complete and clears a suspect one. A time that is over
+    /// changes nothing. Returns what holds afterwards.
+    pub fn suspect(
+        &mut self,
+        fingerprint: u64,
+        crashed: &[Name],
+        until: Duration,
+    ) -> Option<Suspect> {
         self.containment
             .merge(self.now, fingerprint, crashed, until);
+        self.containment.get(self.now, fingerprint)
     }
 
     /// Fingerprints whose standing changed here since the last call, for other owners.
--- a/crates/sched/tests/containment.rs
+++ b/crates/sched/tests/containment.rs
@@ -44,7 +44,7 @@
     other.offer(secs(300), bad("r4"));
     assert_eq!(sheds(&other.poll(secs(300))).len(), 1);
     assert_eq!(other.suspects(), [], "no echo");
-    run(&mut other, secs(301), bad("r5"));
+    run(&mut other, secs(301), bad("r6"));
 }
 
 /// Guards against gossip that loses one of two crashes seen by different owners.
@@ -174,3 +174,29 @@
     assert_ne!(huge.target, small.target);
     assert_eq!(scheduler.in_flight(&huge.target), Some((1, 500)));
 }
+
+/// Guards against a request that crashes the only target of an owner again and again.
+#[test]
+fn a_second_crash_of_a_run_alone_is_the_end() {
+    let mut scheduler = warm(&["a"], 100);
+    let first = run(&mut scheduler, ZERO, bad("r1"));
+    scheduler.release(ZERO, first.id, report(RunEnd::Reset));
+    assert_eq!(scheduler.suspects()[0].crashed.len(), 1);
+    // Nothing has run on the target since its crash.
+    let second = run(&mut scheduler, secs(10), bad("r3"));
+    scheduler.release(secs(10), second.id, report(RunEnd::Reset));
+    let crashed = scheduler.suspects().remove(0).crashed;
+    assert_eq!(crashed, [Name::from("a"), Name::from("a")]);
+    scheduler.offer(secs(30), bad("r4"));
+    assert_eq!(sheds(&scheduler.poll(secs(30))).len(), 1);
+
+    // Two runs beside others are one crash of that target: it may be faulty itself.
+    let mut other = warm(&["x"], 100);
+    other.suspect(666, &crashed[..1], secs(400));
+    other.suspect(666, &crashed[..1], secs(400));
+    run(&mut other, secs(1), bad("r5"));
+    let mut other = warm(&["x"], 100);
+    other.suspect(666, &crashed, secs(400));
+    other.offer(secs(1), bad("r6"));
+    assert_eq!(sheds(&other.poll(secs(1))).len(), 1);
+}
