--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -37,6 +37,11 @@
             .retain(|(vm, pool), _| pools.get(pool).is_some_and(|vms| vms.contains(vm)));
     }
 
+    /// Owners of a pool.
+    pub(crate) fn of(&self, pool: &Name) -> Vec<Name> {
+        self.pools.get(pool).cloned().unwrap_or_default()
+    }
+
     /// Takes a digest from an owner. Others are not kept, which bounds the memory.
     pub(crate) fn on_digest(&mut self, now: Duration, vm: &Name, digest: Digest) {
         let owners = self.pools.get(digest.pool.as_str());
