--- a/crates/sched/src/grant.rs
+++ b/crates/sched/src/grant.rs
@@ -181,11 +181,7 @@
             {
                 continue;
             }
-            // Only the choice looks at the prompts granted before: shedding by an estimate that no
-            // sample corrects could go on for ever.
-            let seconds = self
-                .first_token(target, descriptor.prompt)
-                .max(target.prefill_seconds(self.now, descriptor.prompt));
+            let seconds = self.first_token(target, descriptor.prompt);
             let seconds = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
             let late = self.now.saturating_add(seconds) >= descriptor.deadline;
             // At the same load the one that waited longest is next, so that all warm up.
@@ -251,7 +247,6 @@
         target.tokens = target.tokens.saturating_add(cost);
         target.running += 1;
         target.alone = alone;
-        target.add_prefill(self.now, descriptor.prompt);
         self.prefixes.set(descriptor.prefix, to, target.epoch);
         if alone {
             self.containment.set_running(descriptor.fingerprint, true);
--- a/crates/sched/src/target.rs
+++ b/crates/sched/src/target.rs
@@ -53,8 +53,6 @@
     pub(crate) alive: bool,
     pub(crate) first_token: FirstToken,
     pub(crate) token_gap: Mean,
-    /// Time at which the prompts granted so far are computed, if they take their unloaded time.
-    prefill_until: Duration,
     pub(crate) last_grant: PermitId,
     /// First permit that was not yet given when the target last refused work as overloaded.
     refused: PermitId,
@@ -84,7 +82,6 @@
             alive: true,
             first_token: FirstToken::default(),
             token_gap: Mean::default(),
-            prefill_until: Duration::ZERO,
             last_grant: PermitId(0),
             refused: PermitId(0),
             assumed: None,
@@ -182,23 +179,6 @@
         self.warmth = Warmth::Cold;
         self.epoch += 1;
         self.cold_since = now;
-        self.prefill_until = now;
-    }
-
-    /// Seconds until the first token of a prompt that is computed after those granted before.
-    ///
-    /// The mean of past times doesn't show that a long prompt was granted just now, behind which a
-    /// short one would be late.
-    pub(crate) fn prefill_seconds(&self, now: Duration, prompt: u64) -> f64 {
-        let wait = self.prefill_until.saturating_sub(now).as_secs_f64();
-        wait + self.first_token.unloaded(prompt)
-    }
-
-    /// Notes that a prompt was granted.
-    pub(crate) fn add_prefill(&mut self, now: Duration, prompt: u64) {
-        let seconds = self.prefill_seconds(now, prompt);
-        let seconds = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::ZERO);
-        self.prefill_until = now.saturating_add(seconds);
     }
 
     /// Adopts the warmth that the old owner handed over.
