measure: disturb a site while a load runs

--scenario takes a zone out and back, lets a workspace send ten times its load, slows an engine down or kills a daemon. The goals for disturbances are printed beside the measured values. A load that is measured twice is now compared with the baseline that follows it; the table took the first one.

--- a/crates/testkit/src/bin/measure/main.rs
+++ b/crates/testkit/src/bin/measure/main.rs
@@ -4,6 +4,7 @@
 
 mod mix;
 mod run;
+mod scenario;
 mod site;
 
 use std::io;
@@ -12,7 +13,7 @@
 
 use clap::{Parser, ValueEnum};
 use serde_json::json;
-use testkit::measure::{Point, goals, markdown};
+use testkit::measure::{Point, goals, goals_disturbed, markdown};
 
 /// Site to measure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -57,6 +58,9 @@
     /// Starts the engines warm. Without it they start cold, as after a restart.
     #[arg(long)]
     warm: bool,
+    /// Disturbance during each load.
+    #[arg(long, value_enum)]
+    scenario: Option<scenario::Scenario>,
     /// File for the points, JSON.
     #[arg(long)]
     out: PathBuf,
@@ -88,7 +92,7 @@
     }
     let mut points: Vec<Point> = Vec::new();
     for load in &args.loads {
-        for (policy, site) in &sites {
+        for (policy, site) in &mut sites {
             let mut point = run::run(site, &mix, &binaries, *load, args).await?;
             folder.clone_into(&mut point.site);
             (*policy).clone_into(&mut point.policy);
@@ -103,6 +107,10 @@
 }
 
 fn write(args: &Args, mix: &mix::Mix, points: &[Point], commit: &str) -> io::Result<()> {
+    let goals = match args.scenario {
+        Some(_) => goals_disturbed(points, mix.tenant()),
+        None => goals(points, mix.top_tier()),
+    };
     let document = json!({
         "site": args.site.folder(),
         "seed": args.seed,
@@ -110,13 +118,15 @@
         "time_scale": args.time_scale,
         "seconds": args.seconds,
         "warm": args.warm,
+        "scenario": args.scenario.map(scenario::Scenario::name),
+        "tenant": mix.tenant(),
         "capacity_requests_per_second": mix.capacity,
         "capacity_source": "computed from the model of the stand-in engines",
         "points": points,
-        "goals": goals(points, mix.top_tier()),
+        "goals": &goals,
     });
     std::fs::write(&args.out, serde_json::to_vec_pretty(&document)?)?;
-    println!("{}", markdown(points, mix.top_tier(), args.seed, commit));
+    println!("{}", markdown(points, &goals, args.seed, commit));
     Ok(())
 }
 
--- a/crates/testkit/src/bin/measure/mix.rs
+++ b/crates/testkit/src/bin/measure/mix.rs
@@ -1,9 +1,13 @@
 //! The work of the example sites and the load that their engines can handle.
 
+use std::time::Duration;
+
 use serde_json::{Value, json};
 use sheet::{PoolKind, Sheet};
 use testkit::EngineConfig;
 
+/// Time before the measured one.
+pub const WARM_UP: Duration = Duration::from_secs(3);
 /// Multiple of the capacity that the rates of the workspaces allow, so that each refusal by the
 /// rate is one inside the rate at the highest usual load.
 const RATE_LOAD: f64 = 4.0;
@@ -204,6 +208,13 @@
         self.tiers.first().map_or("", String::as_str)
     }
 
+    /// Name of the workspace that sends too much in a scenario: the second largest.
+    pub fn tenant(&self) -> &str {
+        let mut by_size: Vec<_> = self.workspaces.iter().collect();
+        by_size.sort_by(|a, b| b.1.total_cmp(&a.1));
+        by_size.get(1).map_or("", |workspace| &workspace.0)
+    }
+
     /// Sets the rates of a sheet to a multiple of the tokens of the capacity.
     pub fn set_rates(&self, sheet: &mut Sheet) {
         let tokens: f64 = self.kinds.iter().map(|k| k.share * k.cost()).sum();
@@ -221,7 +232,7 @@
         let rows: Vec<Value> = self.kinds.iter().flat_map(|kind| self.rows(kind)).collect();
         json!({
             "duration": format!("{seconds}s"),
-            "warm_up": "3s",
+            "warm_up": format!("{}s", WARM_UP.as_secs()),
             "seed": 1,
             "entries": entries,
             "rate": self.capacity * load,
--- a/crates/testkit/src/bin/measure/run.rs
+++ b/crates/testkit/src/bin/measure/run.rs
@@ -46,7 +46,7 @@
 
 /// Puts a load on a site and sums up what engines, callers and daemons saw.
 pub async fn run(
-    site: &Site,
+    site: &mut Site,
     mix: &Mix,
     binaries: &Path,
     load: f64,
@@ -54,7 +54,16 @@
 ) -> io::Result<Point> {
     let before = Before::of(site).await?;
     let dir = tempfile::tempdir()?;
-    let result = send(site, mix, binaries, load, args, dir.path()).await?;
+    write_mix(site, mix, load, args, dir.path())?;
+    let disturb = async {
+        match args.scenario {
+            Some(scenario) => scenario.play(site, args.seconds).await,
+            None => Ok(()),
+        }
+    };
+    let (result, disturbed) = tokio::join!(send(binaries, args, dir.path()), disturb);
+    disturbed?;
+    let result = result?;
     let after = spent(site).await?;
     let took = before.at.elapsed();
     site.wait_idle(IDLE_WAIT).await;
@@ -68,19 +77,18 @@
     Ok(point)
 }
 
-/// Runs `primrosectl load` and returns its result.
-async fn send(
-    site: &Site,
-    mix: &Mix,
-    binaries: &Path,
-    load: f64,
-    args: &Args,
-    dir: &Path,
-) -> io::Result<Value> {
+fn write_mix(site: &Site, mix: &Mix, load: f64, args: &Args, dir: &Path) -> io::Result<()> {
     let names = site.fleet.names();
     let entries: Vec<_> = names.iter().map(|vm| site.fleet.entry(vm)).collect();
-    let file = mix.file(&entries, load, args.seconds);
-    std::fs::write(dir.join("mix.json"), serde_json::to_vec_pretty(&file)?)?;
+    let mut file = mix.file(&entries, load, args.seconds);
+    if let Some(scenario) = args.scenario {
+        scenario.change_mix(&mut file, mix.tenant(), args.seconds);
+    }
+    std::fs::write(dir.join("mix.json"), serde_json::to_vec_pretty(&file)?)
+}
+
+/// Runs `primrosectl load` and returns its result.
+async fn send(binaries: &Path, args: &Args, dir: &Path) -> io::Result<Value> {
     let output = Command::new(binaries.join("primrosectl"))
         .args(["load", "--json", "--mix", "mix.json", "--drain", DRAIN])
         .args(["--requests", "requests.jsonl", "--output", "result.json"])
@@ -165,7 +173,8 @@
         let cores = after.cpu.saturating_sub(before.cpu).as_secs_f64() / seconds;
         costs.cores += cores;
         costs.most_cores = costs.most_cores.max(cores);
-        costs.peer_bytes += (after.peer_bytes - before.peer_bytes) / seconds;
+        // The counters of a daemon that was killed start anew.
+        costs.peer_bytes += (after.peer_bytes - before.peer_bytes).max(0.0) / seconds;
     }
     let daemons = u32::try_from(after.len().max(1)).map_or(1.0, f64::from);
     costs.cores /= daemons;
--- a/crates/testkit/src/bin/measure/site.rs
+++ b/crates/testkit/src/bin/measure/site.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use sheet::{PoolKind, Settings, Sheet};
+use sheet::{PoolKind, Settings, Sheet, ZoneState};
 use testkit::client::Call;
 use testkit::fleet::Fleet;
 use testkit::{Engine, EngineConfig, PlainService};
@@ -150,6 +150,32 @@
         Ok(answer.body.to_vec())
     }
 
+    /// Name of the first VM.
+    pub fn first_vm(&self) -> String {
+        self.fleet.names().into_iter().next().unwrap_or_default()
+    }
+
+    /// Publishes a sheet with a new state of its first zone.
+    pub fn set_first_zone(&mut self, state: ZoneState) {
+        if let Some(zone) = self.sheet.zones.values_mut().next() {
+            zone.state = state;
+        }
+        self.sheet.revision += 1;
+        let csv = self.sheet.to_csv();
+        let sheets = &self.fleet.platform().sheets;
+        sheets.publish(self.sheet.revision, csv);
+    }
+
+    /// Multiplies the step time of the fastest engine, the first by name.
+    pub fn slow_down(&self, factor: f64) {
+        let targets = self.sheet.targets.iter();
+        let engines = targets.filter_map(|(name, t)| Some((t.speed, self.engines.get(&**name)?)));
+        let fastest = engines.reduce(|a, b| if b.0 > a.0 { b } else { a });
+        if let Some((_, engine)) = fastest {
+            engine.set_slowdown(factor);
+        }
+    }
+
     /// Waits until no engine runs anything, or for a while.
     pub async fn wait_idle(&self, wait: Duration) {
         let idle = async {
--- a/crates/testkit/src/measure/goals.rs
+++ b/crates/testkit/src/measure/goals.rs
@@ -68,3 +68,22 @@
     goals.push(Goal::at_most(name, 0.005, refused));
     goals
 }
+
+/// The goals while something disturbs a site, for each load. `tenant` is the workspace that may
+/// send too much and whose share does not count.
+#[must_use]
+pub fn goals_disturbed(points: &[Point], tenant: &str) -> Vec<Goal> {
+    let own = points.iter().filter(|p| p.policy == "scheduler");
+    own.flat_map(|point| {
+        let name = |what: &str| format!("{what} at {}x", point.load);
+        let worst = point.worst_without(tenant).unwrap_or(0.0);
+        let lost = point.share_of(&point.failed) + point.share_of(&point.unknown);
+        let late = point.late_share();
+        [
+            Goal::at_most(&name("failed or unknown"), 0.0, lost),
+            Goal::at_most(&name("late"), 0.01, late),
+            Goal::at_least(&name("worst other workspace to median"), 0.9, worst),
+        ]
+    })
+    .collect()
+}
--- a/crates/testkit/src/measure/mod.rs
+++ b/crates/testkit/src/measure/mod.rs
@@ -5,7 +5,7 @@
 mod table;
 mod work;
 
-pub use self::goals::{Goal, goals};
+pub use self::goals::{Goal, goals, goals_disturbed};
 pub use self::point::{Costs, Point, Reasons, Share};
 pub use self::table::markdown;
 pub use self::work::Work;
--- a/crates/testkit/src/measure/point.rs
+++ b/crates/testkit/src/measure/point.rs
@@ -57,6 +57,8 @@
     pub unknown: Reasons,
     /// Requests by tier.
     pub tiers: BTreeMap<String, Share>,
+    /// Requests by workspace.
+    pub workspaces: BTreeMap<String, Share>,
     /// Name of the workspace with the smallest share of requests in time.
     pub worst_workspace: String,
     /// Its share relative to the median workspace.
@@ -96,7 +98,6 @@
     #[must_use]
     pub fn of_load(result: &Value) -> Self {
         let total = &result["total"];
-        let tiers = result["tiers"].as_object().into_iter().flatten();
         let worst = &result["worst_workspace"];
         Point {
             total: Share::of(total),
@@ -105,9 +106,8 @@
             refused: reasons(&total["refused"]),
             failed: reasons(&total["failed"]),
             unknown: reasons(&total["unknown"]),
-            tiers: tiers
-                .map(|(name, row)| (name.clone(), Share::of(row)))
-                .collect(),
+            tiers: shares(&result["tiers"]),
+            workspaces: shares(&result["workspaces"]),
             worst_workspace: worst["workspace"].as_str().unwrap_or_default().to_owned(),
             worst_to_median: worst["ratio_to_median"].as_f64(),
             send_lag_p99: result["generator"]["send_lag_seconds"]["p99"]
@@ -118,12 +118,42 @@
         }
     }
 
+    /// The smallest share of requests in time of the workspaces but one, relative to their median.
+    #[must_use]
+    pub fn worst_without(&self, name: &str) -> Option<f64> {
+        let others = self.workspaces.iter().filter(|(own, _)| *own != name);
+        let mut shares: Vec<f64> = others.map(|(_, share)| share.in_time_share()).collect();
+        shares.sort_by(f64::total_cmp);
+        let half = shares.len() / 2;
+        let median = match shares.len() % 2 {
+            _ if shares.is_empty() => return None,
+            1 => shares[half],
+            _ => f64::midpoint(shares[half - 1], shares[half]),
+        };
+        (median > 0.0).then(|| shares[0] / median)
+    }
+
     /// Part of the requests that was refused by the rate.
     #[must_use]
-    #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^53")]
     pub fn rate_refused_share(&self) -> f64 {
-        let refused = self.refused.get("rate").copied().unwrap_or(0);
-        refused as f64 / self.total.sent.max(1) as f64
+        self.share(self.refused.get("rate").copied().unwrap_or(0))
+    }
+
+    /// Part of the requests that was served after the deadline.
+    #[must_use]
+    pub fn late_share(&self) -> f64 {
+        self.share(self.late)
+    }
+
+    /// Part of the requests that ended for any of these reasons.
+    #[must_use]
+    pub fn share_of(&self, reasons: &Reasons) -> f64 {
+        self.share(reasons.values().sum())
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^53")]
+    fn share(&self, requests: u64) -> f64 {
+        requests as f64 / self.total.sent.max(1) as f64
     }
 }
 
@@ -131,6 +161,12 @@
     value.as_u64().unwrap_or(0)
 }
 
+fn shares(rows: &Value) -> BTreeMap<String, Share> {
+    let rows = rows.as_object().into_iter().flatten();
+    rows.map(|(name, row)| (name.clone(), Share::of(row)))
+        .collect()
+}
+
 fn reasons(value: &Value) -> Reasons {
     let reasons = value.as_object().into_iter().flatten();
     reasons
--- a/crates/testkit/src/measure/table.rs
+++ b/crates/testkit/src/measure/table.rs
@@ -1,7 +1,7 @@
 use std::fmt::Write;
 
-use super::goals::goals;
-use super::point::{Point, Reasons};
+use super::goals::Goal;
+use super::point::Point;
 
 /// One number of a point.
 type Take = fn(&Point) -> f64;
@@ -10,11 +10,11 @@
 const ROWS: [(&str, Take); 12] = [
     ("goodput, tokens/s", |p| p.total.goodput),
     ("served in time, %", |p| 100.0 * p.total.in_time_share()),
-    ("late, %", |p| percent(p.late, p)),
-    ("shed, %", |p| percent(sum(&p.shed), p)),
-    ("refused, %", |p| percent(sum(&p.refused), p)),
-    ("failed, %", |p| percent(sum(&p.failed), p)),
-    ("unknown, %", |p| percent(sum(&p.unknown), p)),
+    ("late, %", |p| 100.0 * p.late_share()),
+    ("shed, %", |p| 100.0 * p.share_of(&p.shed)),
+    ("refused, %", |p| 100.0 * p.share_of(&p.refused)),
+    ("failed, %", |p| 100.0 * p.share_of(&p.failed)),
+    ("unknown, %", |p| 100.0 * p.share_of(&p.unknown)),
     ("wasted prefill, %", |p| 100.0 * p.work.wasted_share()),
     ("cold overloads", |p| whole(p.cold_overloads)),
     ("worst workspace to median", |p| {
@@ -24,15 +24,19 @@
     ("peer KB/s per daemon", |p| p.costs.peer_bytes / 1000.0),
 ];
 
-/// A Markdown table of both policies at each load of a site, and its goals.
+/// A Markdown table of both policies at each load of a site, and of goals.
 #[must_use]
-pub fn markdown(points: &[Point], top_tier: &str, seed: u64, commit: &str) -> String {
+pub fn markdown(points: &[Point], goals: &[Goal], seed: u64, commit: &str) -> String {
     let mut text = String::from(
         "| site | load | measure | this build | baseline | ratio | seed | commit |\n\
          |---|---|---|---|---|---|---|---|\n",
     );
-    for own in points.iter().filter(|p| p.policy == "scheduler") {
-        let base = points.iter().find(|p| {
+    for (at, own) in points.iter().enumerate() {
+        if own.policy != "scheduler" {
+            continue;
+        }
+        // A load may be measured more than once; its baseline follows it.
+        let base = points[at..].iter().find(|p| {
             p.policy == "baseline" && p.site == own.site && (p.load - own.load).abs() < 1e-9
         });
         let mut line = |name: &str, a: f64, b: Option<f64>| {
@@ -60,7 +64,7 @@
         }
     }
     text.push_str("\n| goal | target | measured | |\n|---|---|---|---|\n");
-    for goal in goals(points, top_tier) {
+    for goal in goals {
         let met = if goal.met { "met" } else { "missed" };
         let _ = writeln!(
             text,
@@ -79,14 +83,6 @@
     }
 }
 
-fn sum(reasons: &Reasons) -> u64 {
-    reasons.values().sum()
-}
-
-fn percent(part: u64, point: &Point) -> f64 {
-    100.0 * whole(part) / whole(point.total.sent.max(1))
-}
-
 #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^53")]
 fn whole(count: u64) -> f64 {
     count as f64
--- a/crates/testkit/tests/measure.rs
+++ b/crates/testkit/tests/measure.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use testkit::measure::{Point, Work, goals, markdown};
+use testkit::measure::{Point, Work, goals, goals_disturbed, markdown};
 use testkit::{End, RunRecord};
 
 fn run(id: &str, end: Option<End>, prefilled: u64) -> RunRecord {
@@ -60,6 +60,10 @@
             "failed": {}, "unknown": {}, "goodput_tokens_per_second": goodput,
         },
         "tiers": { "quick": { "sent": quick.0, "served_in_time": quick.1 } },
+        "workspaces": {
+            "a": { "sent": 10, "served_in_time": 10 }, "b": { "sent": 10, "served_in_time": 8 },
+            "c": { "sent": 10, "served_in_time": 6 }, "noisy": { "sent": 99, "served_in_time": 9 },
+        },
         "worst_workspace": { "workspace": "academy", "ratio_to_median": 0.8 },
         "generator": { "send_lag_seconds": { "p99": 0.002 }, "over_limit": 3 },
     });
@@ -104,18 +108,35 @@
     }
 }
 
+// Guards against a neighbour that sends too much and is taken for the worst-served workspace.
+#[test]
+fn goals_under_disturbance_leave_the_noisy_workspace_out() {
+    let points = [
+        point("scheduler", 0.7, (100, 100), 500.0, 0),
+        point("baseline", 0.7, (100, 50), 900.0, 0),
+    ];
+
+    let goals = goals_disturbed(&points, "noisy");
+
+    let shown: Vec<(f64, bool)> = goals.iter().map(|g| (g.value, g.met)).collect();
+    assert_eq!(shown, [(0.0, true), (0.02, false), (0.6 / 0.8, false)]);
+}
+
 // Guards against a table whose ratio or columns belong to another point.
 #[test]
 fn table_shows_both_policies_and_their_ratio() {
     let points = [
         point("scheduler", 1.5, (200, 200), 1000.0, 15),
         point("baseline", 1.5, (200, 10), 100.0, 100),
+        point("scheduler", 1.5, (200, 200), 600.0, 15),
+        point("baseline", 1.5, (200, 10), 200.0, 100),
     ];
 
-    let text = markdown(&points, "quick", 7, "abc");
+    let text = markdown(&points, &goals(&points, "quick"), 7, "abc");
 
     for line in [
         "| lv-riga | 1.5 | goodput, tokens/s | 1000 | 100 | 10.00 | 7 | abc |",
+        "| lv-riga | 1.5 | goodput, tokens/s | 600 | 200 | 3.00 | 7 | abc |",
         "| lv-riga | 1.5 | wasted prefill, % | 1.50 | 10.00 | 0.15 | 7 | abc |",
         "| lv-riga | 1.5 | tier quick: in time, % | 100 | 5.00 | 20.00 | 7 | abc |",
         "| wasted prefill at 1.5x | <= 0.02 | 0.0150 | met |",
