--- /dev/null
+++ b/crates/daemon/src/fleet/handover.rs
@@ -0,0 +1,165 @@
+//! Hand-overs of targets between owners.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use member::Answer;
+use sched::{InFlight, PermitId, TargetPhase};
+use sheet::Name;
+use wire::{Body, HandoverAnswer, HandoverAsk, HandoverRun};
+
+use super::{State, carry_out};
+use crate::node::Node;
+use crate::owner::{Msg, micros};
+use crate::peer::Peer;
+
+/// Passes the end of a run on to the owner that took its target over.
+pub(crate) fn forward_release(node: &Arc<Node>, release: wire::Release) {
+    let sheet = node.sheet();
+    let Some(target) = sheet.targets.get(&*release.target) else {
+        return;
+    };
+    let owner = node
+        .fleet
+        .view(|view| view.owner(&release.target, &target.zone).map(Name::from));
+    if let Some(owner) = owner.filter(|owner| *owner != node.settings.vm) {
+        // If the link is down, the new owner frees the place at the run's hard deadline.
+        node.peers.send(&owner, Body::Release(release));
+    }
+}
+
+/// Answers a question for a hand-over. No answer is sent where it could shorten the asker's wait
+/// wrongly.
+pub(crate) async fn on_ask(node: &Arc<Node>, peer: &Peer, ask: &HandoverAsk) -> Option<Body> {
+    let target = Name::from(ask.target.as_str());
+    let answer = {
+        let mut state = node.fleet.lock();
+        let State {
+            view, ownership, ..
+        } = &mut *state;
+        let from = (&peer.vm, peer.incarnation);
+        ownership.on_ask(node.now(), view, &target, from, ask.list_generation)
+    };
+    let reply = |answer: HandoverAnswer| {
+        Some(Body::Handover(wire::Handover {
+            target: target.to_string(),
+            answer: answer.into(),
+            phase: wire::TargetPhase::Cold.into(),
+            limit: 0,
+            runs: Vec::new(),
+        }))
+    };
+    match answer {
+        Answer::Given => {
+            node.fleet.lock().owned.remove(&target);
+            log::info!("owner: target {target} handed over to {}", peer.vm);
+            match give_up(node, &target).await {
+                Some(handover) => Some(Body::Handover(handover_message(&handover))),
+                // Given before and asked again, as the first reply was lost.
+                None => reply(HandoverAnswer::Given),
+            }
+        }
+        Answer::GivenUp => {
+            node.fleet.lock().owned.remove(&target);
+            give_up(node, &target).await;
+            None
+        }
+        Answer::StillMine => reply(HandoverAnswer::StillMine),
+        Answer::NeverOwned => reply(HandoverAnswer::NeverOwned),
+        Answer::Clear => reply(HandoverAnswer::Clear),
+        Answer::Yours => reply(HandoverAnswer::Yours),
+        Answer::Wait => None,
+    }
+}
+
+async fn give_up(node: &Arc<Node>, target: &Name) -> Option<sched::Handover> {
+    let target = target.clone();
+    node.owner
+        .ask(|reply| Msg::GiveUp { target, reply })
+        .await
+        .flatten()
+}
+
+/// Asks a VM for the hand-over of a target.
+pub(super) async fn ask(node: Arc<Node>, target: Name, from: Name, generation: u64) {
+    let question = Body::HandoverAsk(HandoverAsk {
+        target: target.to_string(),
+        list_generation: generation,
+    });
+    let wait = node.settings.timing.silent;
+    let Ok(Body::Handover(handover)) = node.peers.call(&from, question, wait).await else {
+        return;
+    };
+    let sheet = node.sheet();
+    let now = node.now();
+    let mut state = node.fleet.lock();
+    let answer = handover.answer();
+    if answer == HandoverAnswer::Given {
+        state.handed.insert(target.clone(), handover_of(&handover));
+    }
+    let State {
+        view, ownership, ..
+    } = &mut *state;
+    let actions = match answer {
+        HandoverAnswer::None => return,
+        HandoverAnswer::Given => ownership.on_handover(now, view, &target, true, generation),
+        HandoverAnswer::StillMine => ownership.on_handover(now, view, &target, false, generation),
+        HandoverAnswer::NeverOwned => {
+            ownership.on_never_owned(now, view, &target, &from, generation)
+        }
+        HandoverAnswer::Clear => ownership.on_clear(now, view, &target, &from, generation),
+        HandoverAnswer::Yours => ownership.on_yours(now, view, &target, generation),
+    };
+    carry_out(&node, &mut state, &sheet, actions);
+}
+
+fn handover_message(handover: &sched::Handover) -> wire::Handover {
+    let phase = match handover.phase {
+        TargetPhase::Cold => wire::TargetPhase::Cold,
+        TargetPhase::Warming => wire::TargetPhase::Warming,
+        TargetPhase::Serving => wire::TargetPhase::Serving,
+        TargetPhase::Draining => wire::TargetPhase::Draining,
+        TargetPhase::Out => wire::TargetPhase::Out,
+    };
+    wire::Handover {
+        target: handover.target.to_string(),
+        answer: HandoverAnswer::Given.into(),
+        phase: phase.into(),
+        limit: handover.limit,
+        runs: handover
+            .in_flight
+            .iter()
+            .map(|run| HandoverRun {
+                id: run.request.to_string(),
+                permit: run.permit.0,
+                cost: run.cost,
+                hard_deadline_us: micros(run.hard_deadline),
+            })
+            .collect(),
+    }
+}
+
+fn handover_of(message: &wire::Handover) -> sched::Handover {
+    let phase = match message.phase() {
+        wire::TargetPhase::Unknown | wire::TargetPhase::Cold => TargetPhase::Cold,
+        wire::TargetPhase::Warming => TargetPhase::Warming,
+        wire::TargetPhase::Serving => TargetPhase::Serving,
+        wire::TargetPhase::Draining => TargetPhase::Draining,
+        wire::TargetPhase::Out => TargetPhase::Out,
+    };
+    sched::Handover {
+        target: message.target.as_str().into(),
+        phase,
+        limit: message.limit,
+        in_flight: message
+            .runs
+            .iter()
+            .map(|run| InFlight {
+                request: run.id.as_str().into(),
+                permit: PermitId(run.permit),
+                cost: run.cost,
+                hard_deadline: Duration::from_micros(run.hard_deadline_us),
+            })
+            .collect(),
+    }
+}
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -1,23 +1,24 @@
 //! The view of the fleet and the ownership of targets: what the membership rules decide is carried
 //! out here.
 
+mod handover;
+
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use limit::LeaseState;
 use member::{
-    Action, Answer, Beat, Config, Grants, Greeting, Incarnation, Lease, Ownership, RelayRole, View,
-    VmList,
+    Action, Beat, Config, Grants, Greeting, Incarnation, Lease, Ownership, RelayRole, View, VmList,
 };
-use sched::{InFlight, PermitId, TargetPhase, TargetSpec};
+use sched::TargetSpec;
 use sheet::{Name, Settings, Sheet};
 use tokio::time::{MissedTickBehavior, interval};
-use wire::{Body, HandoverAnswer, HandoverAsk, HandoverRun};
 
 use crate::node::Node;
-use crate::owner::{Msg, Source, micros};
-use crate::peer::Peer;
+use crate::owner::{Msg, Source};
+
+pub(crate) use handover::{forward_release, on_ask};
 
 /// Wait after proof that an old owner's process is gone.
 const GRACE: Duration = Duration::from_secs(1);
@@ -267,73 +268,6 @@
     }
 }
 
-/// Passes the end of a run on to the owner that took its target over.
-pub(crate) fn forward_release(node: &Arc<Node>, release: wire::Release) {
-    let sheet = node.sheet();
-    let Some(target) = sheet.targets.get(&*release.target) else {
-        return;
-    };
-    let owner = node
-        .fleet
-        .view(|view| view.owner(&release.target, &target.zone).map(Name::from));
-    if let Some(owner) = owner.filter(|owner| *owner != node.settings.vm) {
-        // If the link is down, the new owner frees the place at the run's hard deadline.
-        node.peers.send(&owner, Body::Release(release));
-    }
-}
-
-/// Answers a question for a hand-over. No answer is sent where it could shorten the asker's wait
-/// wrongly.
-pub(crate) async fn on_ask(node: &Arc<Node>, peer: &Peer, ask: &HandoverAsk) -> Option<Body> {
-    let target = Name::from(ask.target.as_str());
-    let answer = {
-        let mut state = node.fleet.lock();
-        let State {
-            view, ownership, ..
-        } = &mut *state;
-        let from = (&peer.vm, peer.incarnation);
-        ownership.on_ask(node.now(), view, &target, from, ask.list_generation)
-    };
-    let reply = |answer: HandoverAnswer| {
-        Some(Body::Handover(wire::Handover {
-            target: target.to_string(),
-            answer: answer.into(),
-            phase: wire::TargetPhase::Cold.into(),
-            limit: 0,
-            runs: Vec::new(),
-        }))
-    };
-    match answer {
-        Answer::Given => {
-            node.fleet.lock().owned.remove(&target);
-            log::info!("owner: target {target} handed over to {}", peer.vm);
-            match give_up(node, &target).await {
-                Some(handover) => Some(Body::Handover(handover_message(&handover))),
-                // Given before and asked again, as the first reply was lost.
-                None => reply(HandoverAnswer::Given),
-            }
-        }
-        Answer::GivenUp => {
-            node.fleet.lock().owned.remove(&target);
-            give_up(node, &target).await;
-            None
-        }
-        Answer::StillMine => reply(HandoverAnswer::StillMine),
-        Answer::NeverOwned => reply(HandoverAnswer::NeverOwned),
-        Answer::Clear => reply(HandoverAnswer::Clear),
-        Answer::Yours => reply(HandoverAnswer::Yours),
-        Answer::Wait => None,
-    }
-}
-
-async fn give_up(node: &Arc<Node>, target: &Name) -> Option<sched::Handover> {
-    let target = target.clone();
-    node.owner
-        .ask(|reply| Msg::GiveUp { target, reply })
-        .await
-        .flatten()
-}
-
 /// Carries out what the ownership rules decided.
 fn carry_out(node: &Arc<Node>, state: &mut State, sheet: &Sheet, actions: Vec<Action>) {
     for action in actions {
@@ -346,7 +280,7 @@
                 if !state.view.peers().contains(&from) {
                     state.asked.insert(from.clone(), node.now());
                 }
-                tokio::spawn(ask(Arc::clone(node), target, from, generation));
+                tokio::spawn(handover::ask(Arc::clone(node), target, from, generation));
             }
             Action::Start { target, source } => start(node, state, sheet, &target, source),
             Action::GiveUp { target, to } => {
@@ -417,87 +351,3 @@
         open: sheet.takes_new_work(name),
     }
 }
-
-/// Asks a VM for the hand-over of a target.
-async fn ask(node: Arc<Node>, target: Name, from: Name, generation: u64) {
-    let question = Body::HandoverAsk(HandoverAsk {
-        target: target.to_string(),
-        list_generation: generation,
-    });
-    let wait = node.settings.timing.silent;
-    let Ok(Body::Handover(handover)) = node.peers.call(&from, question, wait).await else {
-        return;
-    };
-    let sheet = node.sheet();
-    let now = node.now();
-    let mut state = node.fleet.lock();
-    let answer = handover.answer();
-    if answer == HandoverAnswer::Given {
-        state.handed.insert(target.clone(), handover_of(&handover));
-    }
-    let State {
-        view, ownership, ..
-    } = &mut *state;
-    let actions = match answer {
-        HandoverAnswer::None => return,
-        HandoverAnswer::Given => ownership.on_handover(now, view, &target, true, generation),
-        HandoverAnswer::StillMine => ownership.on_handover(now, view, &target, false, generation),
-        HandoverAnswer::NeverOwned => {
-            ownership.on_never_owned(now, view, &target, &from, generation)
-        }
-        HandoverAnswer::Clear => ownership.on_clear(now, view, &target, &from, generation),
-        HandoverAnswer::Yours => ownership.on_yours(now, view, &target, generation),
-    };
-    carry_out(&node, &mut state, &sheet, actions);
-}
-
-fn handover_message(handover: &sched::Handover) -> wire::Handover {
-    let phase = match handover.phase {
-        TargetPhase::Cold => wire::TargetPhase::Cold,
-        TargetPhase::Warming => wire::TargetPhase::Warming,
-        TargetPhase::Serving => wire::TargetPhase::Serving,
-        TargetPhase::Draining => wire::TargetPhase::Draining,
-        TargetPhase::Out => wire::TargetPhase::Out,
-    };
-    wire::Handover {
-        target: handover.target.to_string(),
-        answer: HandoverAnswer::Given.into(),
-        phase: phase.into(),
-        limit: handover.limit,
-        runs: handover
-            .in_flight
-            .iter()
-            .map(|run| HandoverRun {
-                id: run.request.to_string(),
-                permit: run.permit.0,
-                cost: run.cost,
-                hard_deadline_us: micros(run.hard_deadline),
-            })
-            .collect(),
-    }
-}
-
-fn handover_of(message: &wire::Handover) -> sched::Handover {
-    let phase = match message.phase() {
-        wire::TargetPhase::Unknown | wire::TargetPhase::Cold => TargetPhase::Cold,
-        wire::TargetPhase::Warming => TargetPhase::Warming,
-        wire::TargetPhase::Serving => TargetPhase::Serving,
-        wire::TargetPhase::Draining => TargetPhase::Draining,
-        wire::TargetPhase::Out => TargetPhase::Out,
-    };
-    sched::Handover {
-        target: message.target.as_str().into(),
-        phase,
-        limit: message.limit,
-        in_flight: message
-            .runs
-            .iter()
-            .map(|run| InFlight {
-                request: run.id.as_str().into(),
-                permit: PermitId(run.permit),
-                cost: run.cost,
-                hard_deadline: Duration::from_micros(run.hard_deadline_us),
-            })
-            .collect(),
-    }
-}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -1,44 +1,30 @@
 //! The daemon's shared state: what its roles know and how they reach each other.
 
+mod callers;
+mod messages;
+
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use limit::Reservation;
-use member::{Beat, Greeting, Incarnation, View, VmList, VmState};
+use member::{Incarnation, VmList, VmState};
 use metrics::counter;
 use sched::Descriptor;
-use serde::Serialize;
 use sheet::{Name, Settings, Sheet};
 use tokio::sync::{oneshot, watch};
-use wire::{Body, Heartbeat, Hello, ListPush, Offer, OutcomeAsk, OutcomeReply, PROTOCOL_VERSION};
+use wire::{Body, Offer};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Clock;
-use crate::entry::{Buckets, Table, return_permit};
+use crate::entry::{Buckets, Table};
 use crate::fleet::Fleet;
 use crate::owner::{self, Msg};
 use crate::owners::Owners;
-use crate::peer::{LinkEvent, Peer, Peers};
+use crate::peer::{Peer, Peers};
 use crate::rejected::LastRejected;
-use crate::shares::{Holder, take_moves};
-
-/// An address for callers, as `/v1/entries` shows it.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct Entry {
-    vm: Name,
-    zone: Name,
-    address: String,
-    incarnation: String,
-}
-
-impl Entry {
-    pub(crate) fn vm(&self) -> &Name {
-        &self.vm
-    }
-}
+use crate::shares::Holder;
 
 /// Whether the daemon takes new calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -382,233 +368,11 @@
         }
     }
 
-    pub(crate) fn hello(&self) -> Hello {
-        Hello {
-            version: PROTOCOL_VERSION,
-            vm: self.settings.vm.to_string(),
-            incarnation: self.incarnation.0,
-            zone: self.settings.zone.to_string(),
-            entry: self.settings.entry.to_string(),
-        }
-    }
-
-    pub(crate) fn heartbeat(&self) -> Heartbeat {
-        Heartbeat {
-            list_generation: self.fleet.view(View::generation),
-            list_age_us: owner::micros(self.fleet.view(|view| view.list_age(self.now()))),
-            sheet_revision: self.sheet().revision,
-            ready: self.takes_calls(),
-            id_prefix: self.id_prefix().0,
-        }
-    }
-
-    /// Takes what a dialled link says of its peer.
-    pub(crate) fn on_link(&self, vm: &Name, address: SocketAddr, event: &LinkEvent) {
-        let now = self.now();
-        match event {
-            LinkEvent::Up(hello) => {
-                let incarnation = Incarnation(hello.incarnation);
-                log::info!("peer: linked to {vm}, incarnation {incarnation}");
-                self.peers.set_up(vm, Some(incarnation));
-                let greeting = self.fleet.on_hello(vm, incarnation, address.ip());
-                if let Greeting::Restarted { old } = greeting {
-                    self.owner.send(Msg::EntryGone(old));
-                }
-                let moves = self.holder.in_transit_to(now, incarnation);
-                if !moves.moves.is_empty() {
-                    self.peers.send(vm, Body::PartMoves(moves));
-                }
-                self.sync_listed();
-            }
-            LinkEvent::Refused => {
-                self.peers.set_up(vm, None);
-                if let Some(gone) = self.fleet.on_refused(now, vm) {
-                    self.owner.send(Msg::EntryGone(gone));
-                }
-            }
-            LinkEvent::Down => {
-                self.peers.set_up(vm, None);
-                self.fleet.on_silent(now, vm);
-            }
-        }
-    }
-
-    pub(crate) fn on_heartbeat(&self, vm: &Name, heartbeat: &Heartbeat) {
-        let beat = Beat {
-            generation: heartbeat.list_generation,
-            age: Duration::from_micros(heartbeat.list_age_us),
-            ready: heartbeat.ready,
-        };
-        self.fleet.on_heartbeat(self.now(), vm, beat);
-        lock(&self.prefixes).insert(vm.clone(), Incarnation(heartbeat.id_prefix));
-        self.newest_revision
-            .fetch_max(heartbeat.sheet_revision, Ordering::SeqCst);
-        if heartbeat.sheet_revision > self.sheet().revision {
-            self.peers.send(vm, Body::SheetAsk(self.sheet().revision));
-        }
-        let generation = self.fleet.view(View::generation);
-        if heartbeat.list_generation > generation {
-            self.peers.send(vm, Body::ListAsk(generation));
-        }
-    }
-
-    /// Takes a message that needs no reply.
-    pub(crate) fn on_message(self: &Arc<Self>, peer: &Peer, body: Body) {
-        match body {
-            Body::Withdraw(withdraw) => self.owner.send(Msg::Withdraw {
-                pool: withdraw.pool.into(),
-                id: withdraw.id.into(),
-            }),
-            Body::Release(release) => self.owner.send(Msg::Release(release)),
-            Body::Digest(digest) => {
-                lock(&self.owners).on_digest(self.now(), &peer.vm, digest);
-            }
-            Body::SheetAsk(revision) => self.push_sheet(peer, revision),
-            Body::SheetPush(push) => {
-                self.offer_sheet(&push.content, Some(push.revision));
-            }
-            Body::ListAsk(generation) => self.push_list(peer, generation),
-            Body::ListPush(push) => {
-                if let Some(list) = list_of(&push) {
-                    self.on_list_push(list, Duration::from_micros(push.age_us));
-                }
-            }
-            Body::PartMoves(moves) => take_moves(self, &peer.vm, peer.incarnation, &moves),
-            Body::PartAck(ack) => self.holder.on_ack(self.now(), peer.incarnation, &ack),
-            Body::Suspect(suspect) => self.owner.send(suspect_msg(suspect, None)),
-            _ => log::debug!("peer: message from {} without use", peer.vm),
-        }
-    }
-
-    /// Tells the owner role of this daemon of a suspect and returns what it knows afterwards.
-    pub(crate) async fn note_suspect(&self, suspect: wire::Suspect) -> Option<wire::Suspect> {
-        let ask = |reply| suspect_msg(suspect, Some(reply));
-        self.owner.ask(ask).await
-    }
-
     /// VMs that own targets of a pool.
     pub(crate) fn owners_of(&self, pool: &Name) -> Vec<Name> {
         lock(&self.owners).of(pool)
     }
 
-    /// Answers a request of a peer.
-    pub(crate) async fn on_request(self: &Arc<Self>, peer: &Peer, body: Body) -> Option<Body> {
-        match body {
-            Body::Offer(offer) => self.offer(offer, peer.incarnation).await.ok(),
-            Body::Suspect(suspect) => self.note_suspect(suspect).await.map(Body::Suspect),
-            Body::HandoverAsk(ask) => crate::fleet::on_ask(self, peer, &ask).await,
-            Body::PartAsk(ask) => Some(Body::PartMoves(self.holder.on_ask(self.now(), peer, &ask))),
-            Body::PartQuery(query) => {
-                let claims = self.holder.on_query(self.now(), peer, &query);
-                Some(Body::PartClaims(claims))
-            }
-            Body::OutcomeAsk(ask) => {
-                let (outcome, reason) = self.outcome(&ask.id).unwrap_or_default();
-                Some(Body::OutcomeReply(OutcomeReply { outcome, reason }))
-            }
-            _ => None,
-        }
-    }
-
-    /// Takes a reply that nobody waits for any more.
-    pub(crate) fn on_orphan(self: &Arc<Self>, vm: &Name, body: &Body) {
-        match (body, self.peers.incarnation(vm)) {
-            (Body::PartMoves(moves), Some(giver)) => take_moves(self, vm, giver, moves),
-            _ => return_permit(self, vm, body),
-        }
-    }
-
-    fn push_sheet(&self, peer: &Peer, revision: u64) {
-        let sheet = self.sheet();
-        if sheet.revision > revision {
-            let push = wire::SheetPush {
-                revision: sheet.revision,
-                content: sheet.to_csv().into(),
-                piece: 0,
-                pieces: 1,
-            };
-            self.peers.send(&peer.vm, Body::SheetPush(push));
-        }
-    }
-
-    fn push_list(&self, peer: &Peer, generation: u64) {
-        let push = self.fleet.view(|view| {
-            let list = view.list().filter(|list| list.generation > generation)?;
-            Some(list_push(list, view.list_age(self.now())))
-        });
-        if let Some(push) = push {
-            self.peers.send(&peer.vm, Body::ListPush(push));
-        }
-    }
-
-    /// Outcome and reason of a request of this incarnation.
-    pub(crate) fn outcome(&self, id: &str) -> Option<(String, String)> {
-        let record = self.with_table(|table| table.get(id))?;
-        Some(match record.answer.outcome() {
-            Some(outcome) => (outcome.label().into(), outcome.reason().into()),
-            None => ("pending".into(), String::new()),
-        })
-    }
-
-    /// Asks another incarnation for the outcome of its request.
-    pub(crate) async fn ask_outcome(
-        &self,
-        id: &Name,
-        incarnation: Incarnation,
-    ) -> Option<(String, String)> {
-        let vm = self.peers.find(incarnation)?;
-        let ask = Body::OutcomeAsk(OutcomeAsk { id: id.to_string() });
-        let wait = self.settings.timing.silent;
-        match self.peers.call(&vm, ask, wait).await {
-            Ok(Body::OutcomeReply(reply)) if !reply.outcome.is_empty() => {
-                Some((reply.outcome, reply.reason))
-            }
-            Ok(_) => None,
-            Err(err) => {
-                log::info!("peer: outcome of request {id} not known: {err}");
-                None
-            }
-        }
-    }
-
-    /// Addresses that callers may use.
-    pub(crate) fn entries(&self) -> Vec<Entry> {
-        let prefixes = lock(&self.prefixes).clone();
-        let entry = |entry: member::Entry| Entry {
-            address: entry.address.to_string(),
-            incarnation: prefixes
-                .get(&entry.vm)
-                .unwrap_or(&entry.incarnation)
-                .to_string(),
-            vm: entry.vm,
-            zone: entry.zone,
-        };
-        let now = self.now();
-        let others = self
-            .fleet
-            .view(|view| view.entries(now).map(entry).collect::<Vec<_>>());
-        let own = Entry {
-            vm: self.settings.vm.clone(),
-            zone: self.settings.zone.clone(),
-            address: self.settings.entry.to_string(),
-            incarnation: self.id_prefix().to_string(),
-        };
-        let own = self.takes_calls().then_some(own);
-        let others = others
-            .into_iter()
-            .filter(|entry| entry.vm != self.settings.vm);
-        own.into_iter().chain(others).collect()
-    }
-
-    fn id_prefix(&self) -> Incarnation {
-        self.with_table(|table| table.prefix())
-    }
-
-    /// Requests that have not ended.
-    pub(crate) fn running(&self) -> usize {
-        self.with_table(|table| table.running())
-    }
-
     /// Sends the load of the owned targets to all peers and notes it here.
     pub(crate) async fn send_digests(&self) {
         let Some(digests) = self.owner.ask(Msg::Digests).await else {
@@ -625,51 +389,3 @@
 fn is_single(settings: &Settings) -> bool {
     settings.peer.is_none() || settings.vm_list.is_none()
 }
-
-fn list_push(list: &VmList, age: Duration) -> ListPush {
-    ListPush {
-        generation: list.generation,
-        age_us: owner::micros(age),
-        vms: list
-            .vms
-            .iter()
-            .map(|vm| wire::VmRow {
-                name: vm.name.to_string(),
-                zone: vm.zone.to_string(),
-                leaving: vm.state == VmState::Leaving,
-                entry: vm.entry.to_string(),
-                peer: vm.peer.to_string(),
-            })
-            .collect(),
-    }
-}
-
-/// The list in a message; `None` if an address is malformed.
-fn list_of(push: &ListPush) -> Option<VmList> {
-    let vms = push.vms.iter().map(|row| {
-        Some(member::Vm {
-            name: row.name.as_str().into(),
-            zone: row.zone.as_str().into(),
-            state: if row.leaving {
-                VmState::Leaving
-            } else {
-                VmState::Live
-            },
-            entry: row.entry.parse().ok()?,
-            peer: row.peer.parse().ok()?,
-        })
-    });
-    Some(VmList {
-        generation: push.generation,
-        vms: vms.collect::<Option<_>>()?,
-    })
-}
-
-fn suspect_msg(suspect: wire::Suspect, reply: Option<oneshot::Sender<wire::Suspect>>) -> Msg {
-    Msg::Suspect {
-        fingerprint: suspect.fingerprint,
-        crashed: suspect.targets.into_iter().map(Name::from).collect(),
-        remember: Duration::from_micros(suspect.remember_us),
-        reply,
-    }
-}
--- a/crates/sheet/tests/settings.rs
+++ b/crates/sheet/tests/settings.rs
@@ -28,11 +28,14 @@
 
 // Guards against a takeover while the old holder may still use its lease or a last permit.
 #[test]
-fn hold_down_covers_lag_lease_and_permits() {
-    let timing = r#""timing": {"list_lag": "2s", "lease": "3s", "permit_life": "4s"}"#;
+fn hold_down_covers_lag_transit_and_lease_twice() {
+    let timing = r#""timing": {"list_lag": "2s", "lease": "3s", "silent": "4s"}"#;
     let settings = parse(&format!("{START}{SHEET},{timing}}}")).unwrap();
 
-    assert_eq!(settings.hold_down(), Duration::from_secs(2 + 3 + 4 + 1));
+    assert_eq!(
+        settings.hold_down(),
+        Duration::from_secs(2 * (2 + 3 + 4) + 1)
+    );
 }
 
 #[test]
@@ -78,7 +81,7 @@
         ("{}", "a.jsonc:1:2: missing field `vm`"),
         (
             "{S,\n  // é\n  /* é */ \"colour\": 1}",
-            "a.jsonc:3:21: colour: unknown field `colour`, expected one of `vm`, `zone`, `entry`, `admin`, `peer`, `sheet`, `vm_list`, `limits`, `timing`, `log`",
+            "a.jsonc:3:21: colour: unknown field `colour`, expected one of `vm`, `zone`, `entry`, `admin`, `peer`, `sheet`, `vm_list`, `limits`, `timing`, `log`, `policy`",
         ),
         (
             "{S,\n\"timing\": {\"lease\": 15}}",
