--- a/crates/daemon/src/owner/task.rs
+++ b/crates/daemon/src/owner/task.rs
@@ -437,11 +437,15 @@
         let now = self.node.now();
         for suspect in pool.scheduler.suspects() {
             let message = suspect_message(now, &suspect);
-            log::warn!(
-                "owner: fingerprint {:016x} crashed {}",
-                suspect.fingerprint,
-                message.targets.join(", ")
-            );
+            if suspect.crashed.is_empty() {
+                log::info!("owner: fingerprint {:016x} is cleared", suspect.fingerprint);
+            } else {
+                log::warn!(
+                    "owner: fingerprint {:016x} crashed {}",
+                    suspect.fingerprint,
+                    message.targets.join(", ")
+                );
+            }
             self.node.peers.broadcast(&Body::Suspect(message));
         }
     }
--- a/crates/daemon/src/peer/check.rs
+++ b/crates/daemon/src/peer/check.rs
@@ -85,9 +85,9 @@
         }),
         Body::OutcomeAsk(ask) => id(&ask.id),
         Body::Suspect(suspect) => suspect.targets.iter().try_for_each(|target| name(target)),
+        Body::PartQuery(query) => query.claims.iter().try_for_each(claim),
         Body::Heartbeat(_)
         | Body::OfferReply(_)
-        | Body::PartQuery(_)
         | Body::SheetPush(_)
         | Body::OutcomeReply(_)
         | Body::SheetAsk(_)
--- /dev/null
+++ b/crates/daemon/tests/restart.rs
@@ -0,0 +1,24 @@
+//! A VM whose process starts again.
+
+mod support;
+
+use support::outcome;
+use support::small::{model_call, start};
+
+/// Guards against a restarted VM that is ready but gets no tokens from its peers, so that it refuses
+/// requests inside the workspace's rate.
+#[tokio::test]
+async fn a_restarted_vm_serves_inside_the_rate_once_it_is_ready() {
+    let mut site = start(2, 0).await;
+    for (round, vm) in site.fleet.names().into_iter().enumerate() {
+        site.fleet.kill(&vm).await.unwrap();
+        site.fleet.restart(&vm).await.unwrap();
+
+        let seed = u64::try_from(round).unwrap();
+        let call = model_call(seed, 3, false).header("x-primrosechute-deadline", "50s");
+        let answer = site.client(&vm).call(call).await.unwrap();
+
+        let rate = ("refused".to_string(), "rate".to_string());
+        assert_ne!(outcome(&answer), rate, "{vm}: {answer:?}");
+    }
+}
