sheet: expect the field policy in the list of known settings

errors_name_file_line_and_column compares the whole message for an unknown field, which lists all fields, and failed since policy was added.

--- a/crates/sheet/tests/settings.rs
+++ b/crates/sheet/tests/settings.rs
@@ -78,7 +78,7 @@
         ("{}", "a.jsonc:1:2: missing field `vm`"),
         (
             "{S,\n  // é\n  /* é */ \"colour\": 1}",
-            "a.jsonc:3:21: colour: unknown field `colour`, expected one of `vm`, `zone`, `entry`, `admin`, `peer`, `sheet`, `vm_list`, `limits`, `timing`, `log`",
+            "a.jsonc:3:21: colour: unknown field `colour`, expected one of `vm`, `zone`, `entry`, `admin`, `peer`, `sheet`, `vm_list`, `limits`, `timing`, `log`, `policy`",
         ),
         (
             "{S,\n\"timing\": {\"lease\": 15}}",
