--- a/crates/ctl/src/send.rs
+++ b/crates/ctl/src/send.rs
@@ -69,7 +69,7 @@
     /// Longest time to the first byte of the answer, for example 410ms.
     #[arg(long, value_name = "DURATION", value_parser = deadline)]
     deadline: Option<HeaderValue>,
-    /// Request id of an earlier attempt, <incarnation>-<random>.
+    /// Request id of an earlier attempt, `<incarnation>-<random>`.
     #[arg(long, value_parser = request_id)]
     id: Option<String>,
     /// Time after which the request is given up with an unknown outcome.
