Split the owner task and forget permits whose release was lost

Change: decisions and what gone entries leave behind in files of their own; permits past their hard deadline are forgotten every ten seconds.

--- /dev/null
+++ b/crates/daemon/src/owner/gone.rs
@@ -0,0 +1,85 @@
+//! What an entry or an earlier owner leaves behind: offers, permits and runs that nobody reports.
+
+use std::sync::Arc;
+
+use member::Incarnation;
+use sched::{Name, PermitId, RunEnd};
+
+use super::reclaim;
+use super::task::{Task, Waiting, without_run};
+
+impl Task {
+    /// Withdraws the offers that came on a closed link, and looks after the permits of its entry,
+    /// which may have got lost on it.
+    pub(super) fn link_closed(&mut self, entry: Incarnation) {
+        self.withdraw_all(|waiting| waiting.reply.is_closed());
+        self.watch_permits(entry);
+    }
+
+    /// Looks after the permits of an entry whose process is gone: their requests may still run.
+    pub(super) fn entry_gone(&mut self, entry: Incarnation) {
+        self.withdraw_all(|waiting| waiting.entry == entry);
+        self.watch_permits(entry);
+    }
+
+    fn withdraw_all(&mut self, is_gone: impl Fn(&Waiting) -> bool) {
+        let gone: Vec<_> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| is_gone(waiting))
+            .map(|(id, _)| id.clone())
+            .collect();
+        let now = self.now();
+        for id in gone {
+            self.waiting.remove(&id);
+            for pool in self.pools.values_mut() {
+                pool.withdraw(now, &id);
+            }
+        }
+    }
+
+    fn watch_permits(&mut self, entry: Incarnation) {
+        for ((pool, permit), given) in &mut self.given {
+            if given.entry == entry && !std::mem::replace(&mut given.watched, true) {
+                reclaim::watch(
+                    Arc::clone(&self.node),
+                    reclaim::Lost {
+                        pool: pool.clone(),
+                        permit: Some(*permit),
+                        target: given.target.clone(),
+                        id: given.id.clone(),
+                        expires: given.expires,
+                    },
+                );
+            }
+        }
+    }
+
+    pub(super) fn run_gone(&mut self, pool: &Name, id: &Name, permit: Option<PermitId>) {
+        let report = without_run(RunEnd::Cancelled);
+        let now = self.now();
+        if let Some(permit) = permit {
+            self.end(pool, permit, report);
+        } else if let Some(found) = self.pools.get_mut(pool) {
+            found.release_request(now, id, report);
+        }
+    }
+
+    /// Looks after runs that an earlier owner granted. It can't pass on their ends once it has left,
+    /// or while its VM list does not name this owner.
+    pub(super) fn watch_handed_over(&self, pool: &Name, handover: &sched::Handover) {
+        let expires = self.now() + self.node.settings.timing.permit_life;
+        for run in &handover.in_flight {
+            reclaim::watch(
+                Arc::clone(&self.node),
+                reclaim::Lost {
+                    pool: pool.clone(),
+                    permit: None,
+                    target: handover.target.clone(),
+                    id: run.request.clone(),
+                    expires,
+                },
+            );
+        }
+    }
+}
--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -3,6 +3,8 @@
 //! One task owns all schedulers; the rest of the daemon sends it messages, so that decisions need
 //! no lock and are made in one order.
 
+mod decide;
+mod gone;
 mod reclaim;
 mod task;
 
--- a/crates/daemon/src/owner/task.rs
+++ b/crates/daemon/src/owner/task.rs
@@ -4,50 +4,53 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use member::{Grants, Incarnation};
-use metrics::counter;
-use sched::{Config, Descriptor, Event, Name, PermitId, RunEnd, RunReport, Scheduler, TargetPhase};
+use member::Incarnation;
+use sched::{Config, Descriptor, Name, PermitId, RunEnd, RunReport, Scheduler};
 use tokio::sync::{mpsc, oneshot};
-use wire::{Body, Digest, Grant, OfferReply, Release, Shed, Verdict};
+use wire::{Body, Release, Verdict};
 
-use super::{Handle, Msg, Source, TargetStatus, run_end};
+use super::decide::verdict;
+use super::{Handle, Msg, Source, run_end};
 use crate::node::Node;
-use crate::outcome::shed_label;
 
 /// Longest time between two polls of the schedulers, so that deadlines of waiting requests are
 /// checked although nothing else happens.
 const MAX_IDLE: Duration = Duration::from_millis(250);
 
+/// Time between two looks for permits whose release was lost.
+const SWEEP: Duration = Duration::from_secs(10);
+
 /// An offer whose decision is open.
-struct Waiting {
-    reply: oneshot::Sender<Body>,
-    entry: Incarnation,
-    received: Duration,
+pub(super) struct Waiting {
+    pub(super) reply: oneshot::Sender<Body>,
+    pub(super) entry: Incarnation,
+    pub(super) received: Duration,
+    pub(super) hard_deadline: Duration,
 }
 
 /// A permit that was given and not yet ended.
-struct Given {
-    target: Name,
-    id: Name,
-    entry: Incarnation,
-    expires: Duration,
+pub(super) struct Given {
+    pub(super) target: Name,
+    pub(super) id: Name,
+    pub(super) entry: Incarnation,
+    pub(super) expires: Duration,
+    /// Time by which the scheduler has freed the place, whatever became of the run.
+    pub(super) hard_deadline: Duration,
     /// Whether the engine is being asked for the run.
-    watched: bool,
-}
-
-struct Pool {
-    scheduler: Scheduler,
+    pub(super) watched: bool,
 }
 
-struct Task {
-    node: Arc<Node>,
-    pools: HashMap<Name, Pool>,
+pub(super) struct Task {
+    pub(super) node: Arc<Node>,
+    pub(super) pools: HashMap<Name, Scheduler>,
     /// Pool of each owned target.
-    targets: HashMap<Name, Name>,
-    waiting: HashMap<Name, Waiting>,
+    pub(super) targets: HashMap<Name, Name>,
+    pub(super) waiting: HashMap<Name, Waiting>,
     /// Permits are numbered by each scheduler, so the pool is part of the key.
-    given: HashMap<(Name, PermitId), Given>,
-    in_doubt: bool,
+    pub(super) given: HashMap<(Name, PermitId), Given>,
+    pub(super) in_doubt: bool,
+    /// When permits past their hard deadline were last forgotten.
+    pub(super) swept: Duration,
 }
 
 /// Starts the owner task.
@@ -59,6 +62,7 @@
         waiting: HashMap::new(),
         given: HashMap::new(),
         in_doubt: false,
+        swept: Duration::ZERO,
     };
     tokio::spawn(task.run(rx));
 }
@@ -79,18 +83,28 @@
                 Err(_) => {}
             }
             self.decide();
+            self.sweep();
         }
     }
 
-    fn now(&self) -> Duration {
+    pub(super) fn now(&self) -> Duration {
         self.node.now()
     }
 
+    /// Forgets permits whose release was lost.
+    fn sweep(&mut self) {
+        let now = self.now();
+        if now.saturating_sub(self.swept) >= SWEEP {
+            self.swept = now;
+            self.given.retain(|_, given| given.hard_deadline > now);
+        }
+    }
+
     fn next_wait(&self) -> Duration {
         let now = self.now();
         self.pools
             .values()
-            .filter_map(|pool| pool.scheduler.next_wakeup())
+            .filter_map(Scheduler::next_wakeup)
             .min()
             .map_or(MAX_IDLE, |at| at.saturating_sub(now).min(MAX_IDLE))
     }
@@ -157,19 +171,20 @@
             reply,
             entry,
             received: now,
+            hard_deadline: descriptor.hard_deadline,
         };
         let before = self.waiting.insert(descriptor.id.clone(), waiting);
         // An entry offers a request to one owner at a time, so a second offer of a waiting request
         // only replaces the reply channel.
         if before.is_none() {
-            found.scheduler.offer(now, descriptor);
+            found.offer(now, descriptor);
         }
     }
 
     fn withdraw(&mut self, pool: &Name, id: &Name) {
         let now = self.now();
         if let Some(pool) = self.pools.get_mut(pool) {
-            pool.scheduler.withdraw(now, id);
+            pool.withdraw(now, id);
         }
         self.waiting.remove(id);
     }
@@ -186,18 +201,16 @@
             crate::fleet::forward_release(&self.node, release);
         } else if let Some(found) = self.pools.get_mut(&pool) {
             let now = self.node.now();
-            found
-                .scheduler
-                .release_request(now, &release.id, report_of(&release));
+            found.release_request(now, &release.id, report_of(&release));
         }
     }
 
     /// Ends a permit of this owner.
-    fn end(&mut self, pool: &Name, permit: PermitId, report: RunReport) {
+    pub(super) fn end(&mut self, pool: &Name, permit: PermitId, report: RunReport) {
         let now = self.now();
         self.given.remove(&(pool.clone(), permit));
         if let Some(found) = self.pools.get_mut(pool) {
-            found.scheduler.release(now, permit, report);
+            found.release(now, permit, report);
         }
     }
 
@@ -205,7 +218,7 @@
         let now = self.now();
         let pool = self.targets.get(target);
         if let Some(pool) = pool.and_then(|pool| self.pools.get_mut(pool)) {
-            pool.scheduler.load_report_at(now, target, report, measured);
+            pool.load_report_at(now, target, report, measured);
         }
     }
 
@@ -213,7 +226,7 @@
         let now = self.now();
         let pool = self.targets.get(target);
         if let Some(pool) = pool.and_then(|pool| self.pools.get_mut(pool)) {
-            pool.scheduler.refused(now, target);
+            pool.refused(now, target);
         }
     }
 
@@ -233,14 +246,14 @@
                 ..Config::default()
             });
             scheduler.set_in_doubt(in_doubt);
-            Pool { scheduler }
+            scheduler
         });
         self.targets.insert(spec.name.clone(), pool.clone());
         match source {
-            Source::Fresh | Source::Changed => found.scheduler.set_target(now, spec, false),
-            Source::AssumeFull => found.scheduler.set_target(now, spec, true),
+            Source::Fresh | Source::Changed => found.set_target(now, spec, false),
+            Source::AssumeFull => found.set_target(now, spec, true),
             Source::Handed(handover) => {
-                found.scheduler.adopt(now, spec, &handover);
+                found.adopt(now, spec, &handover);
                 self.watch_handed_over(pool, &handover);
             }
         }
@@ -249,7 +262,7 @@
     fn give_up(&mut self, target: &Name) -> Option<sched::Handover> {
         let now = self.now();
         let pool = self.targets.remove(target)?;
-        let handover = self.pools.get_mut(&pool)?.scheduler.give_up(now, target);
+        let handover = self.pools.get_mut(&pool)?.give_up(now, target);
         self.given.retain(|_, given| given.target != *target);
         handover
     }
@@ -257,7 +270,7 @@
     fn set_in_doubt(&mut self, in_doubt: bool) {
         self.in_doubt = in_doubt;
         for pool in self.pools.values_mut() {
-            pool.scheduler.set_in_doubt(in_doubt);
+            pool.set_in_doubt(in_doubt);
         }
     }
 
@@ -266,7 +279,7 @@
         let known = self
             .pools
             .values_mut()
-            .filter_map(|pool| pool.scheduler.suspect(fingerprint, crashed, now + remember))
+            .filter_map(|pool| pool.suspect(fingerprint, crashed, now + remember))
             .max_by_key(|suspect| suspect.crashed.len());
         match known {
             Some(suspect) => suspect_message(now, &suspect),
@@ -276,208 +289,6 @@
             },
         }
     }
-
-    /// Withdraws the offers that came on a closed link, and looks after the permits of its entry,
-    /// which may have got lost on it.
-    fn link_closed(&mut self, entry: Incarnation) {
-        self.withdraw_all(|waiting| waiting.reply.is_closed());
-        self.watch_permits(entry);
-    }
-
-    /// Looks after the permits of an entry whose process is gone: their requests may still run.
-    fn entry_gone(&mut self, entry: Incarnation) {
-        self.withdraw_all(|waiting| waiting.entry == entry);
-        self.watch_permits(entry);
-    }
-
-    fn withdraw_all(&mut self, is_gone: impl Fn(&Waiting) -> bool) {
-        let gone: Vec<_> = self
-            .waiting
-            .iter()
-            .filter(|(_, waiting)| is_gone(waiting))
-            .map(|(id, _)| id.clone())
-            .collect();
-        let now = self.now();
-        for id in gone {
-            self.waiting.remove(&id);
-            for pool in self.pools.values_mut() {
-                pool.scheduler.withdraw(now, &id);
-            }
-        }
-    }
-
-    fn watch_permits(&mut self, entry: Incarnation) {
-        for ((pool, permit), given) in &mut self.given {
-            if given.entry == entry && !std::mem::replace(&mut given.watched, true) {
-                super::reclaim::watch(
-                    Arc::clone(&self.node),
-                    super::reclaim::Lost {
-                        pool: pool.clone(),
-                        permit: Some(*permit),
-                        target: given.target.clone(),
-                        id: given.id.clone(),
-                        expires: given.expires,
-                    },
-                );
-            }
-        }
-    }
-
-    fn run_gone(&mut self, pool: &Name, id: &Name, permit: Option<PermitId>) {
-        let report = without_run(RunEnd::Cancelled);
-        let now = self.now();
-        if let Some(permit) = permit {
-            self.end(pool, permit, report);
-        } else if let Some(found) = self.pools.get_mut(pool) {
-            found.scheduler.release_request(now, id, report);
-        }
-    }
-
-    /// Looks after runs that an earlier owner granted. It can't pass on their ends once it has left,
-    /// or while its VM list does not name this owner.
-    fn watch_handed_over(&self, pool: &Name, handover: &sched::Handover) {
-        let expires = self.now() + self.node.settings.timing.permit_life;
-        for run in &handover.in_flight {
-            super::reclaim::watch(
-                Arc::clone(&self.node),
-                super::reclaim::Lost {
-                    pool: pool.clone(),
-                    permit: None,
-                    target: handover.target.clone(),
-                    id: run.request.clone(),
-                    expires,
-                },
-            );
-        }
-    }
-
-    /// Polls all schedulers and sends their decisions.
-    fn decide(&mut self) {
-        let now = self.now();
-        let names: Vec<Name> = self.pools.keys().cloned().collect();
-        for name in names {
-            let Some(pool) = self.pools.get_mut(&name) else {
-                continue;
-            };
-            for event in pool.scheduler.poll(now) {
-                match event {
-                    Event::Granted(permit) => self.grant(&name, permit),
-                    Event::Shed { id, tier, reason } => self.shed(&name, &id, tier, reason),
-                }
-            }
-            self.gossip_suspects(&name);
-        }
-    }
-
-    fn grant(&mut self, pool: &Name, permit: sched::Permit) {
-        let now = self.now();
-        let Some(waiting) = self.waiting.remove(&permit.request) else {
-            self.unused(pool, permit.id);
-            return;
-        };
-        if self.node.fleet.grants(now, &permit.target) == Grants::None {
-            // The target moves away; its next owner decides about the request.
-            self.unused(pool, permit.id);
-            let revision = self.node.sheet().revision;
-            let _ = waiting.reply.send(verdict(Verdict::NotOwner(revision)));
-            return;
-        }
-        let reply = verdict(Verdict::Grant(Grant {
-            permit: permit.id.0,
-            target: permit.target.to_string(),
-            expires_us: micros(permit.expires.saturating_sub(waiting.received)),
-            owner: self.node.incarnation.0,
-        }));
-        self.given.insert(
-            (pool.clone(), permit.id),
-            Given {
-                target: permit.target,
-                id: permit.request,
-                entry: waiting.entry,
-                expires: permit.expires,
-                watched: false,
-            },
-        );
-        counter!("primrosechute_permits_granted_total").increment(1);
-        if waiting.reply.send(reply).is_err() {
-            // The entry has withdrawn or its link broke before the reply was written.
-            log::debug!("owner: nobody waits for the permit at {now:?}");
-            self.unused(pool, permit.id);
-        }
-    }
-
-    fn unused(&mut self, pool: &Name, permit: PermitId) {
-        self.end(pool, permit, without_run(RunEnd::Unused));
-    }
-
-    fn shed(&mut self, pool: &Name, id: &Name, tier: u8, reason: sched::ShedReason) {
-        if reason == sched::ShedReason::NoTarget && !self.targets.values().any(|p| p == pool) {
-            // The targets were handed over while the request waited; their new owners decide.
-            if let Some(waiting) = self.waiting.remove(id) {
-                let revision = self.node.sheet().revision;
-                let _ = waiting.reply.send(verdict(Verdict::NotOwner(revision)));
-            }
-            return;
-        }
-        let label = shed_label(reason);
-        counter!("primrosechute_owner_shed_total", "reason" => label, "tier" => tier.to_string())
-            .increment(1);
-        if let Some(waiting) = self.waiting.remove(id) {
-            let _ = waiting.reply.send(verdict(Verdict::Shed(Shed {
-                reason: label.to_string(),
-            })));
-        }
-    }
-
-    /// Tells the other owners about fingerprints that crashed targets here.
-    fn gossip_suspects(&mut self, pool: &Name) {
-        let Some(pool) = self.pools.get_mut(pool) else {
-            return;
-        };
-        let now = self.node.now();
-        for suspect in pool.scheduler.suspects() {
-            let message = suspect_message(now, &suspect);
-            if suspect.crashed.is_empty() {
-                log::info!("owner: fingerprint {:016x} is cleared", suspect.fingerprint);
-            } else {
-                log::warn!(
-                    "owner: fingerprint {:016x} crashed {}",
-                    suspect.fingerprint,
-                    message.targets.join(", ")
-                );
-            }
-            self.node.peers.broadcast(&Body::Suspect(message));
-        }
-    }
-
-    fn digests(&self) -> Vec<Digest> {
-        self.pools
-            .iter()
-            .map(|(name, pool)| {
-                let digest = pool.scheduler.digest();
-                Digest {
-                    pool: name.to_string(),
-                    free: digest.free,
-                    limit: digest.limit,
-                    waiting: digest.waiting,
-                }
-            })
-            .collect()
-    }
-
-    fn status(&self) -> Vec<TargetStatus> {
-        self.targets
-            .iter()
-            .filter_map(|(target, pool)| {
-                let phase = self.pools.get(pool)?.scheduler.phase(target)?;
-                Some(TargetStatus {
-                    target: target.clone(),
-                    pool: pool.clone(),
-                    phase: phase_label(phase),
-                })
-            })
-            .collect()
-    }
 }
 
 impl Handle {
@@ -488,7 +299,7 @@
     }
 }
 
-fn suspect_message(now: Duration, suspect: &sched::Suspect) -> wire::Suspect {
+pub(super) fn suspect_message(now: Duration, suspect: &sched::Suspect) -> wire::Suspect {
     wire::Suspect {
         fingerprint: suspect.fingerprint,
         targets: suspect.crashed.iter().map(ToString::to_string).collect(),
@@ -496,7 +307,7 @@
     }
 }
 
-fn report_of(release: &Release) -> RunReport {
+pub(super) fn report_of(release: &Release) -> RunReport {
     RunReport {
         end: run_end(release.end),
         tokens: release.tokens,
@@ -506,7 +317,7 @@
 }
 
 /// Report of a permit of which no run was seen.
-fn without_run(end: RunEnd) -> RunReport {
+pub(super) fn without_run(end: RunEnd) -> RunReport {
     RunReport {
         end,
         tokens: 0,
@@ -515,22 +326,6 @@
     }
 }
 
-fn verdict(verdict: Verdict) -> Body {
-    Body::OfferReply(OfferReply {
-        verdict: Some(verdict),
-    })
-}
-
-fn phase_label(phase: TargetPhase) -> &'static str {
-    match phase {
-        TargetPhase::Cold => "cold",
-        TargetPhase::Warming => "warming",
-        TargetPhase::Serving => "serving",
-        TargetPhase::Draining => "draining",
-        TargetPhase::Out => "out",
-    }
-}
-
 /// Whole microseconds, as messages carry times.
 pub(crate) fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
