Build the daemon's own requests and the test timing in one place

Cause: a bodiless request with its host header was built in three places, a small call repeated the probe, and the fast timing of test fleets stood three times. Behaviour is unchanged.

--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ::http::{HeaderMap, HeaderValue, Method, Request, Response, header};
+use ::http::{HeaderMap, HeaderValue, Method, Response, header};
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use metrics::counter;
 use sheet::PoolKind;
@@ -17,7 +17,7 @@
 use super::rebuild::rebuild;
 use crate::node::Node;
 use crate::outcome::{Failure, Outcome};
-use crate::target::{ConnectError, Connection, small_call};
+use crate::target::{ConnectError, Connection, own_request, small_call};
 
 /// Breaks of a stream without a new event, and attempts to resume it without an answer, after which
 /// it counts as incomplete.
@@ -327,11 +327,8 @@
         Err(ConnectError::Refused) => return Resumed::Gone,
         Err(ConnectError::Unreachable) => return Resumed::NoAnswer,
     };
-    let req = Request::builder()
-        .uri(format!("/v1/streams/{}?offset={offset}", job.id.as_str()))
-        .header(header::HOST, target.to_string())
-        .body(Full::default());
-    let Ok(req) = req else {
+    let path = format!("/v1/streams/{}?offset={offset}", job.id.as_str());
+    let Ok(req) = own_request(Method::GET, target, &path) else {
         return Resumed::Gone;
     };
     match timeout(wait, connection.send(req)).await {
--- a/crates/daemon/src/feed/http.rs
+++ b/crates/daemon/src/feed/http.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http::Method;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use metrics::counter;
 use tokio::time::timeout;
 
-use crate::target::Connection;
+use crate::target::{Connection, own_request};
 
-/// Largest value that the platform holds, with some room for its headers' worth of growth.
+/// Twice the largest value that the platform holds.
 const MAX_VALUE: usize = 2 << 20;
 
 /// Longest text of a failure in a log line. An error may repeat what the platform sent.
@@ -111,11 +111,7 @@
     let call = async {
         let connection = Connection::open(address, wait).await;
         let mut connection = connection.map_err(|_| ReadError::Connect)?;
-        let req = Request::builder()
-            .uri(path)
-            .header(http::header::HOST, address.to_string())
-            .body(Full::default())
-            .map_err(|_| ReadError::Broken)?;
+        let req = own_request(Method::GET, address, path).map_err(|_| ReadError::Broken)?;
         let response = connection.send(req).await.map_err(|_| ReadError::Broken)?;
         let status = response.status().as_u16();
         let revision = response.headers().get("x-revision");
--- a/crates/daemon/src/feed/load.rs
+++ b/crates/daemon/src/feed/load.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::Method;
 use sched::{LoadReport, Name};
 use serde::Deserialize;
 use tokio::time::{MissedTickBehavior, interval};
@@ -40,7 +41,7 @@
 
 async fn read(node: Arc<Node>, target: Name, address: SocketAddr) {
     let wait = node.settings.timing.silent;
-    let body = match probe(address, "/load", wait).await {
+    let body = match probe(address, Method::GET, "/load", wait).await {
         Probe::Answer(200, body) => body,
         Probe::Refused => {
             node.owner.send(Msg::TargetRefused(target));
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -57,6 +57,19 @@
     }
 }
 
+/// A request of the daemon itself, without a body.
+pub(crate) fn own_request(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+) -> http::Result<Request<Full<Bytes>>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(http::header::HOST, address.to_string())
+        .body(Full::default())
+}
+
 impl Connection {
     /// Sends a small request of the daemon itself and returns status and body.
     async fn small_call(
@@ -65,12 +78,7 @@
         method: Method,
         path: &str,
     ) -> Option<(u16, Bytes)> {
-        let req = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(http::header::HOST, address.to_string())
-            .body(Full::default())
-            .ok()?;
+        let req = own_request(method, address, path).ok()?;
         let response = self.send(req).await.ok()?;
         let status = response.status().as_u16();
         let body = Limited::new(response.into_body(), MAX_SMALL_ANSWER);
@@ -78,7 +86,7 @@
     }
 }
 
-/// Load report of a target, as far as it gave one.
+/// Answer of a target to a small request, as far as it gave one.
 #[derive(Debug)]
 pub(crate) enum Probe {
     /// Status and body.
@@ -89,14 +97,19 @@
     Silent,
 }
 
-/// Reads a target's load report.
-pub(crate) async fn probe(address: SocketAddr, path: &str, wait: Duration) -> Probe {
+/// Sends a small request of the daemon itself and tells a refused connection from silence.
+pub(crate) async fn probe(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    wait: Duration,
+) -> Probe {
     let connection = match Connection::open(address, wait).await {
         Ok(connection) => connection,
         Err(ConnectError::Refused) => return Probe::Refused,
         Err(ConnectError::Unreachable) => return Probe::Silent,
     };
-    let call = connection.small_call(address, Method::GET, path);
+    let call = connection.small_call(address, method, path);
     match timeout(wait, call).await {
         Ok(Some((status, body))) => Probe::Answer(status, body),
         _ => Probe::Silent,
@@ -113,7 +126,8 @@
     path: &str,
     wait: Duration,
 ) -> Option<(u16, Bytes)> {
-    let connection = Connection::open(address, wait).await.ok()?;
-    let call = connection.small_call(address, method, path);
-    timeout(wait, call).await.ok().flatten()
+    match probe(address, method, path, wait).await {
+        Probe::Answer(status, body) => Some((status, body)),
+        Probe::Refused | Probe::Silent => None,
+    }
 }
--- a/crates/daemon/tests/support/load.rs
+++ b/crates/daemon/tests/support/load.rs
@@ -9,12 +9,12 @@
 use serde_json::json;
 use sheet::Sheet;
 use testkit::client::{Answer, Call, Client, ClientError};
-use testkit::fleet::{Fleet, FleetBuilder};
+use testkit::fleet::{Fleet, FleetBuilder, fast_timing};
 use testkit::{RouteRow, RunRecord, SheetBuilder, TargetRow};
 use tokio::sync::{Mutex, MutexGuard};
 use tokio::task::JoinHandle;
 
-use super::{LONG, fast_timing, outcome, prompt};
+use super::{LONG, outcome, prompt};
 
 /// Allows one fleet at a time in a test process, to bound the number of daemons.
 pub async fn one_fleet() -> MutexGuard<'static, ()> {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -11,32 +11,17 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::json;
 use sheet::{PoolKind, Settings, Sheet};
 use testkit::client::{Answer, Call, Client, ClientError};
-use testkit::fleet::{Fleet, FleetBuilder};
+use testkit::fleet::{Fleet, FleetBuilder, fast_timing};
 use testkit::{Engine, EngineConfig, PlainService};
 
 /// Longest wait for anything; reached only by a failing test.
 pub const LONG: Duration = Duration::from_mins(1);
 
-/// Timing that lets a new fleet hold its shares after about 8 s.
-pub fn fast_timing() -> serde_json::Value {
-    json!({
-        "heartbeat": "100ms",
-        "silent": "600ms",
-        "lease": "1s",
-        "list_lag": "200ms",
-        "list_poll": "200ms",
-        "propagation": "1s",
-        "load_poll": "200ms",
-        "redial_max": "500ms",
-    })
-}
-
 pub struct Site {
     pub fleet: Fleet,
     pub sheet: Sheet,
@@ -300,8 +285,3 @@
     }
     answers
 }
-
-/// Shares a site between tasks.
-pub fn shared(site: Site) -> Arc<Site> {
-    Arc::new(site)
-}
--- a/crates/daemon/tests/support/small.rs
+++ b/crates/daemon/tests/support/small.rs
@@ -7,11 +7,11 @@
 use serde_json::json;
 use sheet::Sheet;
 use testkit::client::{Answer, Call, Client, ClientError, EventStream};
-use testkit::fleet::{Fleet, FleetBuilder};
+use testkit::fleet::{Fleet, FleetBuilder, fast_timing};
 use testkit::{RouteRow, SheetBuilder, TargetRow, answer_text};
 use tokio::task::JoinHandle;
 
-use super::{LONG, Site, fast_timing, prompt};
+use super::{LONG, Site, prompt};
 
 pub const KEY: &str = "plain-key-one";
 pub const OTHER_KEY: &str = "plain-key-two";
--- a/crates/testkit/src/bin/measure/site.rs
+++ b/crates/testkit/src/bin/measure/site.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 use sheet::{PoolKind, Settings, Sheet, ZoneState};
 use testkit::client::Call;
-use testkit::fleet::Fleet;
+use testkit::fleet::{Fleet, fast_timing};
 use testkit::{Engine, EngineConfig, PlainService};
 
 use crate::mix::Mix;
@@ -58,20 +58,6 @@
     Ok(vms)
 }
 
-/// Timing that lets a new fleet hold its shares after about 8 s.
-fn timing() -> Value {
-    json!({
-        "heartbeat": "100ms",
-        "silent": "600ms",
-        "lease": "1s",
-        "list_lag": "200ms",
-        "list_poll": "200ms",
-        "propagation": "1s",
-        "load_poll": "200ms",
-        "redial_max": "500ms",
-    })
-}
-
 impl Site {
     /// Starts engines, services and daemons and waits until the daemons have tokens.
     pub async fn start(
@@ -82,7 +68,7 @@
         warm: bool,
     ) -> io::Result<Self> {
         let mut builder = Fleet::builder(binaries.join("primrosechute"))
-            .setting("timing", timing())
+            .setting("timing", fast_timing())
             .setting("policy", json!(policy))
             .setting("log", json!({ "level": "warn" }))
             .ready_timeout(START_WAIT);
--- a/crates/testkit/src/bin/soak/site.rs
+++ b/crates/testkit/src/bin/soak/site.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use testkit::fleet::Fleet;
+use testkit::fleet::{Fleet, fast_timing};
 use testkit::{Engine, EngineConfig, PlainService, RouteRow, SheetBuilder, TargetRow};
 
 /// Key of the only workspace.
@@ -52,17 +52,10 @@
             .vms(VMS, &ZONES)
             .peer_proxies()
             .platform_proxies()
+            .setting("timing", fast_timing())
             .setting(
                 "timing",
                 json!({
-                    "heartbeat": "100ms",
-                    "silent": "600ms",
-                    "lease": "1s",
-                    "list_lag": "200ms",
-                    "list_poll": "200ms",
-                    "propagation": "1s",
-                    "load_poll": "200ms",
-                    "redial_max": "500ms",
                     "stream_silent": "1s",
                     "keepalive": "500ms",
                 }),
--- a/crates/testkit/src/fleet/builder.rs
+++ b/crates/testkit/src/fleet/builder.rs
@@ -100,6 +100,21 @@
     }
 }
 
+/// Timing that lets a new fleet hold its shares after about 8 s.
+#[must_use]
+pub fn fast_timing() -> Value {
+    serde_json::json!({
+        "heartbeat": "100ms",
+        "silent": "600ms",
+        "lease": "1s",
+        "list_lag": "200ms",
+        "list_poll": "200ms",
+        "propagation": "1s",
+        "load_poll": "200ms",
+        "redial_max": "500ms",
+    })
+}
+
 /// Merges objects field by field; any other value replaces the old one.
 pub(crate) fn merge(into: &mut Value, from: Value) {
     match (into, from) {
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -6,7 +6,7 @@
 mod process;
 mod vm;
 
-pub use self::builder::FleetBuilder;
+pub use self::builder::{FleetBuilder, fast_timing};
 pub use self::process::Usage;
 
 use std::collections::BTreeMap;
