--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{CommandFactory, Parser, Subcommand};
+use platform::{PlatformDialect, PlatformStore, SettingsFile};
 use sheet::{LogFormat, LogLevel, Settings, SettingsError, Sheet, SheetSource};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -45,6 +46,16 @@
         #[arg(long, default_value = "127.0.0.1:8080")]
         entry: std::net::SocketAddr,
     },
+    /// Run a member of a fleet on the deployment platform, which names the settings file in the
+    /// environment.
+    #[command(after_help = "Examples:\n  primrosechute member\n\n\
+        SIGTERM drains and stops; SIGHUP reads the settings again.\n\
+        Exit codes: 0 stopped, 1 failed, 2 settings rejected.")]
+    Member {
+        /// Least severe level that is logged.
+        #[arg(long, value_enum, default_value_t = MemberLog::Info)]
+        log: MemberLog,
+    },
     /// Check a settings file, and its sheet file if it names one, without starting anything.
     #[command(
         after_help = "Examples:\n  primrosechute check --config site.jsonc\n\n\
@@ -66,6 +77,14 @@
     },
 }
 
+/// Log levels of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+enum MemberLog {
+    Warn,
+    Info,
+    Debug,
+}
+
 /// Runs the command line and returns the exit code of the process.
 #[must_use]
 pub fn main() -> ExitCode {
@@ -75,6 +94,7 @@
             Err(text) => fail(EXIT_CONFIG, &text),
         },
         Command::Demo { entry } => block_on(run_demo(entry)),
+        Command::Member { log } => member(log),
         Command::Check { config, json } => check(&config, json),
         Command::Completions { shell } => {
             let mut command = Args::command();
@@ -114,6 +134,37 @@
     Ok((settings, Some(sheet)))
 }
 
+/// Runs a member on one thread: a VM of a fleet has a part of one core.
+fn member(log: MemberLog) -> ExitCode {
+    use logforth::record::Level;
+    let level = match log {
+        MemberLog::Warn => Level::Warn,
+        MemberLog::Info => Level::Info,
+        MemberLog::Debug => Level::Debug,
+    };
+    logging::start(Format::Json, level);
+    let loaded = SettingsFile::from_env().and_then(|file| {
+        let (_, store) = file.load()?;
+        Ok((file, store))
+    });
+    let (file, store) = match loaded {
+        Ok(loaded) => loaded,
+        Err(text) => return fail(EXIT_CONFIG, &text),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(err) => return fail(EXIT_RUN, &format!("cannot start the runtime: {err}")),
+    };
+    let run = gateway::run(file, Box::new(PlatformDialect), PlatformStore::new(store));
+    match tokio::task::LocalSet::new().block_on(&runtime, run) {
+        gateway::Outcome::Stopped => ExitCode::SUCCESS,
+        gateway::Outcome::Failed(text) => fail(EXIT_RUN, &text),
+    }
+}
+
 fn check(path: &Path, json: bool) -> ExitCode {
     let checked = read_config(path).map(|(_, sheet)| sheet);
     match (checked, json) {
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,373 @@
+//! One attempt: a permit from an owner, and one send to the target of the permit.
+
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::clock;
+use crate::link;
+use crate::message::{Body, OfferMsg, millis};
+use crate::model::{Cost, Name, Target};
+use crate::node::{InFlight, Node, Reply};
+use crate::owner::{self, End, Refusal, Report, RunId};
+use crate::port::{Answer, Forward};
+use crate::upstream::{self, Upstream};
+
+/// An offer that is not answered is sent again after this time; answers take a few milliseconds.
+const RESEND: Duration = Duration::from_millis(40);
+/// An owner that left this many offers unanswered is passed over.
+const RESENDS: u32 = 3;
+/// A waiting offer is sent again after this time, to see whether its owner lives.
+const STILL_THERE: Duration = Duration::from_millis(200);
+/// Time beyond the longest wait after which an owner should have refused.
+const OWNER_DELAY: Duration = Duration::from_millis(150);
+
+/// A request as it is offered to owners.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    pub(crate) pool: Name,
+    pub(crate) tier: u8,
+    pub(crate) workspace: Option<Name>,
+    pub(crate) cost: Option<Cost>,
+    pub(crate) session: u64,
+    pub(crate) sends: u32,
+    pub(crate) avoid: Vec<u64>,
+    pub(crate) fingerprint: u64,
+    pub(crate) stream: bool,
+    /// Longest wait for a permit.
+    pub(crate) wait: Duration,
+    /// Time until the run is over at the latest.
+    pub(crate) left: Duration,
+}
+
+/// The right to send one request to one target once. Dropping it ends the run at its owner.
+pub(crate) struct Permit {
+    node: Rc<Node>,
+    owner: Ipv4Addr,
+    run: u64,
+    pub(crate) target: Target,
+    pub(crate) key: u64,
+    pub(crate) report: Report,
+}
+
+impl Permit {
+    pub(crate) fn ended(mut self, end: End) {
+        self.report.end = end;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.node.release(self.owner, self.run, &self.report);
+    }
+}
+
+/// Stands for an offer that was not decided; dropping it withdraws the offer.
+struct Asking<'a> {
+    node: &'a Rc<Node>,
+    run: u64,
+    asked: Option<Ipv4Addr>,
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        self.node.unexpect(self.run);
+        let Some(asked) = self.asked else { return };
+        if asked == self.node.settings.ip {
+            let id = RunId {
+                entry: self.node.incarnation,
+                run: self.run,
+            };
+            self.node.owner.borrow_mut().withdraw(clock::now(), id);
+            self.node.decide();
+        } else {
+            self.node.send(asked, Body::Withdraw(self.run));
+        }
+    }
+}
+
+/// Asks the owner of the request's shard for a permit.
+///
+/// # Errors
+/// Returns why the request is refused and when to come back.
+pub(crate) async fn permit(node: &Rc<Node>, ask: &Ask) -> Result<Permit, (Refusal, Duration)> {
+    let began = clock::now();
+    let shards = shards_of(node, &ask.pool);
+    let run = node.new_run();
+    let shard = owner::session_shard(ask.session, run, shards);
+    let mut replies = node.expect(run);
+    let mut asking = Asking {
+        node,
+        run,
+        asked: None,
+    };
+    let mut passed_over = Vec::new();
+    loop {
+        let waited = clock::now().saturating_sub(began);
+        let wait = ask.wait.saturating_sub(waited);
+        if waited > ask.wait + OWNER_DELAY {
+            return Err((Refusal::Busy, OWNER_DELAY));
+        }
+        let now = clock::now();
+        let owners = node.roster.borrow().owners(now, shard);
+        let next = owners.into_iter().find(|ip| !passed_over.contains(ip));
+        let owner = next.unwrap_or(node.settings.ip);
+        if asking.asked.is_some_and(|asked| asked != owner) {
+            // The one before may still have it waiting.
+            drop(std::mem::replace(
+                &mut asking,
+                Asking {
+                    node,
+                    run,
+                    asked: None,
+                },
+            ));
+            replies = node.expect(run);
+        }
+        asking.asked = Some(owner);
+        let msg = offer_msg(node, ask, run, shards, wait, waited);
+        let Some(reply) = ask_owner(node, owner, &msg, &mut replies, wait).await else {
+            node.roster.borrow_mut().mistrust(clock::now(), owner);
+            passed_over.push(owner);
+            continue;
+        };
+        match reply {
+            Reply::Queued => {}
+            Reply::Refused {
+                reason,
+                retry_after,
+            } => {
+                asking.asked = None;
+                return Err((reason, retry_after));
+            }
+            Reply::Granted { from, target } => {
+                asking.asked = None;
+                let Some(permit) = take_permit(node, from, run, &target) else {
+                    // This member knows better than the owner, whose view may be old.
+                    passed_over.push(from);
+                    if passed_over.len() > MAX_STALE {
+                        return Err((Refusal::NoTarget, OWNER_DELAY));
+                    }
+                    continue;
+                };
+                return Ok(permit);
+            }
+        }
+    }
+}
+
+/// Grants of targets that are out or unknown here, after which a request is refused.
+const MAX_STALE: usize = 4;
+
+/// Sends an offer until the owner decides. Returns nothing if the owner is silent.
+async fn ask_owner(
+    node: &Rc<Node>,
+    owner: Ipv4Addr,
+    msg: &OfferMsg,
+    replies: &mut tokio::sync::mpsc::UnboundedReceiver<Reply>,
+    wait: Duration,
+) -> Option<Reply> {
+    node.asked.borrow_mut().insert(owner, clock::now());
+    if owner == node.settings.ip {
+        let id = RunId {
+            entry: node.incarnation,
+            run: msg.run,
+        };
+        let offer = link::offer_of(id, msg.clone());
+        node.owner
+            .borrow_mut()
+            .offer(clock::now(), &node.catalog.borrow(), offer);
+        node.decide();
+        let reply = timeout(wait + OWNER_DELAY, replies.recv()).await;
+        return reply.ok().flatten();
+    }
+    let began = clock::now();
+    let mut unanswered = 0;
+    let mut pause = RESEND;
+    while unanswered < RESENDS {
+        node.send(owner, Body::Offer(msg.clone()));
+        match timeout(pause, replies.recv()).await {
+            Ok(Some(Reply::Queued)) => {
+                unanswered = 0;
+                pause = STILL_THERE;
+                // Waits for the decision, and asks again if there is none.
+                match timeout(pause, replies.recv()).await {
+                    Ok(Some(Reply::Queued)) | Err(_) => {}
+                    Ok(reply) => return reply,
+                }
+                if clock::now().saturating_sub(began) > wait + OWNER_DELAY {
+                    return Some(Reply::Refused {
+                        reason: Refusal::Busy,
+                        retry_after: OWNER_DELAY,
+                    });
+                }
+                pause = RESEND;
+            }
+            Ok(reply) => return reply,
+            Err(_) => unanswered += 1,
+        }
+    }
+    None
+}
+
+/// Checks a grant against what this member knows, right before the request is sent.
+fn take_permit(node: &Rc<Node>, from: Ipv4Addr, run: u64, target: &str) -> Option<Permit> {
+    let unused = Report {
+        end: End::Unused,
+        pace: None,
+        load: None,
+    };
+    let catalog = node.catalog.borrow();
+    let Some(target) = catalog.target(target).filter(|t| catalog.is_open(t)) else {
+        drop(catalog);
+        node.release(from, run, &unused);
+        return None;
+    };
+    let key = owner::target_key(target);
+    let in_flight = InFlight {
+        owner: from,
+        target: key,
+    };
+    node.runs.borrow_mut().insert(run, in_flight);
+    Some(Permit {
+        node: Rc::clone(node),
+        owner: from,
+        run,
+        target: target.clone(),
+        key,
+        report: Report {
+            end: End::Cancelled,
+            pace: None,
+            load: None,
+        },
+    })
+}
+
+fn shards_of(node: &Node, pool: &str) -> u32 {
+    let catalog = node.catalog.borrow();
+    let count = catalog
+        .targets()
+        .filter(|(target, _)| &*target.pool == pool)
+        .count();
+    owner::shards(count)
+}
+
+fn offer_msg(
+    node: &Node,
+    ask: &Ask,
+    run: u64,
+    shards: u32,
+    wait: Duration,
+    waited: Duration,
+) -> OfferMsg {
+    let cost = ask.cost.unwrap_or_default();
+    OfferMsg {
+        run,
+        pool: ask.pool.to_string(),
+        shards,
+        tier: ask.tier.into(),
+        workspace: ask.workspace.as_deref().unwrap_or_default().to_owned(),
+        prompt: cost.prompt,
+        output: cost.output,
+        counted: ask.cost.is_some(),
+        session: ask.session,
+        wait_ms: millis(wait),
+        left_ms: millis(ask.left.saturating_sub(waited)),
+        sends: ask.sends,
+        avoid: ask.avoid.clone(),
+        fingerprint: ask.fingerprint,
+        zone: node.settings.zone.to_string(),
+        stream: ask.stream,
+    }
+}
+
+/// A request as it goes to targets.
+#[derive(Clone, Debug)]
+pub(crate) struct Sendable {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) id: String,
+    pub(crate) workspace: Option<Name>,
+}
+
+/// What came of a send.
+pub(crate) enum Sent {
+    /// No byte went out.
+    NotSent,
+    /// A head that names the request; the body follows.
+    Head {
+        response: Response<Incoming>,
+        answer: Answer,
+        upstream: Upstream,
+    },
+    /// Something else came, or the connection broke.
+    Broken(&'static str),
+    /// Nothing came in time.
+    Silent,
+}
+
+/// Sends a request to the target of a permit and waits for the head of the answer.
+pub(crate) async fn send(
+    node: &Rc<Node>,
+    req: &Sendable,
+    target: &Target,
+    left: Duration,
+    patience: Duration,
+    last_event: Option<&str>,
+) -> Sent {
+    let idle = node.upstreams.take(clock::now(), target.address);
+    let began = clock::now();
+    let mut upstream = match idle {
+        Some(upstream) => upstream,
+        None => match upstream::connect(target.address).await {
+            Ok(upstream) => upstream,
+            Err(_) => return Sent::NotSent,
+        },
+    };
+    let left = left.saturating_sub(clock::now().saturating_sub(began));
+    let forward = Forward {
+        target: &target.id,
+        workspace: req.workspace.as_deref(),
+        left,
+        last_event,
+    };
+    let mut out = Request::new(Full::new(req.body.clone()));
+    *out.method_mut() = req.method.clone();
+    *out.uri_mut() = req.uri.clone();
+    *out.headers_mut() = node.dialect.forward(&req.headers, &forward);
+    let sent = timeout(patience, upstream.sender.try_send_request(out)).await;
+    let response = match sent {
+        Err(_) => return Sent::Silent,
+        Ok(Err(mut err)) => {
+            return match err.take_message() {
+                Some(_) => Sent::NotSent,
+                None => Sent::Broken("connection broke"),
+            };
+        }
+        Ok(Ok(response)) => response,
+    };
+    let (parts, body) = response.into_parts();
+    let head = Response::from_parts(parts, ());
+    let answer = node.dialect.answer(&head);
+    let response = Response::from_parts(head.into_parts().0, body);
+    let rejected = (answer.not_run || answer.misdirected) && !upstream.reused;
+    match &answer.id {
+        Some(id) if *id == req.id => {}
+        // A rejection may lack the id; on a new connection it can't belong to another request.
+        None if rejected => {}
+        _ => return Sent::Broken("answer to another request"),
+    }
+    Sent::Head {
+        response,
+        answer,
+        upstream,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/bucket.rs
@@ -0,0 +1,66 @@
+//! Token bucket of one workspace at one owner.
+
+use std::time::Duration;
+
+/// Part of the burst that a new owner starts with. The owner before it may have given out the
+/// whole burst within the window of the rate.
+const FIRST_FILL: f64 = 0.5;
+
+/// A bucket that fills at a rate up to a burst.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    per_s: f64,
+    burst: f64,
+    level: f64,
+    at: Duration,
+}
+
+impl Bucket {
+    /// A bucket for a new owner.
+    #[must_use]
+    pub fn new(now: Duration, per_s: f64, burst: f64) -> Self {
+        Bucket {
+            per_s,
+            burst,
+            level: burst * FIRST_FILL,
+            at: now,
+        }
+    }
+
+    /// Changes rate and burst; the level keeps below the new burst.
+    pub fn set(&mut self, now: Duration, per_s: f64, burst: f64) {
+        self.fill(now);
+        self.per_s = per_s;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
+    /// Takes units. One request that is larger than the burst may empty a full bucket.
+    ///
+    /// # Errors
+    /// Returns the time until it would succeed.
+    pub fn take(&mut self, now: Duration, units: f64) -> Result<(), Duration> {
+        self.fill(now);
+        let needed = units.min(self.burst);
+        if self.level >= needed {
+            self.level -= units;
+            return Ok(());
+        }
+        let missing = needed - self.level;
+        if self.per_s <= 0.0 {
+            return Err(Duration::MAX);
+        }
+        Err(Duration::try_from_secs_f64(missing / self.per_s).unwrap_or(Duration::MAX))
+    }
+
+    /// Gives units back that were not used.
+    pub fn give_back(&mut self, units: f64) {
+        self.level = (self.level + units).min(self.burst);
+    }
+
+    fn fill(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.level = (self.level + passed * self.per_s).min(self.burst);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/budget.rs
@@ -0,0 +1,77 @@
+//! Budget of repeated sends to one pool, over a sliding window.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Part of the allowed repeats that is used. An owner that takes over knows nothing of the repeats
+/// that the one before it allowed in the same window.
+const USED_PART: f64 = 0.5;
+/// Number of parts into which the window is divided.
+const SLICES: u32 = 10;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Slice {
+    start: Duration,
+    firsts: f64,
+    repeats: f64,
+}
+
+/// Counts first sends and repeats.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    window: Duration,
+    ratio: f64,
+    slack: f64,
+    slices: VecDeque<Slice>,
+}
+
+impl Budget {
+    /// A budget of `ratio` repeats for each first send of the window, and `slack` besides.
+    #[must_use]
+    pub fn new(window: Duration, ratio: f64, slack: f64) -> Self {
+        Budget {
+            window,
+            ratio,
+            slack,
+            slices: VecDeque::new(),
+        }
+    }
+
+    /// Notes a request that is sent for the first time.
+    pub fn first(&mut self, now: Duration) {
+        self.slice(now).firsts += 1.0;
+    }
+
+    /// Takes one repeat if the budget has it. `part` is the part of the slack that counts here.
+    pub fn take(&mut self, now: Duration, part: f64) -> bool {
+        self.slice(now);
+        let firsts: f64 = self.slices.iter().map(|slice| slice.firsts).sum();
+        let repeats: f64 = self.slices.iter().map(|slice| slice.repeats).sum();
+        let allowed = (self.ratio * firsts + self.slack * part) * USED_PART;
+        if repeats + 1.0 > allowed {
+            return false;
+        }
+        self.slice(now).repeats += 1.0;
+        true
+    }
+
+    fn slice(&mut self, now: Duration) -> &mut Slice {
+        let length = self.window / SLICES;
+        let keep = self.window + length;
+        while self
+            .slices
+            .front()
+            .is_some_and(|slice| now.saturating_sub(slice.start) > keep)
+        {
+            self.slices.pop_front();
+        }
+        let is_new = |slice: &Slice| now.saturating_sub(slice.start) >= length;
+        if self.slices.back().is_none_or(is_new) {
+            self.slices.push_back(Slice {
+                start: now,
+                ..Slice::default()
+            });
+        }
+        self.slices.back_mut().expect("a slice was pushed")
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/catalog.rs
@@ -0,0 +1,271 @@
+//! Configuration and targets in force, from what the store publishes.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::model::{Config, HttpLimits, Name, Pool, Route, Target, Workspace};
+
+/// One thing that the store says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// The configuration.
+    Config(Config),
+    /// Nothing more is to be sent to the targets of an availability zone.
+    Evacuate(Name),
+    /// An availability zone is taken back.
+    Restore(Name),
+    /// A target reports itself.
+    Target(Target),
+    /// The report of a target is gone.
+    Gone(Name),
+}
+
+/// Why a request is not allowed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// No configuration was read yet.
+    NoConfig,
+    /// No route has the host and path.
+    Route,
+    /// The route needs a valid key.
+    Key,
+}
+
+struct Entry {
+    target: Target,
+    /// Time at which it stops being cold.
+    cold_until: Duration,
+    /// Set when the report lapsed while the store was in trouble: the target may live.
+    lapsed_until: Option<Duration>,
+}
+
+/// What a request of one key on one route is subject to.
+#[derive(Clone, Debug)]
+pub struct Allowed {
+    /// The route.
+    pub route: Arc<Route>,
+    /// The workspace of the key, if the route needs one.
+    pub workspace: Option<Arc<Workspace>>,
+}
+
+#[derive(Default)]
+struct InForce {
+    version: u64,
+    /// Routes of a host, the longest prefix first.
+    hosts: HashMap<Name, Vec<Arc<Route>>>,
+    keys: HashMap<Name, Arc<Workspace>>,
+    workspaces: HashMap<Name, Arc<Workspace>>,
+    pools: HashMap<Name, Pool>,
+    limits: HttpLimits,
+}
+
+/// Everything that was read from the store.
+pub struct Catalog {
+    lapse: Duration,
+    in_force: Option<InForce>,
+    evacuated: HashSet<Name>,
+    targets: HashMap<Name, Entry>,
+    listed: bool,
+    last_trouble: Option<Duration>,
+}
+
+impl Catalog {
+    /// An empty catalog. An entry that lapses while the store is in trouble is kept for `lapse`.
+    #[must_use]
+    pub fn new(lapse: Duration) -> Self {
+        Catalog {
+            lapse,
+            in_force: None,
+            evacuated: HashSet::new(),
+            targets: HashMap::new(),
+            listed: false,
+            last_trouble: None,
+        }
+    }
+
+    /// Whether requests can be served.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.listed && self.in_force.is_some()
+    }
+
+    /// Version of the configuration in force; 0 without one.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.in_force.as_ref().map_or(0, |cfg| cfg.version)
+    }
+
+    /// Notes that the store did not answer a call.
+    pub fn trouble(&mut self, now: Duration) {
+        self.last_trouble = Some(now);
+    }
+
+    /// Takes a whole listing. What it lacks is gone.
+    pub fn take_listing(&mut self, now: Duration, changes: Vec<Change>) {
+        self.listed = true;
+        let mut listed = HashSet::new();
+        let mut evacuated = HashSet::new();
+        for change in changes {
+            match change {
+                Change::Evacuate(zone) => {
+                    evacuated.insert(zone);
+                }
+                Change::Target(target) => {
+                    listed.insert(target.id.clone());
+                    self.take(now, Change::Target(target));
+                }
+                other => self.take(now, other),
+            }
+        }
+        self.evacuated = evacuated;
+        let missing: Vec<Name> = self
+            .targets
+            .iter()
+            .filter(|(id, entry)| !listed.contains(*id) && entry.lapsed_until.is_none())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in missing {
+            self.lapse_entry(now, &id);
+        }
+    }
+
+    /// Takes one change.
+    pub fn take(&mut self, now: Duration, change: Change) {
+        match change {
+            Change::Config(cfg) => self.take_config(cfg),
+            Change::Evacuate(zone) => {
+                self.evacuated.insert(zone);
+            }
+            Change::Restore(zone) => {
+                self.evacuated.remove(&zone);
+            }
+            Change::Target(target) => {
+                let cold_until = now + target.cold;
+                let entry = Entry {
+                    cold_until,
+                    target,
+                    lapsed_until: None,
+                };
+                self.targets.insert(entry.target.id.clone(), entry);
+            }
+            Change::Gone(id) => self.lapse_entry(now, &id),
+        }
+    }
+
+    /// Removes targets whose time to come back is over. Returns whether any was removed.
+    pub fn expire(&mut self, now: Duration) -> bool {
+        let before = self.targets.len();
+        self.targets
+            .retain(|_, entry| entry.lapsed_until.is_none_or(|until| now < until));
+        self.targets.len() != before
+    }
+
+    /// Finds what a request is subject to.
+    ///
+    /// # Errors
+    /// Says why it is not allowed.
+    pub fn allow(&self, host: &str, path: &str, key: Option<&str>) -> Result<Allowed, Denied> {
+        let cfg = self.in_force.as_ref().ok_or(Denied::NoConfig)?;
+        let routes = cfg.hosts.get(host).ok_or(Denied::Route)?;
+        let route = routes
+            .iter()
+            .find(|route| path.starts_with(&*route.prefix))
+            .ok_or(Denied::Route)?;
+        let workspace = if route.open || cfg.workspaces.is_empty() {
+            None
+        } else {
+            let found = key.and_then(|key| cfg.keys.get(key));
+            Some(Arc::clone(found.ok_or(Denied::Key)?))
+        };
+        Ok(Allowed {
+            route: Arc::clone(route),
+            workspace,
+        })
+    }
+
+    /// Bounds on what callers send.
+    #[must_use]
+    pub fn limits(&self) -> HttpLimits {
+        self.in_force
+            .as_ref()
+            .map_or_else(HttpLimits::default, |cfg| cfg.limits)
+    }
+
+    /// The pool with the given name.
+    #[must_use]
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        self.in_force.as_ref()?.pools.get(name)
+    }
+
+    /// The workspace with the given name.
+    #[must_use]
+    pub fn workspace(&self, name: &str) -> Option<&Workspace> {
+        Some(self.in_force.as_ref()?.workspaces.get(name)?)
+    }
+
+    /// A target by its id.
+    #[must_use]
+    pub fn target(&self, id: &str) -> Option<&Target> {
+        Some(&self.targets.get(id)?.target)
+    }
+
+    /// Whether new requests may be sent to a target.
+    #[must_use]
+    pub fn is_open(&self, target: &Target) -> bool {
+        !target.draining && !self.evacuated.contains(&target.zone)
+    }
+
+    /// All targets with the time at which they stop being cold.
+    pub fn targets(&self) -> impl Iterator<Item = (&Target, Duration)> {
+        self.targets
+            .values()
+            .map(|entry| (&entry.target, entry.cold_until))
+    }
+
+    fn lapse_entry(&mut self, now: Duration, id: &str) {
+        let recent = |at: Duration| now.saturating_sub(at) < self.lapse;
+        if self.last_trouble.is_some_and(recent) {
+            if let Some(entry) = self.targets.get_mut(id) {
+                entry.lapsed_until.get_or_insert(now + self.lapse);
+            }
+        } else {
+            self.targets.remove(id);
+        }
+    }
+
+    fn take_config(&mut self, cfg: Config) {
+        if cfg.version <= self.version() {
+            return;
+        }
+        let mut hosts: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
+        for route in cfg.routes {
+            let host = hosts.entry(route.host.clone()).or_default();
+            host.push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let mut keys = HashMap::new();
+        let mut workspaces = HashMap::new();
+        for workspace in cfg.workspaces {
+            let workspace = Arc::new(workspace);
+            for key in &workspace.keys {
+                keys.insert(key.clone(), Arc::clone(&workspace));
+            }
+            workspaces.insert(workspace.name.clone(), workspace);
+        }
+        self.in_force = Some(InForce {
+            version: cfg.version,
+            hosts,
+            keys,
+            workspaces,
+            pools: cfg
+                .pools
+                .into_iter()
+                .map(|pool| (pool.name.clone(), pool))
+                .collect(),
+            limits: cfg.limits,
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry.rs
@@ -0,0 +1,143 @@
+//! The HTTP servers of the process: callers, readiness check and directory.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{debug, warn};
+use metrics::counter;
+use rand::seq::SliceRandom;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::clock;
+use crate::node::Node;
+use crate::relay::Body;
+use crate::request;
+
+/// Smallest read buffer that the HTTP library takes.
+const MIN_BUFFER: usize = 8192;
+/// Pause after a failed accept, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Connections to the small servers are closed after this time without a request.
+const SMALL_IDLE: Duration = Duration::from_secs(10);
+/// Most entries that one answer of the directory names.
+const MAX_ENTRIES: usize = 64;
+/// Time for which callers may keep an answer of the directory, if the settings allow it.
+const TTL: Duration = Duration::from_secs(2);
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Service {
+    Callers,
+    Ready,
+    Directory,
+}
+
+/// Accepts connections until the process ends.
+pub(crate) async fn serve(
+    node: Rc<Node>,
+    listener: TcpListener,
+    service: Service,
+    close: watch::Receiver<bool>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                // Only improves latency.
+                let _ = stream.set_nodelay(true);
+                let task = connection(Rc::clone(&node), stream, service, close.clone());
+                tokio::task::spawn_local(task);
+            }
+            Err(err) => {
+                counter!("primrosechute_accepts_failed_total").increment(1);
+                warn!("entry: accept failed: {err}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(
+    node: Rc<Node>,
+    stream: TcpStream,
+    service: Service,
+    mut close: watch::Receiver<bool>,
+) {
+    let limits = node.catalog.borrow().limits();
+    let idle = match service {
+        Service::Callers => limits.idle,
+        Service::Ready | Service::Directory => SMALL_IDLE,
+    };
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
+        .serve_connection(
+            TokioIo::new(stream),
+            service_fn(move |req| answer(Rc::clone(&node), service, req)),
+        );
+    tokio::pin!(conn);
+    let ended = tokio::select! {
+        ended = &mut conn => ended,
+        // Fails only if the sender is gone, and with it the process.
+        _ = close.wait_for(|&close| close) => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(err) = ended {
+        debug!("entry: a connection failed: {err}");
+    }
+}
+
+async fn answer(
+    node: Rc<Node>,
+    service: Service,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let response = match service {
+        Service::Callers => return request::handle(node, req).await,
+        Service::Ready => {
+            let head = Request::from_parts(req.into_parts().0, ());
+            let status = match (node.dialect.is_ready_check(&head), node.is_ready()) {
+                (false, _) => 404,
+                (true, true) => 200,
+                (true, false) => 503,
+            };
+            node.dialect.own(status, "", "readiness", None)
+        }
+        Service::Directory => {
+            let head = Request::from_parts(req.into_parts().0, ());
+            match node.dialect.lookup(&head) {
+                Some(_) => directory(&node),
+                None => node.dialect.own(404, "", "no such call", None),
+            }
+        }
+    };
+    Ok(response.map(|body| Body::Whole(Some(body))))
+}
+
+/// Names the entries that are live. Callers choose among them at random.
+fn directory(node: &Node) -> Response<bytes::Bytes> {
+    let mut ips = node.roster.borrow().entries(clock::now());
+    if ips.is_empty() {
+        return node.dialect.own(503, "", "no entry is ready", None);
+    }
+    ips.shuffle(&mut rand::rng());
+    ips.truncate(MAX_ENTRIES);
+    let port = node.settings.entry.port();
+    let entries: Vec<SocketAddr> = ips
+        .into_iter()
+        .map(|ip| SocketAddr::from((ip, port)))
+        .collect();
+    let ttl = TTL.min(node.settings.directory_ttl);
+    node.dialect.entries(&entries, ttl)
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,151 @@
+//! Follows the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{info, warn};
+use metrics::counter;
+use tokio::time::sleep;
+
+use crate::catalog::Change;
+use crate::clock;
+use crate::node::Node;
+use crate::port::{Batch, Store, StoreError};
+
+/// Longest time that one watch waits. A connection that went silent is found this late, plus
+/// `ANSWER`, if no other member hears of a change before.
+const WATCH: Duration = Duration::from_millis(2500);
+/// Longest time for the answer to a call beyond what it waits for.
+const ANSWER: Duration = Duration::from_millis(700);
+/// Pause after a failed call; it doubles up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+/// A member that is behind another one for this long lists the store again. Watches of all
+/// members are answered within a few milliseconds of each other.
+const BEHIND: Duration = Duration::from_millis(300);
+
+/// Reads the store for as long as the process lives.
+pub(crate) async fn follow<S: Store>(node: Rc<Node>, mut store: S) {
+    let mut pause = FIRST_PAUSE;
+    let mut after = None;
+    let mut lost = false;
+    loop {
+        let read = match after {
+            None => list(&node, &mut store).await,
+            Some(after) => watch(&node, &mut store, after).await,
+        };
+        match read {
+            Ok(Some(next)) => {
+                if std::mem::take(&mut lost) {
+                    info!("store: answers again");
+                }
+                pause = FIRST_PAUSE;
+                after = Some(next);
+                node.roster.borrow_mut().set_me(|me| me.fresh = true);
+            }
+            Ok(None) => after = None,
+            Err(err) => {
+                counter!("primrosechute_store_errors_total", "reason" => label(&err)).increment(1);
+                if err == StoreError::Forgotten {
+                    info!("store: the history is gone, listing again");
+                    after = None;
+                    continue;
+                }
+                if !std::mem::replace(&mut lost, true) {
+                    warn!("store: no answer: {err:?}");
+                }
+                node.catalog.borrow_mut().trouble(clock::now());
+                node.roster.borrow_mut().set_me(|me| me.fresh = false);
+                sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+async fn list<S: Store>(node: &Rc<Node>, store: &mut S) -> Result<Option<u64>, StoreError> {
+    let heard = node.roster.borrow().newest_revision(clock::now());
+    let batch = store.list(ANSWER).await?;
+    log_changes(&batch);
+    node.catalog
+        .borrow_mut()
+        .take_listing(clock::now(), batch.changes);
+    // The listing was made after the other members had seen these revisions.
+    saw(node, batch.newest.max(heard));
+    node.refresh_owner();
+    Ok(Some(batch.after))
+}
+
+/// Watches once. Returns no revision if the store has to be listed again.
+async fn watch<S: Store>(
+    node: &Rc<Node>,
+    store: &mut S,
+    after: u64,
+) -> Result<Option<u64>, StoreError> {
+    let batch = tokio::select! {
+        batch = store.watch(after, WATCH, WATCH + ANSWER) => batch?,
+        () = behind(node) => {
+            info!("store: another member has seen a newer revision, listing again");
+            node.catalog.borrow_mut().trouble(clock::now());
+            return Ok(None);
+        }
+    };
+    if !batch.changes.is_empty() {
+        log_changes(&batch);
+        let now = clock::now();
+        for change in batch.changes {
+            node.catalog.borrow_mut().take(now, change);
+        }
+        saw(node, batch.newest);
+        node.refresh_owner();
+    }
+    Ok(Some(batch.after))
+}
+
+/// Waits until this member has been behind another one for a while.
+async fn behind(node: &Rc<Node>) {
+    let is_behind = || {
+        let roster = node.roster.borrow();
+        roster.newest_revision(clock::now()) > roster.me().revision
+    };
+    loop {
+        node.list_again.notified().await;
+        if !is_behind() {
+            continue;
+        }
+        sleep(BEHIND).await;
+        if is_behind() {
+            return;
+        }
+    }
+}
+
+fn saw(node: &Node, revision: u64) {
+    let mut roster = node.roster.borrow_mut();
+    roster.set_me(|me| me.revision = me.revision.max(revision));
+}
+
+fn log_changes(batch: &Batch) {
+    for change in &batch.changes {
+        match change {
+            Change::Config(cfg) => info!("config: version {}", cfg.version),
+            Change::Evacuate(zone) => info!("config: zone {zone} is evacuated"),
+            Change::Restore(zone) => info!("config: zone {zone} is taken back"),
+            Change::Target(target) => info!(
+                "target: {} at {} in {}, pool {}, draining {}, cold for {:?}",
+                target.id, target.address, target.zone, target.pool, target.draining, target.cold
+            ),
+            Change::Gone(id) => info!("target: the entry of {id} is gone"),
+        }
+    }
+}
+
+fn label(err: &StoreError) -> &'static str {
+    match err {
+        StoreError::Unreachable(_) => "unreachable",
+        StoreError::Timeout => "timeout",
+        StoreError::Refused(_) => "refused",
+        StoreError::Forgotten => "forgotten",
+        StoreError::Malformed(_) => "malformed",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,57 @@
+//! Request path for deployments whose members find each other through seeds and whose
+//! configuration and targets are published in a store that can only be read.
+//!
+//! Each process is an entry: it takes requests, asks the owner of a shard for a permit, sends the
+//! request to the target of the permit and relays the answer. The owner of a shard is one of the
+//! live members; it queues, admits and refuses for all targets of the shard, so each limit of the
+//! fleet is decided in one place. Another member acts as owner when the first one is silent.
+//!
+//! Names, formats and calls of the surroundings come through the traits of [`port`].
+//!
+//! | module | content | I/O |
+//! |---|---|---|
+//! | `model` | configuration, targets, settings | none |
+//! | `catalog` | configuration and targets in force | none |
+//! | `roster` | members and their liveness | none |
+//! | `owner`, `bucket`, `budget`, `containment` | admission for one shard | none |
+//! | `verdict` | what a caller is told of an attempt | none |
+//! | `message` | datagrams between members | none |
+//! | `follow` | reads the store | store port |
+//! | `link` | exchanges datagrams | UDP |
+//! | `entry`, `request`, `attempt`, `relay`, `upstream` | serves requests | TCP |
+//! | `serve` | start, signals, shutdown | all |
+
+#![forbid(unsafe_code)]
+
+mod attempt;
+mod bucket;
+mod budget;
+mod catalog;
+mod clock;
+mod containment;
+mod entry;
+mod follow;
+mod link;
+mod message;
+mod model;
+mod node;
+mod owner;
+pub mod port;
+mod relay;
+mod request;
+mod roster;
+mod serve;
+mod upstream;
+mod verdict;
+
+pub use bucket::Bucket;
+pub use budget::Budget;
+pub use catalog::{Catalog, Change, Denied};
+pub use containment::Containment;
+pub use model::{
+    Config, Cost, HttpLimits, Kind, Name, Pool, Rate, Route, Settings, Target, Unit, Workspace,
+};
+pub use owner::{Decision, End, Offer, Owner, Refusal, Report, RunId};
+pub use roster::{Beat, Member, Roster};
+pub use serve::{Outcome, run};
+pub use verdict::{Seen, Told, verdict};
--- /dev/null
+++ b/crates/gateway/src/link.rs
@@ -0,0 +1,237 @@
+//! Datagrams between members: beats, and offers with their decisions.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{debug, info, warn};
+use metrics::counter;
+use prost::Message;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
+
+use crate::clock;
+use crate::message::{BeatMsg, Body, Datagram, MAX_DATAGRAM, OfferMsg, ReleaseMsg, RunMsg};
+use crate::model::{Cost, Name};
+use crate::node::{Node, Reply};
+use crate::owner::{End, Offer, Refusal, Report, RunId};
+
+/// Time between beats. Five lost beats take the ownership of shards from a member.
+const BEAT: Duration = Duration::from_millis(250);
+/// An owner is told of the runs in flight for this long after it was last asked.
+const ASKED_MEMORY: Duration = Duration::from_secs(3);
+/// The owner is polled at least this often while offers wait.
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+
+/// Sends beats and keeps what follows from them up to date.
+pub(crate) async fn beat(node: Rc<Node>) {
+    let mut tick = interval(BEAT);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        send_beat(&node);
+        let now = clock::now();
+        if node.catalog.borrow_mut().expire(now) {
+            node.refresh_owner();
+        }
+        node.drop_gone_entries(now);
+        let part = node.roster.borrow().part(now);
+        node.owner.borrow_mut().set_part(part);
+        node.upstreams.drop_idle(now);
+    }
+}
+
+/// Tells other members of this one at once, as when it stops.
+pub(crate) fn send_beat(node: &Node) {
+    let now = clock::now();
+    let (ready, stopping) = (node.is_ready(), node.is_stopping());
+    let (beat, mut to) = {
+        let mut roster = node.roster.borrow_mut();
+        roster.set_me(|me| {
+            me.ready = ready;
+            me.stopping = stopping;
+        });
+        roster.beat(now)
+    };
+    let mut asked = node.asked.borrow_mut();
+    asked.retain(|_, &mut at| now.saturating_sub(at) < ASKED_MEMORY);
+    for &owner in asked.keys() {
+        if owner != node.settings.ip && !to.contains(&owner) {
+            to.push(owner);
+        }
+    }
+    let runs = node.runs.borrow();
+    for ip in to {
+        let mut msg = BeatMsg::new(&beat);
+        msg.runs = runs
+            .iter()
+            .filter(|(_, run)| run.owner == ip)
+            .map(|(&id, run)| RunMsg {
+                run: id,
+                target: run.target,
+            })
+            .collect();
+        node.send(ip, Body::Beat(msg));
+    }
+}
+
+/// Polls the owner when its time has come.
+pub(crate) async fn poll_owner(node: Rc<Node>) {
+    loop {
+        let now = clock::now();
+        let next = node.owner.borrow().next_wakeup(now);
+        match next {
+            None => node.owner_changed.notified().await,
+            Some(at) => {
+                let wait = at.saturating_sub(now).min(LONGEST_SLEEP);
+                tokio::select! {
+                    () = node.owner_changed.notified() => continue,
+                    () = sleep_until(Instant::now() + wait + Duration::from_millis(1)) => {}
+                }
+                node.decide();
+            }
+        }
+    }
+}
+
+/// Reads datagrams.
+pub(crate) async fn receive(node: Rc<Node>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        let (len, from) = match node.receive(&mut buf).await {
+            Ok(received) => received,
+            Err(err) => {
+                debug!("peer: receive failed: {err}");
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        let IpAddr::V4(from) = from.ip() else {
+            continue;
+        };
+        match Datagram::decode(&buf[..len]) {
+            Ok(Datagram {
+                sender,
+                body: Some(body),
+            }) => take(&node, sender, from, body),
+            Ok(_) => {}
+            Err(err) => {
+                counter!("primrosechute_datagrams_malformed_total").increment(1);
+                warn!("peer: a datagram from {from} can't be read: {err}");
+            }
+        }
+    }
+}
+
+fn take(node: &Node, sender: u64, from: Ipv4Addr, body: Body) {
+    let now = clock::now();
+    match body {
+        Body::Beat(msg) => take_beat(node, now, sender, &msg),
+        Body::Offer(msg) => {
+            node.note_entry(sender, from);
+            let id = RunId {
+                entry: sender,
+                run: msg.run,
+            };
+            let run = msg.run;
+            let offer = offer_of(id, msg);
+            node.owner
+                .borrow_mut()
+                .offer(now, &node.catalog.borrow(), offer);
+            node.decide();
+            if node.owner.borrow().is_queued(id) {
+                node.send(from, Body::Queued(run));
+            }
+        }
+        Body::Queued(run) => {
+            node.deliver(run, Reply::Queued);
+        }
+        Body::Grant(msg) => take_grant(node, from, msg.run, Name::from(msg.target)),
+        Body::Refuse(msg) => {
+            let reply = Reply::Refused {
+                reason: Refusal::from_code(msg.reason),
+                retry_after: Duration::from_millis(msg.retry_ms.into()),
+            };
+            node.deliver(msg.run, reply);
+        }
+        Body::Release(msg) => {
+            let id = RunId {
+                entry: sender,
+                run: msg.run,
+            };
+            let report = report_of(&msg);
+            node.owner.borrow_mut().release(now, id, &report);
+            node.decide();
+        }
+        Body::Withdraw(run) => {
+            let id = RunId { entry: sender, run };
+            node.owner.borrow_mut().withdraw(now, id);
+            node.decide();
+        }
+    }
+}
+
+fn take_beat(node: &Node, now: Duration, sender: u64, msg: &BeatMsg) {
+    let Some(beat) = msg.beat() else { return };
+    node.note_entry(sender, beat.from.ip);
+    let is_new = node.roster.borrow_mut().hear(now, &beat);
+    if is_new {
+        info!(
+            "member: {} is a member, incarnation {sender:016x}",
+            beat.from.ip
+        );
+    }
+    let runs: Vec<(u64, u64)> = msg.runs.iter().map(|run| (run.run, run.target)).collect();
+    node.owner.borrow_mut().sync(now, sender, &runs);
+    node.decide();
+    let (newest, own) = {
+        let roster = node.roster.borrow();
+        (roster.newest_revision(now), roster.me().revision)
+    };
+    if newest > own {
+        node.list_again.notify_one();
+    }
+}
+
+/// A grant that nobody waits for any more goes back, or its place would stay taken.
+fn take_grant(node: &Node, from: Ipv4Addr, run: u64, target: Name) {
+    let held = node.runs.borrow().get(&run).map(|run| run.owner);
+    if held == Some(from) || node.deliver(run, Reply::Granted { from, target }) {
+        return;
+    }
+    let unused = ReleaseMsg {
+        run,
+        end: End::Unused.code(),
+        ..ReleaseMsg::default()
+    };
+    node.send(from, Body::Release(unused));
+}
+
+pub(crate) fn offer_of(id: RunId, msg: OfferMsg) -> Offer {
+    Offer {
+        id,
+        pool: msg.pool.into(),
+        shards: msg.shards,
+        tier: u8::try_from(msg.tier).unwrap_or(u8::MAX),
+        workspace: (!msg.workspace.is_empty()).then(|| msg.workspace.into()),
+        cost: msg.counted.then_some(Cost {
+            prompt: msg.prompt,
+            output: msg.output,
+        }),
+        session: msg.session,
+        wait: Duration::from_millis(msg.wait_ms.into()),
+        left: Duration::from_millis(msg.left_ms.into()),
+        sends: msg.sends,
+        avoid: msg.avoid,
+        fingerprint: msg.fingerprint,
+        zone: msg.zone.into(),
+        stream: msg.stream,
+    }
+}
+
+fn report_of(msg: &ReleaseMsg) -> Report {
+    Report {
+        end: End::from_code(msg.end),
+        pace: (msg.pace_us > 0).then(|| Duration::from_micros(msg.pace_us.into())),
+        load: msg.has_load.then_some((msg.running, msg.waiting)),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/message.rs
@@ -0,0 +1,199 @@
+//! Datagrams between members, in protocol buffer encoding.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use prost::{Message, Oneof};
+
+use crate::roster::{Beat, Member};
+
+/// Largest datagram that is read.
+pub(crate) const MAX_DATAGRAM: usize = 16 * 1024;
+
+/// One datagram.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Datagram {
+    /// Incarnation of the sender.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) sender: u64,
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8")]
+    pub(crate) body: Option<Body>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub(crate) enum Body {
+    #[prost(message, tag = "2")]
+    Beat(BeatMsg),
+    #[prost(message, tag = "3")]
+    Offer(OfferMsg),
+    /// The offer waits; the owner is alive.
+    #[prost(fixed64, tag = "4")]
+    Queued(u64),
+    #[prost(message, tag = "5")]
+    Grant(GrantMsg),
+    #[prost(message, tag = "6")]
+    Refuse(RefuseMsg),
+    #[prost(message, tag = "7")]
+    Release(ReleaseMsg),
+    #[prost(fixed64, tag = "8")]
+    Withdraw(u64),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct MemberMsg {
+    #[prost(fixed32, tag = "1")]
+    pub(crate) ip: u32,
+    #[prost(fixed64, tag = "2")]
+    pub(crate) incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub(crate) seq: u64,
+    #[prost(bool, tag = "4")]
+    pub(crate) ready: bool,
+    #[prost(bool, tag = "5")]
+    pub(crate) stopping: bool,
+    #[prost(bool, tag = "6")]
+    pub(crate) fresh: bool,
+    #[prost(uint64, tag = "7")]
+    pub(crate) revision: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct BeatMsg {
+    #[prost(message, optional, tag = "1")]
+    pub(crate) from: Option<MemberMsg>,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) others: Vec<MemberMsg>,
+    /// Runs of the sender that the receiver owns, with the key of their targets.
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) runs: Vec<RunMsg>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RunMsg {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) run: u64,
+    #[prost(fixed64, tag = "2")]
+    pub(crate) target: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct OfferMsg {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) run: u64,
+    #[prost(string, tag = "2")]
+    pub(crate) pool: String,
+    #[prost(uint32, tag = "3")]
+    pub(crate) shards: u32,
+    #[prost(uint32, tag = "4")]
+    pub(crate) tier: u32,
+    #[prost(string, tag = "5")]
+    pub(crate) workspace: String,
+    #[prost(uint32, tag = "6")]
+    pub(crate) prompt: u32,
+    #[prost(uint32, tag = "7")]
+    pub(crate) output: u32,
+    #[prost(bool, tag = "8")]
+    pub(crate) counted: bool,
+    #[prost(fixed64, tag = "9")]
+    pub(crate) session: u64,
+    #[prost(uint32, tag = "10")]
+    pub(crate) wait_ms: u32,
+    #[prost(uint32, tag = "11")]
+    pub(crate) left_ms: u32,
+    #[prost(uint32, tag = "12")]
+    pub(crate) sends: u32,
+    #[prost(fixed64, repeated, tag = "13")]
+    pub(crate) avoid: Vec<u64>,
+    #[prost(fixed64, tag = "14")]
+    pub(crate) fingerprint: u64,
+    #[prost(string, tag = "15")]
+    pub(crate) zone: String,
+    #[prost(bool, tag = "16")]
+    pub(crate) stream: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct GrantMsg {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) run: u64,
+    #[prost(string, tag = "2")]
+    pub(crate) target: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RefuseMsg {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) run: u64,
+    #[prost(uint32, tag = "2")]
+    pub(crate) reason: u32,
+    #[prost(uint32, tag = "3")]
+    pub(crate) retry_ms: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ReleaseMsg {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) run: u64,
+    #[prost(uint32, tag = "2")]
+    pub(crate) end: u32,
+    /// Microseconds for one unit of work.
+    #[prost(uint32, tag = "3")]
+    pub(crate) pace_us: u32,
+    #[prost(bool, tag = "4")]
+    pub(crate) has_load: bool,
+    #[prost(uint32, tag = "5")]
+    pub(crate) running: u32,
+    #[prost(uint32, tag = "6")]
+    pub(crate) waiting: u32,
+}
+
+impl From<&Member> for MemberMsg {
+    fn from(member: &Member) -> Self {
+        MemberMsg {
+            ip: member.ip.to_bits(),
+            incarnation: member.incarnation,
+            seq: member.seq,
+            ready: member.ready,
+            stopping: member.stopping,
+            fresh: member.fresh,
+            revision: member.revision,
+        }
+    }
+}
+
+impl From<&MemberMsg> for Member {
+    fn from(msg: &MemberMsg) -> Self {
+        Member {
+            ip: Ipv4Addr::from_bits(msg.ip),
+            incarnation: msg.incarnation,
+            seq: msg.seq,
+            ready: msg.ready,
+            stopping: msg.stopping,
+            fresh: msg.fresh,
+            revision: msg.revision,
+        }
+    }
+}
+
+impl BeatMsg {
+    pub(crate) fn new(beat: &Beat) -> Self {
+        BeatMsg {
+            from: Some((&beat.from).into()),
+            others: beat.others.iter().map(MemberMsg::from).collect(),
+            runs: Vec::new(),
+        }
+    }
+
+    /// The beat, if the datagram says who sends it.
+    pub(crate) fn beat(&self) -> Option<Beat> {
+        Some(Beat {
+            from: self.from.as_ref()?.into(),
+            others: self.others.iter().map(Member::from).collect(),
+        })
+    }
+}
+
+/// Milliseconds for the wire; longer times are cut.
+pub(crate) fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,261 @@
+//! State of the process, shared by the tasks of its one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::debug;
+use prost::Message;
+use rand::RngExt;
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, mpsc, watch};
+
+use crate::catalog::Catalog;
+use crate::clock;
+use crate::message::{Body, Datagram, GrantMsg, RefuseMsg, ReleaseMsg, millis};
+use crate::model::{Name, Settings};
+use crate::owner::{Decision, Owner, Refusal, Report, RunId};
+use crate::port::Dialect;
+use crate::roster::Roster;
+use crate::upstream::Upstreams;
+
+/// What an owner says of an offer.
+#[derive(Clone, Debug)]
+pub(crate) enum Reply {
+    Queued,
+    Granted {
+        from: Ipv4Addr,
+        target: Name,
+    },
+    Refused {
+        reason: Refusal,
+        retry_after: Duration,
+    },
+}
+
+/// A run that this entry has in flight.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct InFlight {
+    pub(crate) owner: Ipv4Addr,
+    pub(crate) target: u64,
+}
+
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) incarnation: u64,
+    pub(crate) catalog: RefCell<Catalog>,
+    pub(crate) roster: RefCell<Roster>,
+    pub(crate) owner: RefCell<Owner>,
+    pub(crate) upstreams: Upstreams,
+    /// Wakes the task that polls the owner.
+    pub(crate) owner_changed: Notify,
+    /// Asks for a new listing of the store.
+    pub(crate) list_again: Notify,
+    pub(crate) stopping: watch::Sender<bool>,
+    /// Requests that are being served.
+    pub(crate) serving: Cell<usize>,
+    pub(crate) runs: RefCell<HashMap<u64, InFlight>>,
+    /// Owners that were asked lately, with the time.
+    pub(crate) asked: RefCell<HashMap<Ipv4Addr, Duration>>,
+    pending: RefCell<HashMap<u64, mpsc::UnboundedSender<Reply>>>,
+    /// Addresses of entries that sent offers here.
+    entries: RefCell<HashMap<u64, Ipv4Addr>>,
+    next_run: Cell<u64>,
+    socket: UdpSocket,
+}
+
+impl Node {
+    pub(crate) fn new(
+        settings: Settings,
+        dialect: Box<dyn Dialect>,
+        socket: UdpSocket,
+    ) -> Rc<Self> {
+        let incarnation = rand::rng().random();
+        Rc::new(Node {
+            catalog: RefCell::new(Catalog::new(settings.lapse)),
+            roster: RefCell::new(Roster::new(
+                settings.ip,
+                incarnation,
+                settings.seeds.clone(),
+            )),
+            owner: RefCell::new(Owner::new(settings.clone())),
+            upstreams: Upstreams::default(),
+            owner_changed: Notify::new(),
+            list_again: Notify::new(),
+            stopping: watch::Sender::new(false),
+            serving: Cell::new(0),
+            runs: RefCell::default(),
+            asked: RefCell::default(),
+            pending: RefCell::default(),
+            entries: RefCell::default(),
+            next_run: Cell::new(1),
+            incarnation,
+            dialect,
+            settings,
+            socket,
+        })
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Whether callers are served.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.catalog.borrow().is_ready()
+    }
+
+    pub(crate) fn new_run(&self) -> u64 {
+        let run = self.next_run.get();
+        self.next_run.set(run + 1);
+        run
+    }
+
+    /// Expects replies about a run.
+    pub(crate) fn expect(&self, run: u64) -> mpsc::UnboundedReceiver<Reply> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        self.pending.borrow_mut().insert(run, tx);
+        rx
+    }
+
+    pub(crate) fn unexpect(&self, run: u64) {
+        self.pending.borrow_mut().remove(&run);
+    }
+
+    /// Hands a reply to the request that waits for it. Returns false if none does.
+    pub(crate) fn deliver(&self, run: u64, reply: Reply) -> bool {
+        let pending = self.pending.borrow();
+        pending.get(&run).is_some_and(|tx| tx.send(reply).is_ok())
+    }
+
+    pub(crate) fn note_entry(&self, incarnation: u64, ip: Ipv4Addr) {
+        self.entries.borrow_mut().insert(incarnation, ip);
+    }
+
+    /// Forgets entries whose process is over, with their runs.
+    pub(crate) fn drop_gone_entries(&self, now: Duration) {
+        let roster = self.roster.borrow();
+        let mut gone = Vec::new();
+        self.entries.borrow_mut().retain(|&incarnation, &mut ip| {
+            let over = roster.is_gone(now, ip, incarnation);
+            if over {
+                gone.push(incarnation);
+            }
+            !over
+        });
+        if !gone.is_empty() {
+            self.owner
+                .borrow_mut()
+                .drop_entries(|incarnation| gone.contains(&incarnation));
+        }
+    }
+
+    /// Takes what the catalog says into the owner.
+    pub(crate) fn refresh_owner(&self) {
+        let now = clock::now();
+        self.owner.borrow_mut().refresh(now, &self.catalog.borrow());
+        self.decide();
+    }
+
+    /// Lets the owner decide and sends its decisions.
+    pub(crate) fn decide(&self) {
+        let decisions = self.owner.borrow_mut().poll(clock::now());
+        for decision in decisions {
+            self.send_decision(decision);
+        }
+        self.owner_changed.notify_one();
+    }
+
+    pub(crate) fn send(&self, to: Ipv4Addr, body: Body) {
+        let datagram = Datagram {
+            sender: self.incarnation,
+            body: Some(body),
+        };
+        let address = SocketAddr::from((to, self.settings.peer_port));
+        // A datagram that can't be sent is as good as lost; the sender repeats what matters.
+        if let Err(err) = self.socket.try_send_to(&datagram.encode_to_vec(), address) {
+            metrics::counter!("primrosechute_datagrams_unsent_total").increment(1);
+            debug!("peer: a datagram to {to} was not sent: {err}");
+        }
+    }
+
+    pub(crate) async fn receive(&self, buf: &mut [u8]) -> std::io::Result<(usize, SocketAddr)> {
+        self.socket.recv_from(buf).await
+    }
+
+    /// Ends a run at its owner.
+    pub(crate) fn release(&self, owner: Ipv4Addr, run: u64, report: &Report) {
+        self.runs.borrow_mut().remove(&run);
+        if owner == self.settings.ip {
+            let id = RunId {
+                entry: self.incarnation,
+                run,
+            };
+            self.owner.borrow_mut().release(clock::now(), id, report);
+            self.decide();
+            return;
+        }
+        let (running, waiting) = report.load.unwrap_or_default();
+        let pace = report.pace.map_or(0, |pace| pace.as_micros());
+        self.send(
+            owner,
+            Body::Release(ReleaseMsg {
+                run,
+                end: report.end.code(),
+                pace_us: u32::try_from(pace).unwrap_or(u32::MAX),
+                has_load: report.load.is_some(),
+                running,
+                waiting,
+            }),
+        );
+    }
+
+    fn send_decision(&self, decision: Decision) {
+        let (id, reply) = match decision {
+            Decision::Grant { id, target } => (
+                id,
+                Reply::Granted {
+                    from: self.settings.ip,
+                    target,
+                },
+            ),
+            Decision::Refuse {
+                id,
+                reason,
+                retry_after,
+            } => (
+                id,
+                Reply::Refused {
+                    reason,
+                    retry_after,
+                },
+            ),
+        };
+        if id.entry == self.incarnation {
+            self.deliver(id.run, reply);
+            return;
+        }
+        let Some(to) = self.entries.borrow().get(&id.entry).copied() else {
+            return;
+        };
+        let body = match reply {
+            Reply::Queued => Body::Queued(id.run),
+            Reply::Granted { target, .. } => Body::Grant(GrantMsg {
+                run: id.run,
+                target: target.to_string(),
+            }),
+            Reply::Refused {
+                reason,
+                retry_after,
+            } => Body::Refuse(RefuseMsg {
+                run: id.run,
+                reason: reason.code(),
+                retry_ms: millis(retry_after),
+            }),
+        };
+        self.send(to, body);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/owner/model.rs
@@ -0,0 +1,181 @@
+//! Inputs and outputs of an owner.
+
+use std::time::Duration;
+
+use crate::model::{Cost, Name};
+
+/// Names one request of one entry; unique in the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RunId {
+    /// Incarnation of the entry.
+    pub entry: u64,
+    /// Number at the entry.
+    pub run: u64,
+}
+
+/// What an entry tells an owner of a waiting request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Offer {
+    /// Id of the run.
+    pub id: RunId,
+    /// Pool that is to serve it.
+    pub pool: Name,
+    /// Number of shards of the pool as the entry counts them.
+    pub shards: u32,
+    /// Rank; 0 is the highest.
+    pub tier: u8,
+    /// Workspace whose rate it counts against.
+    pub workspace: Option<Name>,
+    /// Declared size.
+    pub cost: Option<Cost>,
+    /// Hash of the last part of the prompt; 0 for none.
+    pub session: u64,
+    /// Longest time in the queue.
+    pub wait: Duration,
+    /// Time until the run is over at the latest.
+    pub left: Duration,
+    /// Number of targets to which it was sent before.
+    pub sends: u32,
+    /// Keys of targets that are not to get it.
+    pub avoid: Vec<u64>,
+    /// Hash of what makes the request crash a target, if it does.
+    pub fingerprint: u64,
+    /// Availability zone of the entry.
+    pub zone: Name,
+    /// Whether the answer is a stream.
+    pub stream: bool,
+}
+
+/// Why an offer is refused. A refused request was not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// The workspace is over its rate.
+    Rate,
+    /// It can't be served in time.
+    Busy,
+    /// No target may get it.
+    NoTarget,
+    /// The budget of repeats is used up.
+    Budget,
+    /// It broke the targets that ran it.
+    Poison,
+}
+
+impl Refusal {
+    /// Label in logs and metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Refusal::Rate => "rate",
+            Refusal::Busy => "busy",
+            Refusal::NoTarget => "no_target",
+            Refusal::Budget => "retry_budget",
+            Refusal::Poison => "poison",
+        }
+    }
+
+    pub(crate) fn code(self) -> u32 {
+        match self {
+            Refusal::Rate => 1,
+            Refusal::Busy => 2,
+            Refusal::NoTarget => 3,
+            Refusal::Budget => 4,
+            Refusal::Poison => 5,
+        }
+    }
+
+    pub(crate) fn from_code(code: u32) -> Self {
+        match code {
+            1 => Refusal::Rate,
+            3 => Refusal::NoTarget,
+            4 => Refusal::Budget,
+            5 => Refusal::Poison,
+            _ => Refusal::Busy,
+        }
+    }
+}
+
+/// What an owner decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The request may be sent to the target.
+    Grant {
+        /// Id of the run.
+        id: RunId,
+        /// Id of the target.
+        target: Name,
+    },
+    /// The request is refused.
+    Refuse {
+        /// Id of the run.
+        id: RunId,
+        /// Why.
+        reason: Refusal,
+        /// Time after which it would be admitted.
+        retry_after: Duration,
+    },
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Nothing was sent.
+    Unused,
+    /// The whole answer came.
+    Served,
+    /// The target answered with an error.
+    Error,
+    /// The target did not run it because it is full.
+    Overloaded,
+    /// Another target has the address.
+    Misdirected,
+    /// The target could not be reached.
+    Unreachable,
+    /// The connection broke, or the answer was damaged.
+    Broken,
+    /// No answer came in time.
+    Silent,
+    /// The caller left.
+    Cancelled,
+}
+
+impl End {
+    pub(crate) fn code(self) -> u32 {
+        match self {
+            End::Unused => 1,
+            End::Served => 2,
+            End::Error => 3,
+            End::Overloaded => 4,
+            End::Misdirected => 5,
+            End::Unreachable => 6,
+            End::Broken => 7,
+            End::Silent => 8,
+            End::Cancelled => 9,
+        }
+    }
+
+    pub(crate) fn from_code(code: u32) -> Self {
+        match code {
+            2 => End::Served,
+            3 => End::Error,
+            4 => End::Overloaded,
+            5 => End::Misdirected,
+            6 => End::Unreachable,
+            7 => End::Broken,
+            8 => End::Silent,
+            9 => End::Cancelled,
+            _ => End::Unused,
+        }
+    }
+}
+
+/// What an entry reports of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// How it ended.
+    pub end: End,
+    /// Time for one unit of work: between events of a stream, or of a whole answer.
+    pub pace: Option<Duration>,
+    /// Running and waiting requests as the target said in its answer.
+    pub load: Option<(u32, u32)>,
+}
--- /dev/null
+++ b/crates/gateway/src/owner/target.rs
@@ -0,0 +1,154 @@
+//! What an owner knows of one target.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::model::{Name, Target};
+use crate::owner::model::{End, Report};
+
+/// Weight of a new observation in the running means.
+const MEAN_WEIGHT: f64 = 0.2;
+/// First rest of a target after a failure that says that it may be down; it doubles.
+const FIRST_REST: Duration = Duration::from_millis(300);
+/// Longest rest. A target that is back is found within this time.
+const LONGEST_REST: Duration = Duration::from_millis(2400);
+/// Rest of a target that says that it is full.
+const FULL_REST: Duration = Duration::from_millis(60);
+/// Load that others put on a target is believed for this long.
+const FOREIGN_MEMORY: Duration = Duration::from_millis(500);
+/// Window of the rate of a cold target.
+const SECOND: Duration = Duration::from_secs(1);
+/// Weight of the share of failed runs in the load of a target.
+const FAILURE_WEIGHT: f64 = 8.0;
+
+pub(super) struct State {
+    pub(super) id: Name,
+    pub(super) born: u64,
+    pub(super) pool: Name,
+    pub(super) zone: Name,
+    pub(super) slots: u32,
+    pub(super) open: bool,
+    pub(super) running: u32,
+    /// Sends of the last second.
+    sends: VecDeque<Duration>,
+    /// Seconds for one unit of work.
+    pub(super) pace: Option<f64>,
+    /// Share of runs that failed lately.
+    failed: f64,
+    rest: Duration,
+    resting_until: Duration,
+    /// Whether it has failed since it last served: one run at a time tries it.
+    doubtful: bool,
+    foreign: u32,
+    foreign_until: Duration,
+}
+
+impl State {
+    pub(super) fn new(target: &Target) -> Self {
+        State {
+            id: target.id.clone(),
+            born: target.born,
+            pool: target.pool.clone(),
+            zone: target.zone.clone(),
+            slots: target.slots,
+            open: true,
+            running: 0,
+            sends: VecDeque::new(),
+            pace: None,
+            failed: 0.0,
+            rest: Duration::ZERO,
+            resting_until: Duration::ZERO,
+            doubtful: false,
+            foreign: 0,
+            foreign_until: Duration::ZERO,
+        }
+    }
+
+    /// Whether it may get one more run. `cap` bounds the sends of a second.
+    pub(super) fn has_room(&mut self, now: Duration, cap: Option<usize>) -> bool {
+        while self
+            .sends
+            .front()
+            .is_some_and(|&at| now.saturating_sub(at) >= SECOND)
+        {
+            self.sends.pop_front();
+        }
+        let foreign = if now < self.foreign_until {
+            self.foreign
+        } else {
+            0
+        };
+        let places = if self.doubtful { 1 } else { self.slots };
+        self.open
+            && now >= self.resting_until
+            && self.running.saturating_add(foreign) < places
+            && cap.is_none_or(|cap| self.sends.len() < cap)
+    }
+
+    /// When a run could be admitted although none ends.
+    pub(super) fn wakeup(&self, now: Duration) -> Option<Duration> {
+        if !self.open {
+            return None;
+        }
+        let send = self.sends.front().map(|&at| at + SECOND);
+        [Some(self.resting_until), Some(self.foreign_until), send]
+            .into_iter()
+            .flatten()
+            .filter(|&at| at > now)
+            .min()
+    }
+
+    /// Load as if one more run were admitted; the lowest is chosen. `pace` is the mean pace of the
+    /// pool.
+    pub(super) fn load(&self, pace: f64) -> f64 {
+        let relative = match self.pace {
+            Some(own) if pace > 0.0 => own / pace,
+            _ => 1.0,
+        };
+        let share = f64::from(self.running + 1) / f64::from(self.slots.max(1));
+        share * relative * (1.0 + FAILURE_WEIGHT * self.failed)
+    }
+
+    pub(super) fn sent(&mut self, now: Duration) {
+        self.sends.push_back(now);
+        self.running += 1;
+    }
+
+    pub(super) fn ended(&mut self, now: Duration, report: &Report) {
+        self.running = self.running.saturating_sub(1);
+        if let Some((running, waiting)) = report.load {
+            // The answer that carries the figure still counts itself.
+            let others = (running + waiting).saturating_sub(self.running + 1);
+            self.foreign = others;
+            self.foreign_until = now + FOREIGN_MEMORY;
+        }
+        match report.end {
+            End::Served => {
+                self.failed *= 1.0 - MEAN_WEIGHT;
+                self.rest = Duration::ZERO;
+                self.doubtful = false;
+                if let Some(pace) = report.pace {
+                    let pace = pace.as_secs_f64();
+                    self.pace = Some(match self.pace {
+                        Some(mean) => mean + (pace - mean) * MEAN_WEIGHT,
+                        None => pace,
+                    });
+                }
+            }
+            End::Error => self.failed += (1.0 - self.failed) * MEAN_WEIGHT,
+            End::Overloaded => self.resting_until = now + FULL_REST,
+            End::Broken => {
+                self.failed += (1.0 - self.failed) * MEAN_WEIGHT;
+            }
+            End::Unreachable | End::Silent | End::Misdirected => {
+                self.failed += (1.0 - self.failed) * MEAN_WEIGHT;
+                self.doubtful = true;
+                if now >= self.resting_until {
+                    self.rest = (self.rest * 2).clamp(FIRST_REST, LONGEST_REST);
+                    self.resting_until = now + self.rest;
+                }
+            }
+            End::Unused | End::Cancelled => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/port.rs
@@ -0,0 +1,166 @@
+//! Ports to the surroundings: their dialect of HTTP, and their store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+
+use crate::catalog::Change;
+use crate::model::{Cost, Settings};
+
+/// What the head of a caller's request says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Head {
+    /// Id of this call.
+    pub id: String,
+    /// Time that the caller waits.
+    pub deadline: Option<Duration>,
+    /// Key of the caller.
+    pub key: Option<String>,
+    /// Declared size.
+    pub cost: Option<Cost>,
+    /// Hashes of the parts of the prompt, from the first to the last, with their tokens.
+    pub prompt: Vec<(u64, u32)>,
+}
+
+/// Why the head of a request can't be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BadHead {
+    /// It has no usable id.
+    Id,
+    /// Its deadline is not a number.
+    Deadline,
+    /// A header stands more than once or can't be read.
+    Ambiguous,
+}
+
+/// What the system adds to a request that goes to a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Forward<'a> {
+    /// Id of the target; any other one rejects the request.
+    pub target: &'a str,
+    /// Workspace of the key, if the route needs one.
+    pub workspace: Option<&'a str>,
+    /// Time that is left.
+    pub left: Duration,
+    /// Last event that the caller has, if the stream is resumed.
+    pub last_event: Option<&'a str>,
+}
+
+/// What the head of a target's answer says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// Id of the request that it answers.
+    pub id: Option<String>,
+    /// Whether the target proves that the answer is its own.
+    pub signed: bool,
+    /// Whether the target states that it did not run the request.
+    pub not_run: bool,
+    /// Whether the target is not the one that the request was meant for.
+    pub misdirected: bool,
+    /// Running and waiting requests.
+    pub load: Option<(u32, u32)>,
+    /// Time for which the target keeps an idle connection.
+    pub keep_alive: Option<Duration>,
+    /// Whether the connection ends with this answer.
+    pub close: bool,
+}
+
+/// A question to the directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lookup {
+    /// Availability zone of the caller.
+    pub zone: Option<String>,
+}
+
+/// Names and forms of HTTP messages.
+pub trait Dialect {
+    /// Reads the head of a request.
+    ///
+    /// # Errors
+    /// Fails if the head is ambiguous or lacks what each request has to say.
+    fn head(&self, headers: &HeaderMap) -> Result<Head, BadHead>;
+
+    /// Headers for the target: those of the caller without what concerns one connection or is the
+    /// system's to set, and those of `forward`.
+    fn forward(&self, headers: &HeaderMap, forward: &Forward<'_>) -> HeaderMap;
+
+    /// Reads the head of a target's answer.
+    fn answer(&self, response: &Response<()>) -> Answer;
+
+    /// Headers of the answer to the caller: those of the target without what concerns one
+    /// connection.
+    fn relay(&self, headers: &HeaderMap) -> HeaderMap;
+
+    /// The system's own answer to the request with the given id.
+    fn own(
+        &self,
+        status: u16,
+        id: &str,
+        reason: &str,
+        retry_after: Option<Duration>,
+    ) -> Response<Bytes>;
+
+    /// Whether a request to the readiness address is the readiness check.
+    fn is_ready_check(&self, req: &Request<()>) -> bool;
+
+    /// Reads a question to the directory.
+    fn lookup(&self, req: &Request<()>) -> Option<Lookup>;
+
+    /// The directory's answer.
+    fn entries(&self, entries: &[SocketAddr], ttl: Duration) -> Response<Bytes>;
+}
+
+/// Why the store did not answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreError {
+    /// It can't be reached, or the connection broke.
+    Unreachable(String),
+    /// It did not answer in time.
+    Timeout,
+    /// It refuses calls for now.
+    Refused(u16),
+    /// The changes asked for are no longer kept.
+    Forgotten,
+    /// Its answer can't be read.
+    Malformed(String),
+}
+
+/// An answer of the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Batch {
+    /// What it says, in order.
+    pub changes: Vec<Change>,
+    /// Revision to watch from.
+    pub after: u64,
+    /// Revision of the newest change among `changes`; 0 without any.
+    pub newest: u64,
+}
+
+/// The store, from which configuration and targets are read.
+#[expect(
+    async_fn_in_trait,
+    reason = "all futures run on the one thread of the process"
+)]
+pub trait Store {
+    /// Reads everything. Each call may take `timeout`.
+    async fn list(&mut self, timeout: Duration) -> Result<Batch, StoreError>;
+
+    /// Waits for changes after a revision. There may be none.
+    async fn watch(
+        &mut self,
+        after: u64,
+        wait: Duration,
+        timeout: Duration,
+    ) -> Result<Batch, StoreError>;
+}
+
+/// Source of the settings, read at the start and whenever they may have changed.
+pub trait SettingsSource {
+    /// Reads the settings.
+    ///
+    /// # Errors
+    /// Says what is missing or malformed, and where.
+    fn read(&self) -> Result<Settings, String>;
+}
--- /dev/null
+++ b/crates/gateway/src/request.rs
@@ -0,0 +1,382 @@
+//! One request of a caller.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use log::{info, warn};
+use metrics::counter;
+use rand::RngExt;
+use tokio::time::timeout;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::attempt::{self, Ask, Permit, Sendable, Sent};
+use crate::catalog::{Allowed, Denied};
+use crate::clock;
+use crate::model::{Name, Route};
+use crate::node::Node;
+use crate::owner::{End, Refusal};
+use crate::port::{Answer, BadHead, Head};
+use crate::relay::{self, Body, Stream};
+use crate::upstream::Upstream;
+use crate::verdict::{Seen, Told, verdict};
+
+/// Part of the aim for which a request may wait for a permit. The rest is for the target.
+const WAIT_PART: f64 = 0.5;
+/// A request that may be repeated is given up at a silent target after this many aims.
+const SILENT_AIMS: u32 = 2;
+/// Shortest time after which a silent target is given up.
+const SILENT_MIN: Duration = Duration::from_millis(600);
+/// Targets that could not be reached, after which a request is refused.
+const MAX_UNREACHED: u32 = 4;
+/// Largest answer that is kept to be passed on whole.
+const MAX_ANSWER: usize = 8 * 1024 * 1024;
+/// Advice to callers of a daemon that has no configuration yet.
+const NOT_READY: Duration = Duration::from_millis(300);
+/// Less time than this does not pay for one more attempt.
+const LEAST_LEFT: Duration = Duration::from_millis(50);
+
+/// Counts a request as being served.
+pub(crate) struct Serving(Rc<Node>);
+
+impl Serving {
+    fn new(node: &Rc<Node>) -> Self {
+        node.serving.set(node.serving.get() + 1);
+        Serving(Rc::clone(node))
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.0.serving.set(self.0.serving.get() - 1);
+    }
+}
+
+/// Serves one request. The future is dropped when the caller leaves, which ends everything that
+/// it holds.
+pub(crate) async fn handle(
+    node: Rc<Node>,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let serving = Serving::new(&node);
+    let mut response = match prepare(&node, req).await {
+        Ok(call) => call.run(serving).await,
+        Err(response) => response,
+    };
+    if node.is_stopping() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// A request that is allowed, with its body.
+struct Call {
+    node: Rc<Node>,
+    route: Arc<Route>,
+    req: Sendable,
+    ask: Ask,
+    deadline: Duration,
+    unreached: u32,
+    /// What the caller is told if no further attempt is made.
+    last: Option<(Told, Option<Response<Body>>)>,
+}
+
+async fn prepare(node: &Rc<Node>, req: Request<Incoming>) -> Result<Call, Response<Body>> {
+    let came = clock::now();
+    let (parts, body) = req.into_parts();
+    let head = node.dialect.head(&parts.headers).map_err(|bad| {
+        let reason = match bad {
+            BadHead::Id => "request id missing",
+            BadHead::Deadline => "malformed deadline",
+            BadHead::Ambiguous => "ambiguous header",
+        };
+        own(node, 400, "", reason, None)
+    })?;
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    if parts.uri.authority().is_some() {
+        return Err(own(node, 400, &head.id, "absolute form", None));
+    }
+    let path = parts.uri.path();
+    let (allowed, limits) = {
+        let catalog = node.catalog.borrow();
+        (
+            catalog.allow(host, path, head.key.as_deref()),
+            catalog.limits(),
+        )
+    };
+    let allowed = allowed.map_err(|denied| match denied {
+        Denied::NoConfig => own(node, 503, &head.id, "no configuration", Some(NOT_READY)),
+        Denied::Route => own(node, 404, &head.id, "no route", None),
+        Denied::Key => own(node, 401, &head.id, "unknown key", None),
+    })?;
+    let deadline = came
+        + head
+            .deadline
+            .unwrap_or(Duration::MAX)
+            .min(allowed.route.timeout);
+    let left = deadline.saturating_sub(clock::now());
+    let body = timeout(left, Limited::new(body, limits.body_bytes).collect()).await;
+    let body = match body {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(err)) if err.downcast_ref::<LengthLimitError>().is_some() => {
+            return Err(own(node, 413, &head.id, "body too large", None));
+        }
+        Ok(Err(_)) => return Err(own(node, 400, &head.id, "body incomplete", None)),
+        Err(_) => return Err(own(node, 408, &head.id, "body late", None)),
+    };
+    let fingerprint = fingerprint(path, head.key.as_deref(), &body);
+    let ask = ask_of(&allowed, &head, fingerprint);
+    Ok(Call {
+        node: Rc::clone(node),
+        deadline,
+        req: Sendable {
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            id: head.id,
+            workspace: allowed.workspace.as_ref().map(|w| w.name.clone()),
+        },
+        route: allowed.route,
+        ask,
+        unreached: 0,
+        last: None,
+    })
+}
+
+fn ask_of(allowed: &Allowed, head: &Head, fingerprint: u64) -> Ask {
+    let route = &allowed.route;
+    let workspace = allowed.workspace.as_ref();
+    Ask {
+        pool: choose_pool(&route.pools),
+        tier: workspace.and_then(|w| w.tier).unwrap_or(route.tier),
+        workspace: workspace
+            .filter(|w| w.rate.is_some())
+            .map(|w| w.name.clone()),
+        cost: head.cost,
+        session: head.prompt.last().map_or(0, |&(part, _)| part),
+        sends: 0,
+        avoid: Vec::new(),
+        fingerprint,
+        stream: route.kind.is_stream(),
+        wait: route.aim.mul_f64(WAIT_PART),
+        left: route.timeout,
+    }
+}
+
+/// Chooses one of the pools of a route at random, by their weights.
+fn choose_pool(pools: &[(Name, u32)]) -> Name {
+    let total: u32 = pools.iter().map(|&(_, weight)| weight).sum();
+    let mut at = rand::rng().random_range(0..total.max(1));
+    for (name, weight) in pools {
+        if at < *weight {
+            return name.clone();
+        }
+        at -= weight;
+    }
+    pools
+        .first()
+        .map_or_else(|| "".into(), |(name, _)| name.clone())
+}
+
+impl Call {
+    async fn run(mut self, serving: Serving) -> Response<Body> {
+        loop {
+            let left = self.left();
+            if left < LEAST_LEFT && (self.last.is_some() || left.is_zero()) {
+                return self.give_up(Refusal::Busy, Duration::ZERO);
+            }
+            self.ask.left = left;
+            self.ask.wait = self.ask.wait.min(left);
+            let permit = match timeout(left, attempt::permit(&self.node, &self.ask)).await {
+                Ok(Ok(permit)) => permit,
+                Ok(Err((reason, retry_after))) => return self.give_up(reason, retry_after),
+                Err(_) => return self.give_up(Refusal::Busy, Duration::ZERO),
+            };
+            let again = self.can_repeat();
+            let patience = if again && self.route.kind.repeats() {
+                self.left()
+                    .min((self.route.aim * SILENT_AIMS).max(SILENT_MIN))
+            } else {
+                self.left()
+            };
+            let target = permit.target.clone();
+            let sent =
+                attempt::send(&self.node, &self.req, &target, self.left(), patience, None).await;
+            if !matches!(sent, Sent::NotSent) {
+                self.ask.sends += 1;
+            }
+            self.ask.avoid.push(permit.key);
+            let seen = match sent {
+                Sent::NotSent => {
+                    self.unreached += 1;
+                    permit.ended(End::Unreachable);
+                    (Seen::NotSent, None)
+                }
+                Sent::Broken(why) => {
+                    info!("entry: {} broken at {}: {why}", self.req.id, target.id);
+                    permit.ended(End::Broken);
+                    (Seen::Broken, None)
+                }
+                Sent::Silent => {
+                    permit.ended(End::Silent);
+                    (Seen::Silent, None)
+                }
+                Sent::Head {
+                    response,
+                    answer,
+                    upstream,
+                } => {
+                    if response.status() == StatusCode::OK
+                        && answer.signed
+                        && self.route.kind.is_stream()
+                    {
+                        let stream = Stream {
+                            node: self.node,
+                            req: self.req,
+                            route: self.route,
+                            ask: self.ask,
+                            deadline: self.deadline,
+                            serving,
+                        };
+                        return relay::start(stream, permit, upstream, answer, response);
+                    }
+                    self.whole(permit, upstream, answer, response).await
+                }
+            };
+            let told = verdict(seen.0, self.route.kind, self.can_repeat());
+            match told {
+                Told::Pass => {
+                    counter!("primrosechute_answers_total", "outcome" => "served").increment(1);
+                    return seen.1.expect("an answer is passed on");
+                }
+                Told::Repeat => {
+                    let last = verdict(seen.0, self.route.kind, false);
+                    self.last = Some((last, seen.1));
+                    info!("entry: {} again after {:?}", self.req.id, seen.0);
+                }
+                told => {
+                    self.last = Some((told, None));
+                    return self.give_up(Refusal::NoTarget, Duration::ZERO);
+                }
+            }
+        }
+    }
+
+    fn left(&self) -> Duration {
+        self.deadline.saturating_sub(clock::now())
+    }
+
+    fn can_repeat(&self) -> bool {
+        self.ask.sends < self.route.attempts
+            && self.unreached < MAX_UNREACHED
+            && self.left() > LEAST_LEFT
+    }
+
+    /// Reads the body of an answer that is no stream.
+    async fn whole(
+        &self,
+        mut permit: Permit,
+        upstream: Upstream,
+        answer: Answer,
+        response: Response<Incoming>,
+    ) -> (Seen, Option<Response<Body>>) {
+        let began = clock::now();
+        let (parts, body) = response.into_parts();
+        let body = timeout(self.left(), Limited::new(body, MAX_ANSWER).collect()).await;
+        permit.report.load = answer.load;
+        let body = match body {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => {
+                permit.ended(End::Broken);
+                return (Seen::Broken, None);
+            }
+            Err(_) => {
+                permit.ended(End::Silent);
+                return (Seen::Silent, None);
+            }
+        };
+        if !answer.close {
+            let now = clock::now();
+            self.node.upstreams.put(now, upstream, answer.keep_alive);
+        }
+        if answer.misdirected {
+            permit.ended(End::Misdirected);
+            return (Seen::Rejected, None);
+        }
+        if answer.not_run {
+            permit.ended(End::Overloaded);
+            return (Seen::Rejected, None);
+        }
+        let status = parts.status.as_u16();
+        if parts.status.is_server_error() {
+            permit.ended(End::Error);
+        } else {
+            permit.report.pace = Some(clock::now().saturating_sub(began));
+            permit.ended(End::Served);
+        }
+        let mut out = Response::new(Body::Whole(Some(body)));
+        *out.status_mut() = parts.status;
+        *out.headers_mut() = self.node.dialect.relay(&parts.headers);
+        let seen = Seen::Answered {
+            status,
+            signed: answer.signed,
+        };
+        (seen, Some(out))
+    }
+
+    /// The last answer, when no further attempt is made.
+    fn give_up(self, reason: Refusal, retry_after: Duration) -> Response<Body> {
+        let (node, id) = (&self.node, &self.req.id);
+        match self.last {
+            None | Some((Told::NotRun | Told::Repeat, _)) => {
+                let status = if reason == Refusal::Rate { 429 } else { 503 };
+                let after = retry_after.max(Duration::from_millis(100));
+                own(node, status, id, reason.label(), Some(after))
+            }
+            Some((Told::Pass, Some(response))) => {
+                counter!("primrosechute_answers_total", "outcome" => "error").increment(1);
+                response
+            }
+            Some((Told::Pass | Told::Unknown, _)) => own(node, 502, id, "outcome unknown", None),
+            Some((Told::Late, _)) => own(node, 504, id, "time over", None),
+        }
+    }
+}
+
+/// The system's own answer.
+fn own(
+    node: &Node,
+    status: u16,
+    id: &str,
+    reason: &'static str,
+    retry_after: Option<Duration>,
+) -> Response<Body> {
+    counter!("primrosechute_refusals_total", "reason" => reason).increment(1);
+    match status {
+        429 | 503 => info!("entry: {id} refused, {reason}, come back in {retry_after:?}"),
+        _ => warn!("entry: {id} answered {status}, {reason}"),
+    }
+    let response = node.dialect.own(status, id, reason, retry_after);
+    response.map(|body| Body::Whole(Some(body)))
+}
+
+/// Hash of what makes a request the same one when it comes again.
+fn fingerprint(path: &str, key: Option<&str>, body: &Bytes) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(path.as_bytes());
+    hash.update(key.unwrap_or_default().as_bytes());
+    hash.update(body);
+    hash.digest()
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,147 @@
+//! Starts the process, and stops it without losing requests.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{error, info, warn};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use crate::entry::{self, Service};
+use crate::node::Node;
+use crate::port::{Dialect, SettingsSource, Store};
+use crate::{clock, follow, link};
+
+/// How the process ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was told to stop and has finished its requests.
+    Stopped,
+    /// It could not start; the text says why.
+    Failed(String),
+}
+
+/// Callers keep an answer of the directory for a while; until then they still connect here.
+const LINGER: Duration = Duration::from_millis(2200);
+/// The process ends this long before it would be killed.
+const BEFORE_KILL: Duration = Duration::from_millis(800);
+/// Time for the last answers to leave the process.
+const LAST_BYTES: Duration = Duration::from_millis(150);
+const POLL: Duration = Duration::from_millis(20);
+/// A member without others reads its settings again after this time: the seeds may be new.
+const SEEDS_AGAIN: Duration = Duration::from_secs(2);
+
+/// Serves until SIGTERM. Runs on one thread, inside a `LocalSet`.
+pub async fn run<S: Store + 'static>(
+    source: impl SettingsSource + 'static,
+    dialect: Box<dyn Dialect>,
+    store: S,
+) -> Outcome {
+    match start(&source, dialect, store).await {
+        Ok((node, close)) => {
+            until_stopped(&node, &source).await;
+            stop(&node, &close).await;
+            Outcome::Stopped
+        }
+        Err(text) => Outcome::Failed(text),
+    }
+}
+
+async fn start<S: Store + 'static>(
+    source: &impl SettingsSource,
+    dialect: Box<dyn Dialect>,
+    store: S,
+) -> Result<(Rc<Node>, watch::Sender<bool>), String> {
+    let settings = source.read()?;
+    let peer = SocketAddr::from((settings.ip, settings.peer_port));
+    let socket = UdpSocket::bind(peer)
+        .await
+        .map_err(|err| format!("cannot listen on the peer address {peer}: {err}"))?;
+    let node = Node::new(settings, dialect, socket);
+    let settings = &node.settings;
+    info!(
+        "member: {} starts, incarnation {:016x}",
+        settings.vm, node.incarnation
+    );
+    let (close, close_rx) = watch::channel(false);
+    let mut listeners = vec![
+        (settings.entry, Service::Callers),
+        (settings.ready, Service::Ready),
+    ];
+    listeners.extend(
+        settings
+            .directory
+            .map(|address| (address, Service::Directory)),
+    );
+    for (address, service) in listeners {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|err| format!("cannot listen on {address} for {service:?}: {err}"))?;
+        let task = entry::serve(Rc::clone(&node), listener, service, close_rx.clone());
+        tokio::task::spawn_local(task);
+    }
+    tokio::task::spawn_local(follow::follow(Rc::clone(&node), store));
+    tokio::task::spawn_local(link::receive(Rc::clone(&node)));
+    tokio::task::spawn_local(link::beat(Rc::clone(&node)));
+    tokio::task::spawn_local(link::poll_owner(Rc::clone(&node)));
+    Ok((node, close))
+}
+
+async fn until_stopped(node: &Node, source: &impl SettingsSource) {
+    let signals = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
+    );
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = signals else {
+        error!("member: cannot listen for signals");
+        return;
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = interrupt.recv() => return,
+            _ = hangup.recv() => reload(node, source),
+            () = sleep(SEEDS_AGAIN) => {
+                if node.roster.borrow().live(clock::now()) == 1 {
+                    reload(node, source);
+                }
+            }
+        }
+    }
+}
+
+/// Takes new seeds from the settings. Everything else holds until the next start.
+fn reload(node: &Node, source: &impl SettingsSource) {
+    match source.read() {
+        Ok(settings) => {
+            info!(
+                "config: settings read again, {} seeds",
+                settings.seeds.len()
+            );
+            node.roster.borrow_mut().set_seeds(settings.seeds);
+        }
+        Err(text) => warn!("config: the settings keep their last state: {text}"),
+    }
+}
+
+/// Leaves the directory at once, serves what still comes, and ends when nothing runs any more.
+async fn stop(node: &Node, close: &watch::Sender<bool>) {
+    let began = Instant::now();
+    let latest = began + node.settings.grace.saturating_sub(BEFORE_KILL);
+    node.stopping.send_replace(true);
+    link::send_beat(node);
+    info!("member: stopping with {} requests", node.serving.get());
+    while Instant::now() < latest && (began.elapsed() < LINGER || node.serving.get() > 0) {
+        sleep(POLL).await;
+    }
+    close.send_replace(true);
+    while Instant::now() < latest && node.serving.get() > 0 {
+        sleep(POLL).await;
+    }
+    sleep(LAST_BYTES).await;
+    info!("member: stopped with {} requests left", node.serving.get());
+}
--- /dev/null
+++ b/crates/gateway/src/upstream.rs
@@ -0,0 +1,126 @@
+//! Connections to targets.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use log::debug;
+use metrics::counter;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest time to connect. Targets answer within milliseconds; a lost opening packet is sent
+/// again after a second, and another target is faster then.
+const CONNECT: Duration = Duration::from_millis(250);
+/// Idle connections are reused for this long at most, however long the target would keep them.
+const LONGEST_IDLE: Duration = Duration::from_secs(3);
+/// A connection is not reused in the last part of the time for which its target keeps it.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Idle connections kept for one target.
+const MAX_IDLE: usize = 8;
+/// Probes that find a connection whose other end is gone.
+const PROBE: Duration = Duration::from_secs(1);
+const PROBES: u32 = 2;
+
+/// A connection to a target, in use by one request.
+pub(crate) struct Upstream {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) address: SocketAddr,
+    /// Whether it has served a request before.
+    pub(crate) reused: bool,
+}
+
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    until: Duration,
+}
+
+#[derive(Default)]
+pub(crate) struct Upstreams {
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Upstreams {
+    /// An idle connection, if there is one that its target still keeps.
+    pub(crate) fn take(&self, now: Duration, address: SocketAddr) -> Option<Upstream> {
+        let mut all = self.idle.borrow_mut();
+        let idle = all.get_mut(&address)?;
+        while let Some(Idle { sender, until }) = idle.pop() {
+            if now < until && sender.is_ready() {
+                return Some(Upstream {
+                    sender,
+                    address,
+                    reused: true,
+                });
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for the next request.
+    pub(crate) fn put(&self, now: Duration, upstream: Upstream, keep: Option<Duration>) {
+        let keep = keep.map_or(LONGEST_IDLE, |keep| {
+            keep.saturating_sub(IDLE_MARGIN).min(LONGEST_IDLE)
+        });
+        let mut all = self.idle.borrow_mut();
+        let idle = all.entry(upstream.address).or_default();
+        if keep.is_zero() || upstream.sender.is_closed() || idle.len() >= MAX_IDLE {
+            return;
+        }
+        idle.push(Idle {
+            sender: upstream.sender,
+            until: now + keep,
+        });
+    }
+
+    /// Closes connections whose time is over.
+    pub(crate) fn drop_idle(&self, now: Duration) {
+        self.idle.borrow_mut().retain(|_, idle| {
+            idle.retain(|idle| now < idle.until && !idle.sender.is_closed());
+            !idle.is_empty()
+        });
+    }
+}
+
+/// Opens a connection. Fails without a byte of a request sent.
+pub(crate) async fn connect(address: SocketAddr) -> Result<Upstream, &'static str> {
+    let stream = match timeout(CONNECT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(err)) => {
+            debug!("target: {address} can't be reached: {err}");
+            counter!("primrosechute_connects_failed_total", "reason" => "refused").increment(1);
+            return Err("refused");
+        }
+        Err(_) => {
+            counter!("primrosechute_connects_failed_total", "reason" => "timeout").increment(1);
+            return Err("connect timeout");
+        }
+    };
+    let socket = SockRef::from(&stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(PROBES);
+    // Both only improve latency and the detection of dead peers.
+    let _ = stream.set_nodelay(true);
+    let _ = socket.set_tcp_keepalive(&probes);
+    let (sender, conn) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|_| "handshake")?;
+    tokio::task::spawn_local(async move {
+        if let Err(err) = conn.await {
+            debug!("target: the connection to {address} failed: {err}");
+        }
+    });
+    Ok(Upstream {
+        sender,
+        address,
+        reused: false,
+    })
+}
