--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -41,15 +41,37 @@
     Directory,
 }
 
-/// Accepts connections until the process ends.
+/// Counts a connection as open.
+struct Open(Rc<Node>);
+
+impl Open {
+    fn new(node: &Rc<Node>) -> Self {
+        node.connections.set(node.connections.get() + 1);
+        Open(Rc::clone(node))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+/// Accepts connections until told to close. The listener closes then, so that no request is read
+/// that the process has no time to serve.
 pub(crate) async fn serve(
     node: Rc<Node>,
     listener: TcpListener,
     service: Service,
-    close: watch::Receiver<bool>,
+    mut close: watch::Receiver<bool>,
 ) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // Fails only if the sender is gone, and with it the process.
+            _ = close.wait_for(|&close| close) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 // Only improves latency.
                 let _ = stream.set_nodelay(true);
@@ -71,6 +93,7 @@
     service: Service,
     mut close: watch::Receiver<bool>,
 ) {
+    let _open = Open::new(&node);
     let limits = node.catalog.borrow().limits();
     let idle = match service {
         Service::Callers => limits.idle,
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -203,6 +203,10 @@
     pub cold_overage: f64,
     /// Requests by which it may be exceeded besides.
     pub cold_slack: f64,
+    /// Part by which a workspace's rate and burst may be exceeded over a window.
+    pub rate_overage: f64,
+    /// Units by which they may be exceeded besides.
+    pub rate_slack: f64,
     /// Longest time that callers may keep an answer of the directory.
     pub directory_ttl: Duration,
     /// Time within which a lapsed entry of a live target is back in the store.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -57,6 +57,8 @@
     pub(crate) stopping: watch::Sender<bool>,
     /// Requests that are being served.
     pub(crate) serving: Cell<usize>,
+    /// Connections that callers have open.
+    pub(crate) connections: Cell<usize>,
     pub(crate) runs: RefCell<HashMap<u64, InFlight>>,
     /// Owners that were asked lately, with the time.
     pub(crate) asked: RefCell<HashMap<Ipv4Addr, Duration>>,
@@ -87,6 +89,7 @@
             list_again: Notify::new(),
             stopping: watch::Sender::new(false),
             serving: Cell::new(0),
+            connections: Cell::new(0),
             runs: RefCell::default(),
             asked: RefCell::default(),
             pending: RefCell::default(),
--- a/crates/gateway/src/owner/mod.rs
+++ b/crates/gateway/src/owner/mod.rs
@@ -15,7 +15,7 @@
 use crate::budget::Budget;
 use crate::catalog::Catalog;
 use crate::containment::Containment;
-use crate::model::{Name, Settings, Target, Unit};
+use crate::model::{Name, Rate, Settings, Target, Unit};
 use target::State;
 
 pub use model::{Decision, End, Offer, Refusal, Report, RunId};
@@ -27,6 +27,12 @@
 const COLD_PART: f64 = 0.8;
 /// Part of the bound for an owner that took over lately; the one before may still decide.
 const COLD_PART_NEW: f64 = 0.4;
+/// Parts of the overage and of the slack of rates that an owner gives out. Over one window of
+/// eight bursts, with one change of owner, which starts with half a burst, this stays inside:
+/// 8 * 1.1 + 1.5 * (1.2 + 0.4 s) < 9 * 1.25 + s, for a burst of one second's rate and a slack of s.
+const OVERAGE_RATE: f64 = 0.4;
+const OVERAGE_BURST: f64 = 0.8;
+const SLACK_BURST: f64 = 0.4;
 /// Time for which an owner counts as new.
 const NEW_OWNER: Duration = Duration::from_secs(2);
 /// An owner without offers for this long is new again.
@@ -170,7 +176,8 @@
         self.buckets.retain(|name, (bucket, unit)| {
             let rate = catalog.workspace(name).and_then(|workspace| workspace.rate);
             if let Some(rate) = rate {
-                bucket.set(now, rate.per_s * part, rate.burst * part);
+                let (per_s, burst) = allowance(&self.settings, rate);
+                bucket.set(now, per_s * part, burst * part);
                 *unit = rate.unit;
             }
             rate.is_some()
@@ -486,7 +493,8 @@
         if !self.buckets.contains_key(name) {
             let rate = catalog.workspace(name).and_then(|workspace| workspace.rate);
             let Some(rate) = rate else { return Ok(0.0) };
-            let bucket = Bucket::new(now, rate.per_s * part, rate.burst * part);
+            let (per_s, burst) = allowance(&self.settings, rate);
+            let bucket = Bucket::new(now, per_s * part, burst * part);
             self.buckets.insert(name.clone(), (bucket, rate.unit));
         }
         let (bucket, unit) = self.buckets.get_mut(name).expect("it was inserted");
@@ -553,6 +561,13 @@
     u32::try_from(xxh3_64(&key.to_be_bytes()) % u64::from(shards.max(1))).unwrap_or(0)
 }
 
+/// Rate and burst that owners give out of a workspace's rate.
+fn allowance(settings: &Settings, rate: Rate) -> (f64, f64) {
+    let per_s = rate.per_s * (1.0 + settings.rate_overage * OVERAGE_RATE);
+    let burst = rate.burst * (1.0 + settings.rate_overage * OVERAGE_BURST);
+    (per_s, burst + settings.rate_slack * SLACK_BURST)
+}
+
 fn give_back(buckets: &mut HashMap<Name, (Bucket, Unit)>, offer: &Offer, charged: f64) {
     if let Some(name) = &offer.workspace
         && let Some((bucket, _)) = buckets.get_mut(name)
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -135,11 +135,10 @@
     node.stopping.send_replace(true);
     link::send_beat(node);
     info!("member: stopping with {} requests", node.serving.get());
-    while Instant::now() < latest && (began.elapsed() < LINGER || node.serving.get() > 0) {
-        sleep(POLL).await;
-    }
+    sleep(LINGER.min(latest - began)).await;
+    // What comes later might not end before the process is killed.
     close.send_replace(true);
-    while Instant::now() < latest && node.serving.get() > 0 {
+    while Instant::now() < latest && (node.serving.get() > 0 || node.connections.get() > 0) {
         sleep(POLL).await;
     }
     sleep(LAST_BYTES).await;
