Tell the story of each request in its log line, serve metrics, and explain an id

Cause: on-call engineers have only logs and metrics, and a line told nothing of what decided it; the log could block on its reader.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -5,7 +5,7 @@
 use clap::{CommandFactory, Parser, Subcommand};
 
 use crate::output::{Error, Exit, Output};
-use crate::{entries, load, report, send, sheets, status};
+use crate::{entries, explain, load, report, send, sheets, status};
 
 /// Checks, watches and exercises a site of primrosechute.
 #[derive(Debug, Parser)]
@@ -45,6 +45,8 @@
     Load(load::Load),
     /// Show results of loads side by side.
     Report(report::Report),
+    /// Tell the story of one request from the logs of members.
+    Explain(explain::Explain),
     /// Print a shell completion script.
     #[command(after_help = "Examples:\n  primrosectl completions bash\n\n\
         Exit codes: 0 printed, 2 unknown shell.")]
@@ -65,6 +67,7 @@
         Command::Send(args) => block_on(send::run(args, out)),
         Command::Load(args) => block_on(load::run(args, out)),
         Command::Report(args) => report::run(args, out),
+        Command::Explain(args) => explain::run(args, out),
         Command::Completions { shell } => {
             let mut command = Args::command();
             let mut stdout = std::io::stdout();
--- /dev/null
+++ b/crates/ctl/src/explain.rs
@@ -0,0 +1,219 @@
+//! `explain`: the story of one request from the logs of members.
+
+use std::path::PathBuf;
+
+use clap::Args;
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use crate::file;
+use crate::output::{Error, Exit, Output};
+
+/// Largest log file that is read.
+const MAX_LOG_BYTES: usize = 256 << 20;
+/// Lines of context before the end of the request: what its decisions rested on.
+const CONTEXT_LINES: usize = 12;
+/// Beginnings of messages that change what a member believes.
+const BELIEFS: [&str; 4] = ["member:", "store:", "config:", "target:"];
+
+#[derive(Debug, Args)]
+#[command(after_help = "Examples:\n  \
+    primrosectl explain 9c41d07be2a35f68 vm-1.log vm-2.log\n  \
+    primrosectl --json explain 9c41d07be2a35f68 *.log\n\n\
+    Files hold JSON lines, each after an optional prefix such as the name of its VM. Lines that \
+    are torn are skipped and counted.\n\n\
+    Exit codes: 0 printed, 2 a file is rejected, 3 no line about the request.")]
+pub(crate) struct Explain {
+    /// Id of the request.
+    id: String,
+    /// Log files of members.
+    #[arg(required = true, value_name = "FILE")]
+    files: Vec<PathBuf>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Line {
+    time: String,
+    source: String,
+    level: String,
+    message: String,
+    fields: Map<String, Value>,
+}
+
+#[derive(Debug, Serialize)]
+struct Story {
+    id: String,
+    cause: String,
+    lines: Vec<Line>,
+    context: Vec<Line>,
+    torn_lines: usize,
+}
+
+pub(crate) fn run(args: &Explain, out: Output) -> Result<Exit, Error> {
+    let mut lines = Vec::new();
+    let mut torn = 0;
+    for path in &args.files {
+        let text = file::read_text(path, MAX_LOG_BYTES)?;
+        let source = path
+            .file_stem()
+            .map_or_else(String::new, |stem| stem.to_string_lossy().into_owned());
+        for text in text.lines().filter(|line| line.contains('{')) {
+            match parse(text, &source) {
+                Some(line) => lines.push(line),
+                None => torn += 1,
+            }
+        }
+    }
+    lines.sort_by(|a, b| a.time.cmp(&b.time));
+    let story = tell(&args.id, &lines, torn);
+    let found = !story.lines.is_empty();
+    if out.json {
+        out.json(&serde_json::to_value(&story).unwrap_or_default());
+    } else {
+        print(&story);
+    }
+    Ok(if found { Exit::Ok } else { Exit::Partial })
+}
+
+fn parse(text: &str, file: &str) -> Option<Line> {
+    let at = text.find('{')?;
+    let mut value: Value = serde_json::from_str(&text[at..]).ok()?;
+    let prefix = text[..at].split_whitespace().last();
+    let field = |name: &str| Some(value.get(name)?.as_str()?.to_owned());
+    Some(Line {
+        time: field("timestamp")?,
+        source: prefix.unwrap_or(file).to_owned(),
+        level: field("level")?,
+        message: field("message")?,
+        fields: match value.get_mut("kvs").map(Value::take) {
+            Some(Value::Object(fields)) => fields,
+            _ => Map::new(),
+        },
+    })
+}
+
+fn tell(id: &str, lines: &[Line], torn_lines: usize) -> Story {
+    let is_about = |line: &&Line| text(line, "id") == id;
+    let about: Vec<Line> = lines.iter().filter(is_about).cloned().collect();
+    let last = about.last();
+    let cause = last.map_or_else(
+        || "no line about this request; its lines may have been dropped, or the files are not those of its entry".to_owned(),
+        cause,
+    );
+    let end = last.map(|line| line.time.clone()).unwrap_or_default();
+    let sources: Vec<&str> = about.iter().map(|line| line.source.as_str()).collect();
+    let targets: Vec<&str> = about.iter().map(|line| text(line, "target")).collect();
+    let mut context: Vec<Line> = lines
+        .iter()
+        .filter(|line| line.time <= end)
+        .filter(|line| BELIEFS.iter().any(|part| line.message.starts_with(part)))
+        .filter(|line| {
+            let names_target = |target: &&str| !target.is_empty() && line.message.contains(*target);
+            sources.contains(&line.source.as_str()) || targets.iter().any(names_target)
+        })
+        .cloned()
+        .collect();
+    context.drain(..context.len().saturating_sub(CONTEXT_LINES));
+    Story {
+        id: id.to_owned(),
+        cause,
+        lines: about,
+        context,
+        torn_lines,
+    }
+}
+
+fn text<'a>(line: &'a Line, name: &str) -> &'a str {
+    line.fields.get(name).and_then(Value::as_str).unwrap_or("")
+}
+
+fn number(line: &Line, name: &str) -> u64 {
+    line.fields.get(name).and_then(Value::as_u64).unwrap_or(0)
+}
+
+/// The cause as the last line about a request tells it.
+fn cause(line: &Line) -> String {
+    let (target, took) = (text(line, "target"), number(line, "took_ms"));
+    let waited = number(line, "waited_ms");
+    match line.message.as_str() {
+        "entry: served" => format!(
+            "served by {target} in {took} ms: first byte after {} ms, {waited} ms of it waiting \
+             for a permit, {} sends",
+            number(line, "first_ms"),
+            number(line, "sends"),
+        ),
+        "entry: not served whole" => match text(line, "outcome") {
+            "cancelled" => format!("the caller left after {took} ms while {target} ran it"),
+            "late" => format!("its time was over after {took} ms while {target} still ran it"),
+            "broken" => format!(
+                "the stream of {target} broke after {} events and could not go on elsewhere",
+                number(line, "events")
+            ),
+            _ => format!("{target} answered with an error after {took} ms"),
+        },
+        "entry: refused or failed" => failure(line, target, took),
+        "entry: not taken" => format!(
+            "not taken, status {}: {}; configuration {} was in force",
+            number(line, "status"),
+            text(line, "reason"),
+            number(line, "config")
+        ),
+        _ => format!(
+            "no end of the request is logged; its last line is {:?}",
+            line.message
+        ),
+    }
+}
+
+fn failure(line: &Line, target: &str, took: u64) -> String {
+    let (members, sends) = (number(line, "live"), number(line, "sends"));
+    match text(line, "reason") {
+        "rate" => format!(
+            "not run: workspace {} was over its rate; {members} members were live, and each owner \
+             gives out the part of the members that it can tell",
+            text(line, "workspace")
+        ),
+        "busy" => format!(
+            "not run: no target had room within the time that it could wait ({took} ms after it \
+             came)"
+        ),
+        "no_target" => format!("not run: no target of its pool was open; {sends} sends"),
+        "retry_budget" => "not run: the budget of repeats of its pool was used up".to_owned(),
+        "poison" => "not run: the same request broke three targets".to_owned(),
+        "outcome unknown" => format!(
+            "it may have run: {target} got it and gave no whole answer; its route allows no \
+             further attempt, or none was left ({sends} sends)"
+        ),
+        "time over" => format!("it may have run: {target} was silent for {took} ms"),
+        reason => format!("status {}: {reason}", number(line, "status")),
+    }
+}
+
+fn print(story: &Story) {
+    println!("{}: {}", story.id, story.cause);
+    let sections = [
+        ("request", &story.lines),
+        ("what was known", &story.context),
+    ];
+    for (title, lines) in sections.into_iter().filter(|(_, lines)| !lines.is_empty()) {
+        println!("\n{title}:");
+        for line in lines {
+            let fields: Vec<String> = line
+                .fields
+                .iter()
+                .filter(|(name, _)| *name != "id")
+                .map(|(name, value)| format!("{name}={value}"))
+                .collect();
+            println!(
+                "  {} {} {} {}",
+                line.time,
+                line.source,
+                line.message,
+                fields.join(" ")
+            );
+        }
+    }
+    if story.torn_lines > 0 {
+        println!("\n{} torn lines were skipped", story.torn_lines);
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -8,6 +8,7 @@
 mod dist;
 mod duration;
 mod entries;
+mod explain;
 mod file;
 mod http;
 mod jsonc;
--- /dev/null
+++ b/crates/ctl/tests/explain.rs
@@ -0,0 +1,67 @@
+//! `explain` on logs written here: whole, partial and torn.
+
+mod common;
+
+use common::{run, write};
+use serde_json::Value;
+
+const LOG: &str = concat!(
+    r#"   0.10 vm-1 {"timestamp":"2026-04-06T21:05:01.0+00:00","level":"INFO","target":"t","message":"member: 10.0.0.2 is a member"}"#,
+    "\n",
+    r#"   0.20 vm-2 {"timestamp":"2026-04-06T21:05:02.0+00:00","level":"INFO","target":"t","message":"target: the entry of i-9 is gone"}"#,
+    "\n",
+    r#"   0.30 vm-1 {"timestamp":"2026-04-06T21:05:03.0+00:00","level":"INFO","target":"t","message":"entry: another attempt","kvs":{"id":"call-1","target":"i-9","seen":"broken","sends":1}}"#,
+    "\n",
+    r#"   0.40 vm-1 {"timestamp":"2026-04-06T21:05:04.0+00:00","level":"WARN","target":"t","message":"entry: refused or failed","kvs":{"id":"call-1","target":"i-9","reason":"outcome unknown","status":502,"sends":1,"took_ms":90}}"#,
+    "\n",
+    r#"   0.50 vm-1 {"timestamp":"2026-04-06T21:05:05.0+00:00","level":"WARN","target":"t","message":"entry: refused or failed","kvs":{"id":"call-2","target":"","reason":"rate","status":429,"workspace":"salon","live":3}}"#,
+    "\n",
+    r#"   0.60 vm-1 {"timestamp":"2026-04-06T21:05:06.0+00:00","level":"WA"#,
+    "\n",
+);
+
+/// Guards against a story that lacks what the decision rested on, or trips over a torn line.
+#[test]
+fn the_story_has_its_cause_and_what_was_known() {
+    let dir = tempfile::tempdir().unwrap();
+    let log = write(&dir, "all.log", LOG);
+
+    let done = run(&["explain", "call-1", &log, "--json"]);
+
+    assert_eq!(done.code, Some(0), "{}", done.err);
+    let story: Value = done.json();
+    assert!(
+        story["cause"]
+            .as_str()
+            .unwrap()
+            .contains("it may have run: i-9")
+    );
+    assert_eq!(story["lines"].as_array().unwrap().len(), 2);
+    assert_eq!(story["context"].as_array().unwrap().len(), 2);
+    assert_eq!(story["torn_lines"], 1);
+}
+
+#[test]
+fn a_refusal_names_the_workspace_and_the_live_members() {
+    let dir = tempfile::tempdir().unwrap();
+    let log = write(&dir, "all.log", LOG);
+
+    let done = run(&["explain", "call-2", &log]);
+
+    assert_eq!(done.code, Some(0), "{}", done.err);
+    assert!(
+        done.out
+            .contains("workspace salon was over its rate; 3 members were live")
+    );
+}
+
+#[test]
+fn an_unknown_request_is_said_to_be_unknown() {
+    let dir = tempfile::tempdir().unwrap();
+    let log = write(&dir, "all.log", LOG);
+
+    let done = run(&["explain", "call-9", &log]);
+
+    assert_eq!(done.code, Some(3), "{}", done.err);
+    assert!(done.out.contains("no line about this request"));
+}
--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -55,6 +55,9 @@
         /// Least severe level that is logged.
         #[arg(long, value_enum, default_value_t = MemberLog::Info)]
         log: MemberLog,
+        /// Port of the metrics, on the address of the VM.
+        #[arg(long, default_value_t = 9464)]
+        metrics_port: u16,
     },
     /// Check a settings file, and its sheet file if it names one, without starting anything.
     #[command(
@@ -94,7 +97,7 @@
             Err(text) => fail(EXIT_CONFIG, &text),
         },
         Command::Demo { entry } => block_on(run_demo(entry)),
-        Command::Member { log } => member(log),
+        Command::Member { log, metrics_port } => member(log, metrics_port),
         Command::Check { config, json } => check(&config, json),
         Command::Completions { shell } => {
             let mut command = Args::command();
@@ -135,15 +138,17 @@
 }
 
 /// Runs a member on one thread: a VM of a fleet has a part of one core.
-fn member(log: MemberLog) -> ExitCode {
+fn member(log: MemberLog, metrics_port: u16) -> ExitCode {
     use logforth::record::Level;
     let level = match log {
         MemberLog::Warn => Level::Warn,
         MemberLog::Info => Level::Info,
         MemberLog::Debug => Level::Debug,
     };
-    logging::start(Format::Json, level);
-    let loaded = SettingsFile::from_env().and_then(|file| {
+    if let Err(err) = logging::start_bounded(level) {
+        return fail(EXIT_RUN, &format!("cannot start the log: {err}"));
+    }
+    let loaded = SettingsFile::from_env(metrics_port).and_then(|file| {
         let (_, store) = file.load()?;
         Ok((file, store))
     });
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod admin;
+mod bounded_log;
 mod clock;
 pub mod command;
 mod connection;
@@ -21,4 +22,5 @@
 mod shares;
 mod target;
 
+pub use bounded_log::{BoundedLog, LineBudget};
 pub use serve::{Daemon, StartError};
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -4,6 +4,8 @@
 use logforth::layout::{JsonLayout, TextLayout};
 use logforth::record::{Level, LevelFilter};
 
+use crate::bounded_log::BoundedLog;
+
 /// Form of log lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Format {
@@ -11,6 +13,18 @@
     Json,
 }
 
+/// Starts logging to standard output in JSON lines, bounded and without ever blocking.
+///
+/// # Errors
+/// Fails if the thread that writes can't be started.
+pub(crate) fn start_bounded(level: Level) -> std::io::Result<()> {
+    let log = BoundedLog::start(std::io::stdout())?;
+    logforth::starter_log::builder()
+        .dispatch(|d| d.filter(LevelFilter::MoreSevereEqual(level)).append(log))
+        .apply();
+    Ok(())
+}
+
 /// Starts logging to standard error. Text is coloured only on a terminal.
 pub(crate) fn start(format: Format, level: Level) {
     let filter = LevelFilter::MoreSevereEqual(level);
--- /dev/null
+++ b/crates/daemon/tests/bounded_log.rs
@@ -0,0 +1,93 @@
+//! Log output never blocks and is bounded.
+
+use std::io::Write;
+use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use daemon::{BoundedLog, LineBudget};
+use logforth::Append;
+use logforth::record::{Level, Record};
+
+/// A reader that never reads: each write waits for ever.
+struct Stuck(Mutex<Receiver<()>>);
+
+impl Write for Stuck {
+    fn write(&mut self, _: &[u8]) -> std::io::Result<usize> {
+        let _ = self.0.lock().expect("receiver").recv();
+        Ok(0)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[derive(Clone, Default)]
+struct Shared(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Shared {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("buffer").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+fn record(level: Level) -> Record<'static> {
+    let builder = Record::builder().level(level).target("test");
+    builder.payload(format_args!("a line")).build()
+}
+
+/// Guards against requests that wait for the reader of the log.
+#[test]
+fn a_reader_that_never_reads_costs_lines_only() {
+    let (_keep, rx) = channel();
+    let log = BoundedLog::start(Stuck(Mutex::new(rx))).expect("log");
+
+    // Ten seconds' worth of lines; all calls return although nothing is ever written.
+    for _ in 0..20_000 {
+        log.append(&record(Level::Warn), &[]).expect("append");
+    }
+
+    assert!(log.dropped() > 10_000, "{} dropped", log.dropped());
+}
+
+/// Ten times the lines of the budget are cut to it, and lines of served requests never take the
+/// place of lines of failed ones.
+#[test]
+fn lines_a_second_are_bounded() {
+    let mut budget = LineBudget::default();
+    for second in 0..5 {
+        let now = Duration::from_secs(second + 1);
+        let served = (0..1000).filter(|_| budget.take(now, Level::Info)).count();
+        let failed = (0..3000).filter(|_| budget.take(now, Level::Warn)).count();
+
+        assert_eq!((served, failed), (100, 300));
+    }
+}
+
+#[test]
+fn lines_are_whole() {
+    let out = Shared::default();
+    let log = BoundedLog::start(out.clone()).expect("log");
+    for _ in 0..50 {
+        log.append(&record(Level::Info), &[]).expect("append");
+    }
+    let text = loop {
+        let text = String::from_utf8(out.0.lock().expect("buffer").clone()).expect("text");
+        if text.lines().count() == 50 {
+            break text;
+        }
+        std::thread::yield_now();
+    };
+
+    assert!(
+        text.lines()
+            .all(|line| line.starts_with('{') && line.ends_with('}'))
+    );
+    assert_eq!(log.dropped(), 0);
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -57,6 +57,11 @@
 }
 
 impl Permit {
+    /// Member that gave it.
+    pub(crate) fn owner(&self) -> Ipv4Addr {
+        self.owner
+    }
+
     pub(crate) fn ended(mut self, end: End) {
         self.report.end = end;
     }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -11,7 +11,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, warn};
-use metrics::counter;
+use metrics::{counter, gauge};
+use metrics_exporter_prometheus::PrometheusHandle;
 use rand::seq::SliceRandom;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -39,6 +40,7 @@
     Callers,
     Ready,
     Directory,
+    Metrics,
 }
 
 /// Counts a connection as open.
@@ -97,7 +99,7 @@
     let limits = node.catalog.borrow().limits();
     let idle = match service {
         Service::Callers => limits.idle,
-        Service::Ready | Service::Directory => SMALL_IDLE,
+        Service::Ready | Service::Directory | Service::Metrics => SMALL_IDLE,
     };
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -137,6 +139,10 @@
             };
             node.dialect.own(status, "", "readiness", None)
         }
+        Service::Metrics => match req.uri().path() {
+            "/metrics" => metrics_page(&node),
+            _ => node.dialect.own(404, "", "no such call", None),
+        },
         Service::Directory => {
             let head = Request::from_parts(req.into_parts().0, ());
             match node.dialect.lookup(&head) {
@@ -164,3 +170,15 @@
     let ttl = TTL.min(node.settings.directory_ttl);
     node.dialect.entries(&entries, ttl)
 }
+
+/// Counters and histograms as text, with the gauges as of now.
+fn metrics_page(node: &Node) -> Response<bytes::Bytes> {
+    let now = clock::now();
+    let live = u32::try_from(node.roster.borrow().live(now)).unwrap_or(u32::MAX);
+    gauge!("primrosechute_members_live").set(live);
+    gauge!("primrosechute_store_age_seconds").set(node.store_age(now).as_secs_f64());
+    let serving = u32::try_from(node.serving.get()).unwrap_or(u32::MAX);
+    gauge!("primrosechute_requests_serving").set(serving);
+    let page = node.metrics.as_ref().map(PrometheusHandle::render);
+    Response::new(page.unwrap_or_default().into())
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -41,6 +41,7 @@
                 }
                 pause = FIRST_PAUSE;
                 after = Some(next);
+                node.store_heard.set(clock::now());
                 node.roster.borrow_mut().set_me(|me| me.fresh = true);
             }
             Ok(None) => after = None,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! | `follow` | reads the store | store port |
 //! | `link` | exchanges datagrams | UDP |
 //! | `entry`, `request`, `attempt`, `relay`, `upstream` | serves requests | TCP |
+//! | `story` | logs and measures a request | log, metrics |
 //! | `serve` | start, signals, shutdown | all |
 
 #![forbid(unsafe_code)]
@@ -41,6 +42,7 @@
 mod request;
 mod roster;
 mod serve;
+mod story;
 mod upstream;
 mod verdict;
 
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -187,6 +187,8 @@
     pub ready: SocketAddr,
     /// Address of the directory of entries; `None` if this process serves none.
     pub directory: Option<SocketAddr>,
+    /// Address of the metrics; `None` if they are not served.
+    pub metrics: Option<SocketAddr>,
     /// UDP port for traffic between members; the same on all VMs.
     pub peer_port: u16,
     /// Members to ask first; any of them may be gone.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use log::debug;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use prost::Message;
 use rand::RngExt;
 use tokio::net::UdpSocket;
@@ -45,6 +46,8 @@
 pub(crate) struct Node {
     pub(crate) settings: Settings,
     pub(crate) dialect: Box<dyn Dialect>,
+    /// Renders the metrics; `None` if another recorder was installed before.
+    pub(crate) metrics: Option<PrometheusHandle>,
     pub(crate) incarnation: u64,
     pub(crate) catalog: RefCell<Catalog>,
     pub(crate) roster: RefCell<Roster>,
@@ -59,6 +62,8 @@
     pub(crate) serving: Cell<usize>,
     /// Connections that callers have open.
     pub(crate) connections: Cell<usize>,
+    /// Time of the last answer of the store.
+    pub(crate) store_heard: Cell<Duration>,
     pub(crate) runs: RefCell<HashMap<u64, InFlight>>,
     /// Owners that were asked lately, with the time.
     pub(crate) asked: RefCell<HashMap<Ipv4Addr, Duration>>,
@@ -90,6 +95,7 @@
             stopping: watch::Sender::new(false),
             serving: Cell::new(0),
             connections: Cell::new(0),
+            store_heard: Cell::new(Duration::ZERO),
             runs: RefCell::default(),
             asked: RefCell::default(),
             pending: RefCell::default(),
@@ -97,6 +103,7 @@
             next_run: Cell::new(1),
             incarnation,
             dialect,
+            metrics: PrometheusBuilder::new().install_recorder().ok(),
             settings,
             socket,
         })
@@ -111,6 +118,11 @@
         !self.is_stopping() && self.catalog.borrow().is_ready()
     }
 
+    /// Time since the store last answered.
+    pub(crate) fn store_age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.store_heard.get())
+    }
+
     pub(crate) fn new_run(&self) -> u64 {
         let run = self.next_run.get();
         self.next_run.set(run + 1);
--- a/crates/gateway/src/owner/mod.rs
+++ b/crates/gateway/src/owner/mod.rs
@@ -34,8 +34,8 @@
 const WARM_PART_OTHER: f64 = 0.4;
 /// Parts of the overage and of the slack of rates that an owner gives out. Over one window of
 /// eight bursts, with one change of owner, which starts with a quarter of a burst, this stays inside:
-/// 8 * 1.1 + 1.25 * (1.2 + 0.4 s) < 9 * 1.25 + s, for a burst of one second's rate and a slack of s.
-const OVERAGE_RATE: f64 = 0.4;
+/// 8 * 1.15 + 1.25 * (1.2 + 0.4 s) < 9 * 1.25 + s, for a burst of one second's rate and a slack of s.
+const OVERAGE_RATE: f64 = 0.6;
 const OVERAGE_BURST: f64 = 0.8;
 const SLACK_BURST: f64 = 0.4;
 /// An entry counts as asking for this long after its last offer.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,7 +10,6 @@
 use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use log::info;
 use metrics::counter;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -22,6 +21,7 @@
 use crate::owner::End;
 use crate::port::{Answer, Mark};
 use crate::request::Serving;
+use crate::story::Story;
 use crate::upstream::Upstream;
 
 /// Frames that wait for a caller; a slow caller holds back its target beyond that.
@@ -127,6 +127,7 @@
 
 /// Everything that a running stream needs.
 pub(crate) struct Stream {
+    pub(crate) story: Story,
     pub(crate) node: Rc<Node>,
     pub(crate) req: Sendable,
     pub(crate) route: std::sync::Arc<Route>,
@@ -177,7 +178,6 @@
 
 async fn run(mut stream: Stream, mut source: Source, tx: mpsc::Sender<Result<Bytes, Aborted>>) {
     let mut events = Events::default();
-    let id = stream.req.id.clone();
     loop {
         let can_resume = stream.route.kind.repeats() && stream.ask.sends < stream.route.attempts;
         let ended = relay(&stream, &mut source, &mut events, &tx, can_resume).await;
@@ -193,7 +193,7 @@
                     let _ = tx.send(Ok(rest)).await;
                 }
                 permit.ended(End::Served);
-                counter!("primrosechute_answers_total", "outcome" => "served").increment(1);
+                stream.story.end(&stream.node, "served", events.count);
                 let keep = source.answer.keep_alive;
                 if !source.answer.close {
                     let now = clock::now();
@@ -202,22 +202,23 @@
                 return;
             }
             Ended::Left => {
-                info!(
-                    "entry: {id} cancelled, the caller left after {} events",
-                    events.count
-                );
-                counter!("primrosechute_answers_total", "outcome" => "cancelled").increment(1);
+                stream.story.end(&stream.node, "cancelled", events.count);
                 return;
             }
             Ended::Over => {
-                info!("entry: {id} broken off, its time is over");
                 permit.ended(End::Cancelled);
-                counter!("primrosechute_answers_total", "outcome" => "late").increment(1);
+                stream.story.end(&stream.node, "late", events.count);
                 let _ = tx.send(Err(Aborted)).await;
                 return;
             }
-            Ended::Broken => permit.ended(End::Broken),
-            Ended::Stalled => permit.ended(End::Silent),
+            Ended::Broken => {
+                stream.story.again("broken stream");
+                permit.ended(End::Broken);
+            }
+            Ended::Stalled => {
+                stream.story.again("silent stream");
+                permit.ended(End::Silent);
+            }
         }
         // The target stops when its connection closes, before another one gets the request.
         drop(upstream);
@@ -229,13 +230,11 @@
             None
         };
         let Some(next) = resumed else {
-            info!("entry: {id} broken off after {} events", events.count);
-            counter!("primrosechute_answers_total", "outcome" => "broken").increment(1);
+            stream.story.end(&stream.node, "broken", events.count);
             // Fails only if the caller has left.
             let _ = tx.send(Err(Aborted)).await;
             return;
         };
-        info!("entry: {id} goes on at {}", next.permit.target.id);
         counter!("primrosechute_streams_resumed_total").increment(1);
         events.partial.clear();
         source = next;
@@ -312,9 +311,15 @@
     stream.ask.left = left;
     stream.ask.wait = stream.ask.wait.min(left);
     let resumed = async {
+        let asked = clock::now();
         let permit = attempt::permit(&stream.node, &stream.ask).await.ok()?;
+        let waited = clock::now().saturating_sub(asked);
+        stream
+            .story
+            .permitted(permit.owner(), &permit.target.id, waited);
         let left = stream.deadline.saturating_sub(clock::now());
         stream.ask.sends += 1;
+        stream.story.sent();
         let target = permit.target.clone();
         let sent = attempt::send(&stream.node, &stream.req, &target, left, left, last_event).await;
         let end = match sent {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,7 +9,7 @@
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use log::{info, warn};
+use log::info;
 use metrics::counter;
 use rand::RngExt;
 use tokio::time::timeout;
@@ -23,6 +23,7 @@
 use crate::owner::{End, Refusal};
 use crate::port::{BadHead, Head, Mark};
 use crate::relay::{self, Body, Stream};
+use crate::story::Story;
 use crate::verdict::{Seen, Told, verdict};
 
 /// Part of the aim for which a request may wait for a permit. The rest is for the target.
@@ -37,6 +38,8 @@
 const MAX_ANSWER: usize = 8 * 1024 * 1024;
 /// Advice to callers of a daemon that has no configuration yet.
 const NOT_READY: Duration = Duration::from_millis(300);
+/// Shortest advice on when to come back.
+const LEAST_RETRY: Duration = Duration::from_millis(100);
 /// Less time than this does not pay for one more attempt.
 const LEAST_LEFT: Duration = Duration::from_millis(50);
 
@@ -82,6 +85,7 @@
     ask: Ask,
     deadline: Duration,
     unreached: u32,
+    story: Story,
     /// What the caller is told if no further attempt is made.
     last: Option<(Told, Option<Response<Body>>)>,
 }
@@ -107,11 +111,12 @@
         return Err(own(node, 400, &head.id, "absolute form", None));
     }
     let path = parts.uri.path();
-    let (allowed, limits) = {
+    let (allowed, limits, version) = {
         let catalog = node.catalog.borrow();
         (
             catalog.allow(host, path, head.key.as_deref()),
             catalog.limits(),
+            catalog.version(),
         )
     };
     let allowed = allowed.map_err(|denied| match denied {
@@ -134,6 +139,14 @@
         Ok(Err(_)) => return Err(own(node, 400, &head.id, "body incomplete", None)),
         Err(_) => return Err(own(node, 408, &head.id, "body late", None)),
     };
+    let story = Story::new(
+        came,
+        &head.id,
+        &allowed.route.name,
+        allowed.route.kind,
+        allowed.workspace.as_ref().map(|workspace| &workspace.name),
+        version,
+    );
     let fingerprint = fingerprint(path, head.key.as_deref(), &body);
     let ask = ask_of(&allowed, &head, fingerprint);
     Ok(Call {
@@ -150,6 +163,7 @@
         route: allowed.route,
         ask,
         unreached: 0,
+        story,
         last: None,
     })
 }
@@ -198,6 +212,7 @@
             }
             self.ask.left = left;
             self.ask.wait = self.ask.wait.min(left);
+            let asked = clock::now();
             let permit = match timeout(left, attempt::permit(&self.node, &self.ask)).await {
                 Ok(Ok(permit)) => permit,
                 Ok(Err((reason, retry_after))) => return self.give_up(reason, retry_after),
@@ -212,10 +227,13 @@
             };
             let target = permit.target.clone();
             let began = clock::now();
+            self.story
+                .permitted(permit.owner(), &target.id, began.saturating_sub(asked));
             let sent =
                 attempt::send(&self.node, &self.req, &target, self.left(), patience, None).await;
             if !matches!(sent, Sent::Nothing) {
                 self.ask.sends += 1;
+                self.story.sent();
             }
             self.ask.avoid.push(permit.key);
             let seen = match sent {
@@ -225,7 +243,7 @@
                     (Seen::NotSent, None)
                 }
                 Sent::Broken(why) => {
-                    info!("entry: {} broken at {}: {why}", self.req.id, target.id);
+                    self.story.again(why);
                     permit.ended(End::Broken);
                     (Seen::Broken, None)
                 }
@@ -238,7 +256,9 @@
                         && arrived.answer.mark == Mark::Signed
                         && self.route.kind.is_stream()
                     {
+                        self.story.answered();
                         let stream = Stream {
+                            story: self.story,
                             node: self.node,
                             req: self.req,
                             route: self.route,
@@ -254,13 +274,17 @@
             let told = verdict(seen.0, self.route.kind, self.can_repeat());
             match told {
                 Told::Pass => {
-                    counter!("primrosechute_answers_total", "outcome" => "served").increment(1);
-                    return seen.1.expect("an answer is passed on");
+                    self.story.answered();
+                    let response = seen.1.expect("an answer is passed on");
+                    let is_error = response.status().is_server_error();
+                    let outcome = if is_error { "error" } else { "served" };
+                    self.story.end(&self.node, outcome, 0);
+                    return response;
                 }
                 Told::Repeat => {
                     let last = verdict(seen.0, self.route.kind, false);
                     self.last = Some((last, seen.1));
-                    info!("entry: {} again after {:?}", self.req.id, seen.0);
+                    self.story.again(seen.0.label());
                 }
                 told => {
                     self.last = Some((told, None));
@@ -338,24 +362,27 @@
 
     /// The last answer, when no further attempt is made.
     fn give_up(self, reason: Refusal, retry_after: Duration) -> Response<Body> {
-        let (node, id) = (&self.node, &self.req.id);
-        match self.last {
+        let (status, reason, after) = match self.last {
             None | Some((Told::NotRun | Told::Repeat, _)) => {
                 let status = if reason == Refusal::Rate { 429 } else { 503 };
-                let after = retry_after.max(Duration::from_millis(100));
-                own(node, status, id, reason.label(), Some(after))
+                let after = retry_after.max(LEAST_RETRY);
+                (status, reason.label(), Some(after))
             }
             Some((Told::Pass, Some(response))) => {
-                counter!("primrosechute_answers_total", "outcome" => "error").increment(1);
-                response
+                self.story.end(&self.node, "error", 0);
+                return response;
             }
-            Some((Told::Pass | Told::Unknown, _)) => own(node, 502, id, "outcome unknown", None),
-            Some((Told::Late, _)) => own(node, 504, id, "time over", None),
-        }
+            Some((Told::Pass | Told::Unknown, _)) => (502, "outcome unknown", None),
+            Some((Told::Late, _)) => (504, "time over", None),
+        };
+        counter!("primrosechute_refusals_total", "reason" => reason).increment(1);
+        self.story.refused(&self.node, status, reason, after);
+        let response = self.node.dialect.own(status, &self.req.id, reason, after);
+        response.map(|body| Body::Whole(Some(body)))
     }
 }
 
-/// The system's own answer.
+/// The system's own answer to a request that is not taken.
 fn own(
     node: &Node,
     status: u16,
@@ -364,10 +391,8 @@
     retry_after: Option<Duration>,
 ) -> Response<Body> {
     counter!("primrosechute_refusals_total", "reason" => reason).increment(1);
-    match status {
-        429 | 503 => info!("entry: {id} refused, {reason}, come back in {retry_after:?}"),
-        _ => warn!("entry: {id} answered {status}, {reason}"),
-    }
+    let config = node.catalog.borrow().version();
+    info!(id = id, status = status, reason = reason, config = config; "entry: not taken");
     let response = node.dialect.own(status, id, reason, retry_after);
     response.map(|body| Body::Whole(Some(body)))
 }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -329,7 +329,7 @@
         if !self.is_younger(now, SEEDS_DUE) || others.all(is_live) {
             most
         } else {
-            most.max(2 * self.live(now))
+            2 * most
         }
     }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -76,6 +76,7 @@
             .directory
             .map(|address| (address, Service::Directory)),
     );
+    listeners.extend(settings.metrics.map(|address| (address, Service::Metrics)));
     for (address, service) in listeners {
         let listener = TcpListener::bind(address)
             .await
--- /dev/null
+++ b/crates/gateway/src/story.rs
@@ -0,0 +1,156 @@
+//! What is logged and measured of one request: what decided it, and how it ended.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use log::{info, warn};
+use metrics::{counter, histogram};
+
+use crate::clock;
+use crate::model::{Kind, Name};
+use crate::node::Node;
+
+/// Facts of one request, gathered while it is served.
+#[derive(Debug)]
+pub(crate) struct Story {
+    id: String,
+    route: Name,
+    kind: Kind,
+    workspace: Option<Name>,
+    came: Duration,
+    /// Version of the configuration by which it was allowed.
+    config: u64,
+    /// Member that decided last, and the target that it chose.
+    owner: String,
+    target: Name,
+    /// Time spent waiting for permits.
+    waited: Duration,
+    first_byte: Option<Duration>,
+    sends: u32,
+}
+
+impl Story {
+    pub(crate) fn new(
+        came: Duration,
+        id: &str,
+        route: &Name,
+        kind: Kind,
+        workspace: Option<&Name>,
+        config: u64,
+    ) -> Self {
+        Story {
+            id: id.to_owned(),
+            route: Name::clone(route),
+            kind,
+            workspace: workspace.cloned(),
+            came,
+            config,
+            owner: String::new(),
+            target: "".into(),
+            waited: Duration::ZERO,
+            first_byte: None,
+            sends: 0,
+        }
+    }
+
+    /// Notes a permit.
+    pub(crate) fn permitted(&mut self, owner: Ipv4Addr, target: &Name, waited: Duration) {
+        self.owner = owner.to_string();
+        self.target = Name::clone(target);
+        self.waited += waited;
+        histogram!("primrosechute_permit_wait_seconds").record(waited.as_secs_f64());
+    }
+
+    pub(crate) fn sent(&mut self) {
+        self.sends += 1;
+    }
+
+    /// Notes the head of the answer that is relayed.
+    pub(crate) fn answered(&mut self) {
+        self.first_byte
+            .get_or_insert(clock::now().saturating_sub(self.came));
+    }
+
+    /// Notes one attempt that is not the last.
+    pub(crate) fn again(&self, seen: &str) {
+        info!(
+            id = &*self.id, target = &*self.target, seen = seen, sends = self.sends;
+            "entry: another attempt"
+        );
+    }
+
+    /// Ends the request with an answer of a target. `events` counts those of a stream.
+    pub(crate) fn end(&self, node: &Node, outcome: &'static str, events: u32) {
+        let took = self.count(outcome);
+        let first = self.first_byte.unwrap_or_default();
+        if outcome == "served" {
+            info!(
+                id = &*self.id, route = &*self.route, workspace = self.workspace(),
+                owner = &*self.owner, target = &*self.target, sends = self.sends,
+                waited_ms = millis(self.waited), first_ms = millis(first),
+                took_ms = millis(took), events = events, config = self.config;
+                "entry: served"
+            );
+        } else {
+            warn!(
+                id = &*self.id, route = &*self.route, workspace = self.workspace(),
+                owner = &*self.owner, target = &*self.target, sends = self.sends,
+                waited_ms = millis(self.waited), first_ms = millis(first),
+                took_ms = millis(took), events = events, config = self.config,
+                live = node.roster.borrow().live(clock::now()), outcome = outcome;
+                "entry: not served whole"
+            );
+        }
+    }
+
+    /// Ends the request with an answer of the system's own.
+    pub(crate) fn refused(
+        &self,
+        node: &Node,
+        status: u16,
+        reason: &'static str,
+        retry_after: Option<Duration>,
+    ) {
+        let outcome = if retry_after.is_some() {
+            "refused"
+        } else {
+            "failed"
+        };
+        let took = self.count(outcome);
+        let now = clock::now();
+        warn!(
+            id = &*self.id, route = &*self.route, workspace = self.workspace(),
+            owner = &*self.owner, target = &*self.target, sends = self.sends,
+            waited_ms = millis(self.waited), took_ms = millis(took), status = status,
+            reason = reason, retry_after_ms = retry_after.map_or(0, millis),
+            config = self.config, live = node.roster.borrow().live(now),
+            store_age_ms = millis(node.store_age(now));
+            "entry: refused or failed"
+        );
+    }
+
+    fn count(&self, outcome: &'static str) -> Duration {
+        let took = clock::now().saturating_sub(self.came);
+        let kind = match self.kind {
+            Kind::Idempotent => "idempotent",
+            Kind::Once => "once",
+            Kind::Stream { .. } => "stream",
+        };
+        counter!("primrosechute_answers_total", "kind" => kind, "outcome" => outcome).increment(1);
+        histogram!("primrosechute_request_seconds", "kind" => kind, "outcome" => outcome)
+            .record(took.as_secs_f64());
+        if let Some(first) = self.first_byte {
+            histogram!("primrosechute_first_byte_seconds", "kind" => kind)
+                .record(first.as_secs_f64());
+        }
+        took
+    }
+
+    fn workspace(&self) -> &str {
+        self.workspace.as_deref().unwrap_or_default()
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -23,6 +23,20 @@
     Silent,
 }
 
+impl Seen {
+    /// Label in logs.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Seen::NotSent => "not sent",
+            Seen::Rejected => "rejected",
+            Seen::Answered { .. } => "failed answer",
+            Seen::Broken => "broken",
+            Seen::Silent => "silent",
+        }
+    }
+}
+
 /// What happens next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Told {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -23,6 +23,7 @@
         entry: at,
         ready: at,
         directory: None,
+        metrics: None,
         peer_port: 2,
         seeds: Vec::new(),
         grace: Duration::from_secs(8),
