--- a/crates/gateway/src/bucket.rs
+++ b/crates/gateway/src/bucket.rs
@@ -56,9 +56,6 @@
             return Ok(());
         }
         let missing = needed - self.level;
-        if self.per_s <= 0.0 {
-            return Err(Duration::MAX);
-        }
         Err(Duration::try_from_secs_f64(missing / self.per_s).unwrap_or(Duration::MAX))
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,7 @@
 //! | `model` | configuration, targets, settings | none |
 //! | `catalog` | configuration and targets in force | none |
 //! | `roster` | members and their liveness | none |
-//! | `owner`, `bucket`, `budget`, `containment` | admission for one shard | none |
+//! | `owner`, `bucket`, `bookings`, `budget`, `containment` | admission for one shard | none |
 //! | `verdict` | what a caller is told of an attempt | none |
 //! | `message` | datagrams between members | none |
 //! | `follow` | reads the store | store port |
@@ -25,6 +25,7 @@
 #![forbid(unsafe_code)]
 
 mod attempt;
+mod bookings;
 mod bucket;
 mod budget;
 mod catalog;
--- a/crates/gateway/src/owner/mod.rs
+++ b/crates/gateway/src/owner/mod.rs
@@ -11,6 +11,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::bookings::Bookings;
 use crate::bucket::Bucket;
 use crate::budget::Budget;
 use crate::catalog::Catalog;
@@ -32,6 +33,10 @@
 /// store says so only later.
 const WARM_PART: f64 = 0.8;
 const WARM_PART_OTHER: f64 = 0.4;
+/// Least part of the fleet for which these count, for a first owner and for others: a target that
+/// turns cold unseen just then is rarer than a cut under load.
+const WARM_LEAST: f64 = 0.7;
+const WARM_LEAST_OTHER: f64 = 0.25;
 /// Parts of the overage and of the slack of rates that an owner gives out. Over one window of
 /// eight bursts, with one change of owner, which starts with a quarter of a burst, this stays inside:
 /// 8 * 1.15 + 1.25 * (1.2 + 0.4 s) < 9 * 1.25 + s, for a burst of one second's rate and a slack of s.
@@ -59,6 +64,8 @@
 const DRAIN_WEIGHT: f64 = 0.05;
 /// Longest time between two ends that counts; a longer one says that there was no work.
 const DRAIN_GAP: f64 = 0.2;
+/// Least mean time between two ends: 1000 a second.
+const LEAST_DRAIN: f64 = 0.001;
 /// Shortest and longest advice on when to come back.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_secs(5);
@@ -106,9 +113,18 @@
     budget: Budget,
     /// Mean seconds between two ends of runs while there is work.
     drain: f64,
+    refused: Bookings,
     last_end: Duration,
 }
 
+impl PoolState {
+    /// When one more refused request would be admitted.
+    fn come_back(&mut self, now: Duration, ahead: usize) -> Duration {
+        let per_s = 1.0 / self.drain.max(LEAST_DRAIN);
+        self.refused.book(now, 1.0, float(ahead), per_s)
+    }
+}
+
 /// Decides for the targets of the shards that a member owns.
 pub struct Owner {
     settings: Settings,
@@ -270,8 +286,9 @@
             .count();
         let wait = Duration::from_secs_f64(pool.drain * float(ahead));
         if ahead > 0 && wait > offer.wait {
+            let after = pool.come_back(now, ahead);
             self.give_back(&offer, charged);
-            return self.refuse(offer.id, Refusal::Busy, wait);
+            return self.refuse(offer.id, Refusal::Busy, after);
         }
         let give_up = now + offer.wait;
         let key = (offer.tier, give_up);
@@ -438,7 +455,7 @@
                     } else {
                         Refusal::NoTarget
                     };
-                    let after = Duration::from_secs_f64(self.pool(name).drain * float(kept.len()));
+                    let after = self.pool(name).come_back(now, kept.len());
                     self.refuse(waiting.offer.id, reason, after);
                 }
                 None => kept.push(waiting),
@@ -560,9 +577,12 @@
         let bound = per_s * self.settings.cold_overage + self.settings.cold_slack;
         let is_first = |since| now.saturating_sub(since) >= NEW_OWNER;
         let (cold, warm) = if self.first_since.is_some_and(is_first) {
-            (COLD_PART, WARM_PART)
+            (COLD_PART, WARM_PART * self.part.max(WARM_LEAST))
         } else {
-            (COLD_PART_OTHER, WARM_PART_OTHER)
+            (
+                COLD_PART_OTHER,
+                WARM_PART_OTHER * self.part.max(WARM_LEAST_OTHER),
+            )
         };
         let is_new = now.saturating_sub(self.started) < FIRST_COLD;
         Some(Caps {
@@ -571,7 +591,7 @@
             } else {
                 bound * cold * self.cold_part
             },
-            warm: bound * warm * self.part,
+            warm: bound * warm,
         })
     }
 
@@ -593,6 +613,7 @@
                 settings.retry_slack,
             ),
             drain: 0.0,
+            refused: Bookings::default(),
             last_end: Duration::ZERO,
         })
     }
