--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -39,7 +39,6 @@
     pub(crate) sends: u32,
     pub(crate) avoid: Vec<u64>,
     pub(crate) fingerprint: u64,
-    pub(crate) stream: bool,
     /// Longest wait for a permit.
     pub(crate) wait: Duration,
     /// Time until the run is over at the latest.
@@ -289,7 +288,6 @@
         avoid: ask.avoid.clone(),
         fingerprint: ask.fingerprint,
         zone: node.settings.zone.to_string(),
-        stream: ask.stream,
     }
 }
 
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -145,9 +145,10 @@
         },
         Service::Directory => {
             let head = Request::from_parts(req.into_parts().0, ());
-            match node.dialect.lookup(&head) {
-                Some(_) => directory(&node),
-                None => node.dialect.own(404, "", "no such call", None),
+            if node.dialect.is_lookup(&head) {
+                directory(&node)
+            } else {
+                node.dialect.own(404, "", "no such call", None)
             }
         }
     };
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -229,7 +229,6 @@
         avoid: msg.avoid,
         fingerprint: msg.fingerprint,
         zone: msg.zone.into(),
-        stream: msg.stream,
     }
 }
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -112,8 +112,6 @@
     pub(crate) fingerprint: u64,
     #[prost(string, tag = "15")]
     pub(crate) zone: String,
-    #[prost(bool, tag = "16")]
-    pub(crate) stream: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- /dev/null
+++ b/crates/gateway/src/owner/limits.rs
@@ -0,0 +1,134 @@
+//! The limits of the fleet, as far as one owner gives them out.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::target::Caps;
+use super::{Offer, Owner, float};
+use crate::bucket::Bucket;
+use crate::catalog::Catalog;
+use crate::model::{Name, Rate, Settings, Unit};
+use crate::roster::Part;
+
+/// Part of a cold target's bound that its first owner uses, and any other one. Both may decide for
+/// a second when the first one changes, and sends of one second may arrive closer together than
+/// they left.
+const COLD_PART: f64 = 0.5;
+const COLD_PART_OTHER: f64 = 0.2;
+/// The same for a target that is not known to be cold: it may turn cold at any moment, and the
+/// store says so only later.
+const WARM_PART: f64 = 0.8;
+const WARM_PART_OTHER: f64 = 0.4;
+/// Least part of the fleet for which these count, for a first owner and for others: a target that
+/// turns cold unseen just then is rarer than a cut under load.
+const WARM_LEAST: f64 = 0.7;
+const WARM_LEAST_OTHER: f64 = 0.25;
+/// Parts of the overage and of the slack of rates that an owner gives out. Over one window of
+/// eight bursts, with one change of owner, which starts with a quarter of a burst, this stays inside:
+/// 8 * 1.15 + 1.25 * (1.2 + 0.4 s) < 9 * 1.25 + s, for a burst of one second's rate and a slack of s.
+const OVERAGE_RATE: f64 = 0.6;
+const OVERAGE_BURST: f64 = 0.8;
+const SLACK_BURST: f64 = 0.4;
+/// A process that started lately sends nothing to cold targets for the window of their bound: it
+/// does not know what was sent before.
+const FIRST_COLD: Duration = Duration::from_secs(1);
+/// A member counts as first owner when it has been the first for this long.
+const NEW_OWNER: Duration = Duration::from_secs(2);
+
+impl Owner {
+    /// Sets the part of the fleet's limits that may be used here.
+    pub fn set_part(&mut self, now: Duration, part: Part) {
+        if !part.is_first {
+            self.first_since = None;
+        } else if self.first_since.is_none() {
+            self.first_since = Some(now);
+        }
+        let old = self.rate_part();
+        self.part = part.part;
+        self.cold_part = part.cold_part;
+        let new = self.rate_part();
+        if (new - old).abs() > f64::EPSILON {
+            for (bucket, _) in self.buckets.values_mut() {
+                bucket.scale(now, new / old);
+            }
+        }
+    }
+
+    /// Part of a workspace's rate that this owner gives out.
+    pub(super) fn rate_part(&self) -> f64 {
+        self.part / f64::from(self.max_shards)
+    }
+
+    pub(super) fn charge(
+        &mut self,
+        now: Duration,
+        catalog: &Catalog,
+        offer: &Offer,
+    ) -> Result<f64, Duration> {
+        let Some(name) = &offer.workspace else {
+            return Ok(0.0);
+        };
+        let part = self.rate_part();
+        if !self.buckets.contains_key(name) {
+            let rate = catalog.workspace(name).and_then(|workspace| workspace.rate);
+            let Some(rate) = rate else { return Ok(0.0) };
+            let (per_s, burst) = allowance(&self.settings, rate);
+            let bucket = Bucket::new(now, per_s * part, burst * part);
+            self.buckets.insert(name.clone(), (bucket, rate.unit));
+        }
+        let (bucket, unit) = self.buckets.get_mut(name).expect("it was inserted");
+        let units = match (unit, offer.cost) {
+            (Unit::Request, _) => 1.0,
+            (Unit::Token { .. }, Some(cost)) => f64::from(cost.prompt) + f64::from(cost.output),
+            (Unit::Token { plain }, None) => float(usize::try_from(*plain).unwrap_or(usize::MAX)),
+        };
+        bucket.take(now, units)?;
+        Ok(units)
+    }
+
+    pub(super) fn give_back(&mut self, offer: &Offer, charged: f64) {
+        give_back(&mut self.buckets, offer, charged);
+    }
+
+    /// Sends a second that a target of a pool may get from here.
+    pub(super) fn caps(&self, now: Duration, pool: &str) -> Option<Caps> {
+        let per_s = *self.cold.get(pool)?;
+        let bound = per_s * self.settings.cold_overage + self.settings.cold_slack;
+        let is_settled = |since| now.saturating_sub(since) >= NEW_OWNER;
+        let cold = if self.first_since.is_some_and(is_settled) {
+            COLD_PART
+        } else {
+            COLD_PART_OTHER
+        };
+        // After a restart of all members the backlog of all callers comes at once.
+        let warm = if self.first_since.is_some() {
+            WARM_PART * self.part.max(WARM_LEAST)
+        } else {
+            WARM_PART_OTHER * self.part.max(WARM_LEAST_OTHER)
+        };
+        let is_new = now.saturating_sub(self.started) < FIRST_COLD;
+        Some(Caps {
+            cold: if is_new {
+                0.0
+            } else {
+                bound * cold * self.cold_part
+            },
+            warm: bound * warm,
+        })
+    }
+}
+
+/// Rate and burst that owners give out of a workspace's rate.
+pub(super) fn allowance(settings: &Settings, rate: Rate) -> (f64, f64) {
+    let per_s = rate.per_s * (1.0 + settings.rate_overage * OVERAGE_RATE);
+    let burst = rate.burst * (1.0 + settings.rate_overage * OVERAGE_BURST);
+    (per_s, burst + settings.rate_slack * SLACK_BURST)
+}
+
+pub(super) fn give_back(buckets: &mut HashMap<Name, (Bucket, Unit)>, offer: &Offer, charged: f64) {
+    if let Some(name) = &offer.workspace
+        && let Some((bucket, _)) = buckets.get_mut(name)
+    {
+        bucket.give_back(charged);
+    }
+}
--- a/crates/gateway/src/owner/mod.rs
+++ b/crates/gateway/src/owner/mod.rs
@@ -3,7 +3,10 @@
 //! An owner keeps no state that the fleet can't do without: entries tell it in each beat which
 //! runs they have in flight, so that another member can take over at any time.
 
+mod grant;
+mod limits;
 mod model;
+mod shard;
 mod target;
 
 use std::collections::{HashMap, HashSet};
@@ -16,50 +19,21 @@
 use crate::budget::Budget;
 use crate::catalog::Catalog;
 use crate::containment::Containment;
-use crate::model::{Name, Rate, Settings, Target, Unit};
-use crate::roster::Part;
-use target::{Caps, State};
+use crate::model::{Name, Settings, Unit};
+use limits::{allowance, give_back};
+use target::State;
 
 pub use model::{Decision, End, Offer, Refusal, Report, RunId};
+pub use shard::target_key;
+pub(crate) use shard::{session_shard, shards};
 
-/// Targets of a pool that one shard holds. One owner decides for them all.
-const SHARD_TARGETS: usize = 24;
-/// Part of a cold target's bound that its first owner uses, and any other one. Both may decide for
-/// a second when the first one changes, and sends of one second may arrive closer together than
-/// they left.
-const COLD_PART: f64 = 0.5;
-const COLD_PART_OTHER: f64 = 0.2;
-/// The same for a target that is not known to be cold: it may turn cold at any moment, and the
-/// store says so only later.
-const WARM_PART: f64 = 0.8;
-const WARM_PART_OTHER: f64 = 0.4;
-/// Least part of the fleet for which these count, for a first owner and for others: a target that
-/// turns cold unseen just then is rarer than a cut under load.
-const WARM_LEAST: f64 = 0.7;
-const WARM_LEAST_OTHER: f64 = 0.25;
-/// Parts of the overage and of the slack of rates that an owner gives out. Over one window of
-/// eight bursts, with one change of owner, which starts with a quarter of a burst, this stays inside:
-/// 8 * 1.15 + 1.25 * (1.2 + 0.4 s) < 9 * 1.25 + s, for a burst of one second's rate and a slack of s.
-const OVERAGE_RATE: f64 = 0.6;
-const OVERAGE_BURST: f64 = 0.8;
-const SLACK_BURST: f64 = 0.4;
 /// An entry counts as asking for this long after its last offer.
 const ASKER_MEMORY: Duration = Duration::from_millis(1200);
-/// A process that started lately sends nothing to cold targets for the window of their bound: it
-/// does not know what was sent before.
-const FIRST_COLD: Duration = Duration::from_secs(1);
-/// A member counts as first owner when it has been the first for this long.
-const NEW_OWNER: Duration = Duration::from_secs(2);
 /// A run that its entry does not list is over if it is older than this; a younger one may have
 /// crossed the list.
 const LIST_DELAY: Duration = Duration::from_millis(400);
-/// Load by which a target of another zone or without the session's cache is worse.
-const ZONE_LOAD: f64 = 0.02;
-const SESSION_LOAD: f64 = 0.25;
-/// Odd number that mixes the bits of a key.
-const TIE_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
-/// Most sessions whose target is remembered.
-const MAX_SESSIONS: usize = 8192;
+/// A run that was taken over counts for this long at most; its entry lists it as long as it lasts.
+const ADOPTED_RUN: Duration = Duration::from_secs(30);
 /// Weight of a new observation in the mean time between two ends of runs.
 const DRAIN_WEIGHT: f64 = 0.05;
 /// Longest time between two ends that counts; a longer one says that there was no work.
@@ -70,28 +44,6 @@
 const RETRY_MIN: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_secs(5);
 
-/// Identifies one start of a target in messages.
-#[must_use]
-pub fn target_key(target: &Target) -> u64 {
-    key_of(&target.id, target.born)
-}
-
-fn key_of(id: &str, born: u64) -> u64 {
-    xxh3_64(id.as_bytes()) ^ born.wrapping_mul(TIE_FACTOR)
-}
-
-/// Number of shards of a pool with the given number of targets.
-#[must_use]
-pub(crate) fn shards(targets: usize) -> u32 {
-    u32::try_from(targets.div_ceil(SHARD_TARGETS).max(1)).unwrap_or(u32::MAX)
-}
-
-/// Shard of a target.
-#[must_use]
-pub(crate) fn shard_of(id: &str, shards: u32) -> u32 {
-    u32::try_from(xxh3_64(id.as_bytes()) % u64::from(shards.max(1))).unwrap_or(0)
-}
-
 struct Run {
     target: u64,
     pool: Name,
@@ -175,24 +127,6 @@
         }
     }
 
-    /// Sets the part of the fleet's limits that may be used here.
-    pub fn set_part(&mut self, now: Duration, part: Part) {
-        if !part.is_first {
-            self.first_since = None;
-        } else if self.first_since.is_none() {
-            self.first_since = Some(now);
-        }
-        let old = self.rate_part();
-        self.part = part.part;
-        self.cold_part = part.cold_part;
-        let new = self.rate_part();
-        if (new - old).abs() > f64::EPSILON {
-            for (bucket, _) in self.buckets.values_mut() {
-                bucket.scale(now, new / old);
-            }
-        }
-    }
-
     /// Number of shards of the largest pool.
     #[must_use]
     pub fn max_shards(&self) -> u32 {
@@ -439,91 +373,6 @@
         waiting.any(|waiting| waiting.offer.id == id)
     }
 
-    fn serve_queue(&mut self, now: Duration, name: &Name) {
-        let queue = std::mem::take(&mut self.pool(name).queue);
-        let mut kept = Vec::new();
-        let caps = self.caps(now, name);
-        let pace = self.mean_pace(name);
-        for waiting in queue {
-            match self.choose(now, &waiting.offer, caps, pace) {
-                Some(key) => self.grant(now, waiting.offer, key),
-                None if now >= waiting.give_up => {
-                    self.give_back(&waiting.offer, waiting.charged);
-                    let open = self.targets.values().any(|s| s.open && s.pool == *name);
-                    let reason = if open {
-                        Refusal::Busy
-                    } else {
-                        Refusal::NoTarget
-                    };
-                    let after = self.pool(name).come_back(now, kept.len());
-                    self.refuse(waiting.offer.id, reason, after);
-                }
-                None => kept.push(waiting),
-            }
-        }
-        self.pool(name).queue = kept;
-    }
-
-    /// The target with the least load that has room.
-    fn choose(
-        &mut self,
-        now: Duration,
-        offer: &Offer,
-        caps: Option<Caps>,
-        pace: f64,
-    ) -> Option<u64> {
-        let shard = session_shard(offer.session, offer.id.run, offer.shards);
-        let home = self.sessions.get(&offer.session).copied();
-        let salt = self.salt;
-        let mut best: Option<(f64, u64, u64)> = None;
-        for (&key, state) in &mut self.targets {
-            if state.pool != offer.pool
-                || offer.avoid.contains(&key)
-                || (offer.shards > 1 && shard_of(&state.id, offer.shards) != shard)
-                || !state.has_room(now, caps)
-            {
-                continue;
-            }
-            let mut load = state.load(pace);
-            if state.zone != offer.zone {
-                load += ZONE_LOAD;
-            }
-            if home == Some(key) && offer.session != 0 {
-                load -= SESSION_LOAD;
-            }
-            let tie = (key ^ salt).wrapping_mul(TIE_FACTOR);
-            if best.is_none_or(|(least, other, _)| (load, tie) < (least, other)) {
-                best = Some((load, tie, key));
-            }
-        }
-        best.map(|(.., key)| key)
-    }
-
-    fn grant(&mut self, now: Duration, offer: Offer, key: u64) {
-        if offer.session != 0 {
-            if self.sessions.len() >= MAX_SESSIONS {
-                self.sessions.clear();
-            }
-            self.sessions.insert(offer.session, key);
-        }
-        let state = self.targets.get_mut(&key).expect("the target was chosen");
-        state.sent(now);
-        self.decisions.push(Decision::Grant {
-            id: offer.id,
-            target: state.id.clone(),
-        });
-        self.runs.insert(
-            offer.id,
-            Run {
-                target: key,
-                pool: offer.pool,
-                fingerprint: offer.fingerprint,
-                granted: now,
-                until: now + offer.left,
-            },
-        );
-    }
-
     fn forget(&mut self, id: RunId) {
         if let Some(run) = self.runs.remove(&id)
             && let Some(state) = self.targets.get_mut(&run.target)
@@ -540,72 +389,6 @@
         });
     }
 
-    /// Part of a workspace's rate that this owner gives out.
-    fn rate_part(&self) -> f64 {
-        self.part / f64::from(self.max_shards)
-    }
-
-    fn charge(&mut self, now: Duration, catalog: &Catalog, offer: &Offer) -> Result<f64, Duration> {
-        let Some(name) = &offer.workspace else {
-            return Ok(0.0);
-        };
-        let part = self.rate_part();
-        if !self.buckets.contains_key(name) {
-            let rate = catalog.workspace(name).and_then(|workspace| workspace.rate);
-            let Some(rate) = rate else { return Ok(0.0) };
-            let (per_s, burst) = allowance(&self.settings, rate);
-            let bucket = Bucket::new(now, per_s * part, burst * part);
-            self.buckets.insert(name.clone(), (bucket, rate.unit));
-        }
-        let (bucket, unit) = self.buckets.get_mut(name).expect("it was inserted");
-        let units = match (unit, offer.cost) {
-            (Unit::Request, _) => 1.0,
-            (Unit::Token { .. }, Some(cost)) => f64::from(cost.prompt) + f64::from(cost.output),
-            (Unit::Token { plain }, None) => float(usize::try_from(*plain).unwrap_or(usize::MAX)),
-        };
-        bucket.take(now, units)?;
-        Ok(units)
-    }
-
-    fn give_back(&mut self, offer: &Offer, charged: f64) {
-        give_back(&mut self.buckets, offer, charged);
-    }
-
-    /// Sends a second that a target of a pool may get from here.
-    fn caps(&self, now: Duration, pool: &str) -> Option<Caps> {
-        let per_s = *self.cold.get(pool)?;
-        let bound = per_s * self.settings.cold_overage + self.settings.cold_slack;
-        let is_settled = |since| now.saturating_sub(since) >= NEW_OWNER;
-        let cold = if self.first_since.is_some_and(is_settled) {
-            COLD_PART
-        } else {
-            COLD_PART_OTHER
-        };
-        // After a restart of all members the backlog of all callers comes at once.
-        let warm = if self.first_since.is_some() {
-            WARM_PART * self.part.max(WARM_LEAST)
-        } else {
-            WARM_PART_OTHER * self.part.max(WARM_LEAST_OTHER)
-        };
-        let is_new = now.saturating_sub(self.started) < FIRST_COLD;
-        Some(Caps {
-            cold: if is_new {
-                0.0
-            } else {
-                bound * cold * self.cold_part
-            },
-            warm: bound * warm,
-        })
-    }
-
-    fn mean_pace(&self, pool: &str) -> f64 {
-        let paces = self.targets.values().filter(|state| &*state.pool == pool);
-        let (sum, count) = paces
-            .filter_map(|state| state.pace)
-            .fold((0.0, 0), |(sum, count), pace| (sum + pace, count + 1));
-        if count == 0 { 0.0 } else { sum / float(count) }
-    }
-
     fn pool(&mut self, name: &Name) -> &mut PoolState {
         let settings = &self.settings;
         self.pools.entry(name.clone()).or_insert_with(|| PoolState {
@@ -622,31 +405,6 @@
     }
 }
 
-/// A run that was taken over counts for this long at most; its entry lists it as long as it lasts.
-const ADOPTED_RUN: Duration = Duration::from_secs(30);
-
-/// Shard to which a request belongs: that of its session, or any.
-#[must_use]
-pub(crate) fn session_shard(session: u64, run: u64, shards: u32) -> u32 {
-    let key = if session == 0 { run } else { session };
-    u32::try_from(xxh3_64(&key.to_be_bytes()) % u64::from(shards.max(1))).unwrap_or(0)
-}
-
-/// Rate and burst that owners give out of a workspace's rate.
-fn allowance(settings: &Settings, rate: Rate) -> (f64, f64) {
-    let per_s = rate.per_s * (1.0 + settings.rate_overage * OVERAGE_RATE);
-    let burst = rate.burst * (1.0 + settings.rate_overage * OVERAGE_BURST);
-    (per_s, burst + settings.rate_slack * SLACK_BURST)
-}
-
-fn give_back(buckets: &mut HashMap<Name, (Bucket, Unit)>, offer: &Offer, charged: f64) {
-    if let Some(name) = &offer.workspace
-        && let Some((bucket, _)) = buckets.get_mut(name)
-    {
-        bucket.give_back(charged);
-    }
-}
-
 #[expect(clippy::cast_precision_loss, reason = "small counts")]
 fn float(count: usize) -> f64 {
     count as f64
--- a/crates/gateway/src/owner/model.rs
+++ b/crates/gateway/src/owner/model.rs
@@ -42,8 +42,6 @@
     pub fingerprint: u64,
     /// Availability zone of the entry.
     pub zone: Name,
-    /// Whether the answer is a stream.
-    pub stream: bool,
 }
 
 /// Why an offer is refused. A refused request was not sent.
--- /dev/null
+++ b/crates/gateway/src/owner/shard.rs
@@ -0,0 +1,39 @@
+//! Which shard a target and a request belong to.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::model::Target;
+
+/// Targets of a pool that one shard holds. One owner decides for them all.
+const SHARD_TARGETS: usize = 24;
+/// Odd number that mixes the bits of a key.
+pub(super) const TIE_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Identifies one start of a target in messages.
+#[must_use]
+pub fn target_key(target: &Target) -> u64 {
+    key_of(&target.id, target.born)
+}
+
+fn key_of(id: &str, born: u64) -> u64 {
+    xxh3_64(id.as_bytes()) ^ born.wrapping_mul(TIE_FACTOR)
+}
+
+/// Number of shards of a pool with the given number of targets.
+#[must_use]
+pub(crate) fn shards(targets: usize) -> u32 {
+    u32::try_from(targets.div_ceil(SHARD_TARGETS).max(1)).unwrap_or(u32::MAX)
+}
+
+/// Shard of a target.
+#[must_use]
+pub(crate) fn shard_of(id: &str, shards: u32) -> u32 {
+    u32::try_from(xxh3_64(id.as_bytes()) % u64::from(shards.max(1))).unwrap_or(0)
+}
+
+/// Shard to which a request belongs: that of its session, or any.
+#[must_use]
+pub(crate) fn session_shard(session: u64, run: u64, shards: u32) -> u32 {
+    let key = if session == 0 { run } else { session };
+    u32::try_from(xxh3_64(&key.to_be_bytes()) % u64::from(shards.max(1))).unwrap_or(0)
+}
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -85,13 +85,6 @@
     pub close: bool,
 }
 
-/// A question to the directory.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Lookup {
-    /// Availability zone of the caller.
-    pub zone: Option<String>,
-}
-
 /// Names and forms of HTTP messages.
 pub trait Dialect {
     /// Reads the head of a request.
@@ -123,8 +116,8 @@
     /// Whether a request to the readiness address is the readiness check.
     fn is_ready_check(&self, req: &Request<()>) -> bool;
 
-    /// Reads a question to the directory.
-    fn lookup(&self, req: &Request<()>) -> Option<Lookup>;
+    /// Whether a request to the directory asks for entries.
+    fn is_lookup(&self, req: &Request<()>) -> bool;
 
     /// The directory's answer.
     fn entries(&self, entries: &[SocketAddr], ttl: Duration) -> Response<Bytes>;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -195,7 +195,6 @@
         sends: 0,
         avoid: Vec::new(),
         fingerprint,
-        stream: route.kind.is_stream(),
         wait: route.aim.mul_f64(WAIT_PART),
         left: route.timeout,
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -124,6 +124,5 @@
         avoid: Vec::new(),
         fingerprint: run,
         zone: Name::from("zone-a"),
-        stream: false,
     }
 }
