Give out limits shard by shard, and never deny a run that an earlier attempt made

A member counted as first owner for all shards when it was the first of any, and its askers were counted over all shards. Ruled out: an unseen cold start (all members had the target as cold 1.7 s before). Now the part is decided by shard, and so are askers. The parts of rates and repeats follow the number of shards that a member is first for. The state machine has a pool of three shards: before, a case failed after 2 cases; with the first owner by shard but askers over all shards, after 914; now 2,500 cases pass.

The last attempt decided alone. Now an attempt that did not run no longer replaces what an earlier one said.

A target that could not be reached now counts as cold for 2 s after it serves, or until the store tells of it, and the parts of warm and newly owned targets are 0.75 and 0.15 instead of 0.8 and 0.2.

Signals are now listened for before anything else is started, so that SIGTERM or SIGHUP during the start does not end the process by default. Members may reach each other at another UDP port than the one they listen on (peer_reach), as behind a relay; the platform's settings leave both the same.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -187,7 +187,7 @@
         node.owner
             .borrow_mut()
             .offer(clock::now(), &node.catalog.borrow(), offer);
-        node.set_part(clock::now());
+        node.set_parts(clock::now());
         node.decide();
         let reply = timeout(wait + OWNER_DELAY, replies.recv()).await;
         return reply.ok().flatten();
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -34,7 +34,7 @@
             node.refresh_owner();
         }
         node.drop_gone_entries(now);
-        node.set_part(now);
+        node.set_parts(now);
         node.upstreams.drop_idle(now);
     }
 }
@@ -141,7 +141,7 @@
             node.owner
                 .borrow_mut()
                 .offer(now, &node.catalog.borrow(), offer);
-            node.set_part(now);
+            node.set_parts(now);
             node.decide();
             if node.owner.borrow().is_queued(id) {
                 node.send(from, Body::Queued(run));
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -191,6 +191,8 @@
     pub metrics: Option<SocketAddr>,
     /// UDP port for traffic between members; the same on all VMs.
     pub peer_port: u16,
+    /// UDP port at which other members are reached; `peer_port` unless a relay stands before them.
+    pub peer_reach: u16,
     /// Cores that the process may use.
     pub cores: f64,
     /// Bandwidth of the VM's link, in Mbit/s.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -166,14 +166,13 @@
         }
     }
 
-    /// Tells the owner which part of the fleet's limits is its own.
-    pub(crate) fn set_part(&self, now: Duration) {
+    /// Tells the owner which parts of the fleet's limits are its own.
+    pub(crate) fn set_parts(&self, now: Duration) {
         let mut owner = self.owner.borrow_mut();
-        let part = self
-            .roster
-            .borrow()
-            .part(now, owner.max_shards(), owner.askers(now));
-        owner.set_part(now, part);
+        let roster = self.roster.borrow();
+        let part = |(shard, askers)| roster.part(now, shard, askers);
+        let parts = (0..).zip(owner.askers(now)).map(part).collect();
+        owner.set_parts(now, parts);
     }
 
     /// Takes what the catalog says into the owner.
@@ -197,7 +196,7 @@
             sender: self.incarnation,
             body: Some(body),
         };
-        let address = SocketAddr::from((to, self.settings.peer_port));
+        let address = SocketAddr::from((to, self.settings.peer_reach));
         // A datagram that can't be sent is as good as lost; the sender repeats what matters.
         if let Err(err) = self.socket.try_send_to(&datagram.encode_to_vec(), address) {
             metrics::counter!("primrosechute_datagrams_unsent_total").increment(1);
--- a/crates/gateway/src/owner/grant.rs
+++ b/crates/gateway/src/owner/grant.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use super::shard::{TIE_FACTOR, session_shard, shard_of};
-use super::target::Caps;
 use super::{Decision, Offer, Owner, Refusal, Run, float};
 use crate::model::Name;
 
@@ -17,10 +16,9 @@
     pub(super) fn serve_queue(&mut self, now: Duration, name: &Name) {
         let queue = std::mem::take(&mut self.pool(name).queue);
         let mut kept = Vec::new();
-        let caps = self.caps(now, name);
         let pace = self.mean_pace(name);
         for waiting in queue {
-            match self.choose(now, &waiting.offer, caps, pace) {
+            match self.choose(now, &waiting.offer, pace) {
                 Some(key) => self.grant(now, waiting.offer, key),
                 None if now >= waiting.give_up => {
                     self.give_back(&waiting.offer, waiting.charged);
@@ -40,14 +38,9 @@
     }
 
     /// The target with the least load that has room.
-    fn choose(
-        &mut self,
-        now: Duration,
-        offer: &Offer,
-        caps: Option<Caps>,
-        pace: f64,
-    ) -> Option<u64> {
+    fn choose(&mut self, now: Duration, offer: &Offer, pace: f64) -> Option<u64> {
         let shard = session_shard(offer.session, offer.id.run, offer.shards);
+        let caps = self.caps(now, &offer.pool, shard);
         let home = self.sessions.get(&offer.session).copied();
         let salt = self.salt;
         let mut best: Option<(f64, u64, u64)> = None;
--- a/crates/gateway/src/owner/limits.rs
+++ b/crates/gateway/src/owner/limits.rs
@@ -14,10 +14,11 @@
 /// a second when the first one changes, and sends of one second may arrive closer together than
 /// they left.
 const COLD_PART: f64 = 0.5;
-const COLD_PART_OTHER: f64 = 0.2;
+const COLD_PART_OTHER: f64 = 0.15;
 /// The same for a target that is not known to be cold: it may turn cold at any moment, and the
-/// store says so only later.
-const WARM_PART: f64 = 0.8;
+/// store says so only later. With a new owner that knows it to be cold, and entries that decide for
+/// themselves, both first owners stay below the bound.
+const WARM_PART: f64 = 0.75;
 const WARM_PART_OTHER: f64 = 0.4;
 /// Least part of the fleet for which these count, for a first owner and for others: a target that
 /// turns cold unseen just then is rarer than a cut under load.
@@ -36,16 +37,14 @@
 const NEW_OWNER: Duration = Duration::from_secs(2);
 
 impl Owner {
-    /// Sets the part of the fleet's limits that may be used here.
-    pub fn set_part(&mut self, now: Duration, part: Part) {
-        if !part.is_first {
-            self.first_since = None;
-        } else if self.first_since.is_none() {
-            self.first_since = Some(now);
+    /// Sets the part of the fleet's limits that may be used here, for each shard.
+    pub fn set_parts(&mut self, now: Duration, parts: Vec<Part>) {
+        self.first_since.resize(parts.len(), None);
+        for (since, part) in self.first_since.iter_mut().zip(&parts) {
+            *since = part.is_first.then(|| since.unwrap_or(now));
         }
         let old = self.rate_part();
-        self.part = part.part;
-        self.cold_part = part.cold_part;
+        self.parts = parts;
         let new = self.rate_part();
         if (new - old).abs() > f64::EPSILON {
             for (bucket, _) in self.buckets.values_mut() {
@@ -54,9 +53,17 @@
         }
     }
 
-    /// Part of a workspace's rate that this owner gives out.
+    /// Part of a workspace's rate and of the budget of repeats that this owner gives out. Each
+    /// shard has an equal part of them; one for which nobody asks counts for its first owner only.
     pub(super) fn rate_part(&self) -> f64 {
-        self.part / f64::from(self.max_shards)
+        let shards = f64::from(self.max_shards);
+        let firsts = self.parts.iter().filter(|part| part.is_first);
+        let firsts: f64 = firsts.map(|part| part.part).sum();
+        if firsts > 0.0 {
+            return firsts / shards;
+        }
+        let largest = self.parts.iter().map(|part| part.part).reduce(f64::max);
+        largest.unwrap_or(1.0) / shards
     }
 
     pub(super) fn charge(
@@ -90,29 +97,31 @@
         give_back(&mut self.buckets, offer, charged);
     }
 
-    /// Sends a second that a target of a pool may get from here.
-    pub(super) fn caps(&self, now: Duration, pool: &str) -> Option<Caps> {
+    /// Sends a second that a target of a pool's shard may get from here.
+    pub(super) fn caps(&self, now: Duration, pool: &str, shard: u32) -> Option<Caps> {
         let per_s = *self.cold.get(pool)?;
         let bound = per_s * self.settings.cold_overage + self.settings.cold_slack;
+        let shard = usize::try_from(shard).unwrap_or(usize::MAX);
+        // An entry that counts more shards than this member is behind or ahead of it.
+        let part = self.parts.get(shard).or(self.parts.first())?;
+        let first_since = self.first_since.get(shard).copied().flatten();
         let is_settled = |since| now.saturating_sub(since) >= NEW_OWNER;
-        let cold = if self.first_since.is_some_and(is_settled) {
+        let cold = if first_since.is_some_and(is_settled) {
             COLD_PART
         } else {
             COLD_PART_OTHER
         };
         // After a restart of all members the backlog of all callers comes at once.
-        let warm = if self.first_since.is_some() {
-            WARM_PART * self.part.max(WARM_LEAST)
+        let warm = if first_since.is_some() {
+            WARM_PART * part.part.max(WARM_LEAST)
         } else {
-            WARM_PART_OTHER * self.part.max(WARM_LEAST_OTHER)
+            WARM_PART_OTHER * part.part.max(WARM_LEAST_OTHER)
         };
         let is_new = now.saturating_sub(self.started) < FIRST_COLD;
+        let suspect = bound * cold * part.cold_part;
         Some(Caps {
-            cold: if is_new {
-                0.0
-            } else {
-                bound * cold * self.cold_part
-            },
+            cold: if is_new { 0.0 } else { suspect },
+            suspect,
             warm: bound * warm,
         })
     }
--- a/crates/gateway/src/owner/mod.rs
+++ b/crates/gateway/src/owner/mod.rs
@@ -20,12 +20,13 @@
 use crate::catalog::Catalog;
 use crate::containment::Containment;
 use crate::model::{Name, Settings, Unit};
+use crate::roster::Part;
 use limits::{allowance, give_back};
 use target::State;
 
 pub use model::{Decision, End, Offer, Refusal, Report, RunId};
-pub use shard::target_key;
-pub(crate) use shard::{session_shard, shards};
+pub(crate) use shard::shards;
+pub use shard::{session_shard, target_key};
 
 /// An entry counts as asking for this long after its last offer.
 const ASKER_MEMORY: Duration = Duration::from_millis(1200);
@@ -44,6 +45,13 @@
 const RETRY_MIN: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_secs(5);
 
+/// Part of the limits of a member that is alone.
+const ALONE: Part = Part {
+    part: 1.0,
+    cold_part: 1.0,
+    is_first: true,
+};
+
 struct Run {
     target: u64,
     pool: Name,
@@ -88,14 +96,13 @@
     runs: HashMap<RunId, Run>,
     sessions: HashMap<u64, u64>,
     containment: Containment,
-    /// Part of the members that is live.
-    part: f64,
-    cold_part: f64,
+    /// Part of the fleet's limits that may be used here, by shard.
+    parts: Vec<Part>,
     started: Duration,
-    /// Since when this member is the first owner of a shard.
-    first_since: Option<Duration>,
-    /// Entries with the time of their last offer.
-    askers: HashMap<u64, Duration>,
+    /// Since when this member is the first owner, by shard.
+    first_since: Vec<Option<Duration>>,
+    /// Entries and shards with the time of the last offer.
+    askers: HashMap<(u64, u32), Duration>,
     /// Breaks ties between targets, so that members that can't hear each other spread their runs.
     salt: u64,
     max_shards: u32,
@@ -115,10 +122,9 @@
             runs: HashMap::new(),
             sessions: HashMap::new(),
             containment: Containment::default(),
-            part: 1.0,
-            cold_part: 1.0,
+            parts: vec![ALONE],
             started: now,
-            first_since: None,
+            first_since: vec![None],
             askers: HashMap::new(),
             salt: xxh3_64(settings.vm.as_bytes()),
             settings,
@@ -133,11 +139,17 @@
         self.max_shards
     }
 
-    /// Number of entries that asked lately.
+    /// Number of entries that asked lately, by shard.
     #[must_use]
-    pub fn askers(&self, now: Duration) -> usize {
-        let recent = |&&at: &&Duration| now.saturating_sub(at) < ASKER_MEMORY;
-        self.askers.values().filter(recent).count()
+    pub fn askers(&self, now: Duration) -> Vec<usize> {
+        let mut counts = vec![0; usize::try_from(self.max_shards).unwrap_or(1)];
+        for (&(_, shard), &at) in &self.askers {
+            let count = counts.get_mut(usize::try_from(shard).unwrap_or(usize::MAX));
+            if let Some(count) = count.filter(|_| now.saturating_sub(at) < ASKER_MEMORY) {
+                *count += 1;
+            }
+        }
+        counts
     }
 
     /// Takes over what the catalog says of targets, pools and workspaces.
@@ -154,7 +166,7 @@
                 .or_insert_with(|| State::new(target));
             state.open = catalog.is_open(target);
             state.slots = target.slots;
-            state.cold_until = cold_until;
+            state.set_cold(cold_until);
             state.pool = target.pool.clone();
             self.by_id.insert(target.id.clone(), key);
         }
@@ -182,7 +194,8 @@
 
     /// Takes an offer. Its decision follows from [`Owner::poll`].
     pub fn offer(&mut self, now: Duration, catalog: &Catalog, offer: Offer) {
-        self.askers.insert(offer.id.entry, now);
+        let shard = session_shard(offer.session, offer.id.run, offer.shards);
+        self.askers.insert((offer.id.entry, shard), now);
         if let Some(run) = self.runs.get(&offer.id) {
             if let Some(state) = self.targets.get(&run.target) {
                 let target = state.id.clone();
@@ -203,7 +216,7 @@
             Ok(charged) => charged,
             Err(wait) => return self.refuse(offer.id, Refusal::Rate, wait),
         };
-        let part = self.part / f64::from(self.max_shards);
+        let part = self.rate_part();
         let pool = self.pool(&offer.pool);
         if offer.sends > 0 {
             if !pool.budget.take(now, part) {
--- a/crates/gateway/src/owner/shard.rs
+++ b/crates/gateway/src/owner/shard.rs
@@ -33,7 +33,7 @@
 
 /// Shard to which a request belongs: that of its session, or any.
 #[must_use]
-pub(crate) fn session_shard(session: u64, run: u64, shards: u32) -> u32 {
+pub fn session_shard(session: u64, run: u64, shards: u32) -> u32 {
     let key = if session == 0 { run } else { session };
     u32::try_from(xxh3_64(&key.to_be_bytes()) % u64::from(shards.max(1))).unwrap_or(0)
 }
--- a/crates/gateway/src/owner/target.rs
+++ b/crates/gateway/src/owner/target.rs
@@ -18,6 +18,9 @@
 const FOREIGN_MEMORY: Duration = Duration::from_millis(500);
 /// Smallest part of a send a second: a member of a fleet of thousands that is cut off.
 const LEAST_CAP: f64 = 0.01;
+/// A target that could not be reached may have been started again; it counts as cold for this long
+/// after it serves, or until the store tells of it. Changes of the store arrive within this time.
+const SUSPECT: Duration = Duration::from_secs(2);
 /// Window of the rate of a cold target.
 const SECOND: Duration = Duration::from_secs(1);
 /// Weight of the share of failed runs in the load of a target.
@@ -27,6 +30,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Caps {
     pub(super) cold: f64,
+    /// For one that may be cold although the store does not say so.
+    pub(super) suspect: f64,
     pub(super) warm: f64,
 }
 
@@ -37,7 +42,11 @@
     pub(super) slots: u32,
     pub(super) open: bool,
     /// Time until which it says that it is cold.
-    pub(super) cold_until: Duration,
+    cold_until: Duration,
+    /// Time until which it may be cold although the store does not say so.
+    suspect_until: Duration,
+    /// Whether it could not be reached since it last served.
+    unreached: bool,
     pub(super) running: u32,
     /// Sends of the last second.
     sends: VecDeque<Duration>,
@@ -62,6 +71,8 @@
             slots: target.slots,
             open: true,
             cold_until: Duration::ZERO,
+            suspect_until: Duration::ZERO,
+            unreached: false,
             running: 0,
             sends: VecDeque::new(),
             pace: None,
@@ -74,11 +85,22 @@
         }
     }
 
+    /// Takes what the store says of its cold start.
+    pub(super) fn set_cold(&mut self, until: Duration) {
+        if until != self.cold_until {
+            self.cold_until = until;
+            self.suspect_until = Duration::ZERO;
+        }
+    }
+
     /// Whether it may get one more run. A cap below one send a second stands
     /// for one send in a longer time.
     pub(super) fn has_room(&mut self, now: Duration, caps: Option<Caps>) -> bool {
-        let is_cold = now < self.cold_until;
-        let cap = caps.map(|caps| if is_cold { caps.cold } else { caps.warm });
+        let cap = caps.map(|caps| match now {
+            now if now < self.cold_until => caps.cold,
+            now if now < self.suspect_until => caps.suspect,
+            _ => caps.warm,
+        });
         let window = match cap {
             Some(cap) if cap <= 0.0 => return false,
             Some(cap) if cap < 1.0 => SECOND.div_f64(cap.max(LEAST_CAP)),
@@ -145,6 +167,9 @@
                 self.failed *= 1.0 - MEAN_WEIGHT;
                 self.rest = Duration::ZERO;
                 self.doubtful = false;
+                if std::mem::take(&mut self.unreached) {
+                    self.suspect_until = now + SUSPECT;
+                }
                 if let Some(pace) = report.pace {
                     let pace = pace.as_secs_f64();
                     self.pace = Some(match self.pace {
@@ -159,6 +184,7 @@
                 self.failed += (1.0 - self.failed) * MEAN_WEIGHT;
             }
             End::Unreachable | End::Silent | End::Misdirected => {
+                self.unreached |= report.end == End::Unreachable;
                 self.failed += (1.0 - self.failed) * MEAN_WEIGHT;
                 self.doubtful = true;
                 if now >= self.resting_until {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -295,17 +295,25 @@
                 }
                 Told::Repeat => {
                     let last = verdict(seen.0, self.route.kind, false);
-                    self.last = Some((last, seen.1));
+                    self.remember(last, seen.1);
                     self.story.again(seen.0.label());
                 }
                 told => {
-                    self.last = Some((told, None));
+                    self.remember(told, None);
                     return self.give_up(Refusal::NoTarget, Duration::ZERO);
                 }
             }
         }
     }
 
+    /// Notes what the caller is told if this was the last attempt. An attempt that did not run
+    /// says nothing of those before it, which may have.
+    fn remember(&mut self, told: Told, response: Option<Response<Body>>) {
+        if self.last.is_none() || told != Told::NotRun {
+            self.last = Some((told, response));
+        }
+    }
+
     fn left(&self) -> Duration {
         self.deadline.saturating_sub(clock::now())
     }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -67,7 +67,7 @@
     pub others: Vec<Member>,
 }
 
-/// What a member may use of the fleet's limits.
+/// What a member may use of the fleet's limits for one shard.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Part {
     /// Part of each limit, at most 1.
@@ -75,7 +75,7 @@
     /// Part of the bounds of cold targets, which grows only when the number of live members has
     /// settled: the owner on the other side of a cut may still use it for the window of the bound.
     pub cold_part: f64,
-    /// Whether the member is the first owner of a shard.
+    /// Whether the member is the first owner of the shard.
     pub is_first: bool,
 }
 
@@ -258,28 +258,26 @@
         entries
     }
 
-    /// Part of the fleet's limits that this member may use when the given number of entries asks
-    /// it.
+    /// Part of the fleet's limits that this member may use for a shard when the given number of
+    /// entries asks it for that shard.
     ///
     /// The first owner of a shard uses the part of its live members. Any other one was asked
     /// because its askers don't reach the first, and uses no more than their part: a member that
     /// is cut off from all others has the part of one from its first moment.
     #[must_use]
-    pub fn part(&self, now: Duration, shards: u32, askers: usize) -> Part {
+    pub fn part(&self, now: Duration, shard: u32, askers: usize) -> Part {
         let live = self.live(now);
         let settled = self
             .settled
             .front()
             .map_or(1, |&(_, count)| count)
             .min(live);
-        let is_first = (0..shards).any(|shard| {
-            let me = standing(&self.me, shard);
-            let mut others = self.known.values().filter(|known| is_live(known, now));
-            others.all(|other| standing(&other.member, shard) > me)
-        });
+        let me = standing(&self.me, shard);
+        let mut others = self.known.values().filter(|known| is_live(known, now));
+        let is_first = others.all(|other| standing(&other.member, shard) > me);
         let of = |live: usize| {
-            let share = if is_first { live } else { askers.min(live) };
-            float(share.max(1)) / float(self.most(now))
+            let members = if is_first { live } else { askers.min(live) };
+            float(members.max(1)) / float(self.most(now))
         };
         Part {
             part: of(live),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::{error, info, warn};
+use log::{info, warn};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
@@ -40,9 +40,14 @@
     dialect: Box<dyn Dialect>,
     store: S,
 ) -> Outcome {
+    // A signal that comes during the start must not end the process by default.
+    let mut signals = match Signals::new() {
+        Ok(signals) => signals,
+        Err(err) => return Outcome::Failed(format!("cannot listen for signals: {err}")),
+    };
     match start(&source, dialect, store).await {
         Ok((node, close)) => {
-            until_stopped(&node, &source).await;
+            until_stopped(&node, &source, &mut signals).await;
             stop(&node, &close).await;
             Outcome::Stopped
         }
@@ -91,21 +96,28 @@
     Ok((node, close))
 }
 
-async fn until_stopped(node: &Node, source: &impl SettingsSource) {
-    let signals = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-        signal(SignalKind::hangup()),
-    );
-    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = signals else {
-        error!("member: cannot listen for signals");
-        return;
-    };
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+async fn until_stopped(node: &Node, source: &impl SettingsSource, signals: &mut Signals) {
     loop {
         tokio::select! {
-            _ = terminate.recv() => return,
-            _ = interrupt.recv() => return,
-            _ = hangup.recv() => reload(node, source),
+            _ = signals.terminate.recv() => return,
+            _ = signals.interrupt.recv() => return,
+            _ = signals.hangup.recv() => reload(node, source),
             () = sleep(SEEDS_AGAIN) => {
                 if node.roster.borrow().live(clock::now()) == 1 {
                     reload(node, source);
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -8,7 +8,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use gateway::{Catalog, Change, Cost, Decision, End, Owner, Report, Roster, RunId};
+use gateway::{Catalog, Change, Cost, Decision, End, Owner, Report, Roster, RunId, session_shard};
 use proptest::prelude::*;
 use support::{
     COLD_PER_S, RATE, RATE_SLACK, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, listing, ms, offer,
@@ -20,6 +20,8 @@
 /// Steps between two beats.
 const BEAT_STEPS: u64 = 5;
 const TARGETS: usize = 4;
+/// Targets of a pool of three shards, of which all but the first few are draining.
+const MANY_TARGETS: usize = 60;
 /// Time for which a run occupies its target.
 const RUN: Duration = Duration::from_millis(100);
 /// An owner is passed over after this time without an answer.
@@ -94,12 +96,13 @@
 }
 
 impl World {
-    fn new(size: usize) -> Self {
+    fn new(size: usize, targets: usize) -> Self {
         let mut catalog = Catalog::new(Duration::from_secs(2));
-        let mut changes = listing(TARGETS, 10);
-        for change in &mut changes {
+        let mut changes = listing(targets, 10);
+        for (at, change) in changes.iter_mut().enumerate() {
             if let Change::Target(target) = change {
                 target.cold = Duration::from_hours(1);
+                target.draining = at >= TARGETS;
             }
         }
         catalog.take_listing(Duration::ZERO, changes);
@@ -247,7 +250,9 @@
     /// Asks the owners in their order; the ones that can't be reached cost time.
     fn ask(&mut self, from: usize, run: u64, sends: u32, now: Duration) {
         let mut late = Duration::ZERO;
-        let order = self.members[from].roster.owners(now, 0);
+        let shards = self.members[from].owner.max_shards();
+        let shard = session_shard(0, run, shards);
+        let order = self.members[from].roster.owners(now, shard);
         let mut asked = from;
         for ip in order {
             asked = self.at(ip);
@@ -262,6 +267,7 @@
         let mut offer = offer(self.members[from].incarnation, run);
         offer.workspace = Some("salon".into());
         offer.sends = sends;
+        offer.shards = shards;
         offer.fingerprint = run ^ (self.members[from].incarnation << 32);
         offer.cost = Some(Cost {
             prompt: tokens_of(run),
@@ -269,19 +275,20 @@
         });
         self.members[from].waiting.insert(run, (asked, sends));
         self.members[asked].owner.offer(now, &self.catalog, offer);
-        self.set_part(asked);
+        self.set_parts(asked);
     }
 
-    fn set_part(&mut self, at: usize) {
+    fn set_parts(&mut self, at: usize) {
         let now = self.now;
         let member = &mut self.members[at];
-        let (shards, askers) = (member.owner.max_shards(), member.owner.askers(now));
-        let part = member.roster.part(now, shards, askers);
-        member.owner.set_part(now, part);
+        let askers = member.owner.askers(now);
+        let part = |(shard, askers)| member.roster.part(now, shard, askers);
+        let parts = (0..).zip(askers).map(part).collect();
+        member.owner.set_parts(now, parts);
     }
 
     fn decide(&mut self, at: usize) {
-        self.set_part(at);
+        self.set_parts(at);
         for decision in self.members[at].owner.poll(self.now) {
             match decision {
                 Decision::Grant { id, target } => self.sent(at, id, &target),
@@ -420,7 +427,18 @@
     /// No sequence of cuts, kills and overload makes the fleet exceed a limit.
     #[test]
     fn limits_of_the_fleet_hold(size in 2usize..12, ops in ops()) {
-        let mut world = World::new(size);
+        let mut world = World::new(size, TARGETS);
+        for op in &ops {
+            world.apply(op);
+        }
+        world.check()?;
+    }
+
+    /// The same where each shard of a pool has an owner of its own. Guards against a member that
+    /// uses the part of a first owner for shards of which it is not the first.
+    #[test]
+    fn limits_hold_over_shards(size in 2usize..12, ops in ops()) {
+        let mut world = World::new(size, MANY_TARGETS);
         for op in &ops {
             world.apply(op);
         }
--- a/crates/gateway/tests/owner.rs
+++ b/crates/gateway/tests/owner.rs
@@ -43,6 +43,40 @@
         .collect()
 }
 
+/// Guards against a target that was started again and gets the load of a warm one before the store
+/// says that it is cold.
+#[test]
+fn a_target_that_was_unreachable_counts_as_cold_at_first() {
+    let (mut owner, catalog) = owner(1, 100);
+    let sends = |owner: &mut Owner, now: Duration, first: u64| {
+        for run in first..first + 100 {
+            owner.offer(now, &catalog, offer(1, run));
+        }
+        let runs = granted(&owner.poll(now));
+        for &run in &runs {
+            owner.release(now, RunId { entry: 1, run }, &report(End::Served));
+        }
+        // Those that wait are refused before the next step.
+        owner.poll(now + ms(200));
+        runs.len()
+    };
+    let warm = sends(&mut owner, ms(5000), 0);
+    owner.offer(ms(7000), &catalog, offer(1, 500));
+    assert_eq!(granted(&owner.poll(ms(7000))), [500]);
+    let id = RunId { entry: 1, run: 500 };
+    owner.release(ms(7000), id, &report(End::Unreachable));
+    owner.offer(ms(9000), &catalog, offer(1, 600));
+    assert_eq!(granted(&owner.poll(ms(9000))), [600]);
+    let id = RunId { entry: 1, run: 600 };
+    owner.release(ms(9000), id, &report(End::Served));
+
+    let back = sends(&mut owner, ms(9001), 700);
+    let later = sends(&mut owner, ms(12_000), 900);
+
+    assert!(back * 2 < warm, "{back} sends at once, {warm} when warm");
+    assert_eq!(later, warm);
+}
+
 /// Guards against queues inside targets, which know no tiers.
 #[test]
 fn no_target_gets_more_than_its_slots() {
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -116,18 +116,18 @@
     // From its first moment: nobody asks it but itself.
     let owner = world.rosters[5].owners(world.now, 0)[0];
     if owner != ip(5) {
-        assert!(world.rosters[5].part(world.now, 1, 1).part <= 1.0 / 9.0 + 1e-9);
+        assert!(world.rosters[5].part(world.now, 0, 1).part <= 1.0 / 9.0 + 1e-9);
     }
     world.run(Duration::from_secs(3));
 
     assert_eq!(world.rosters[5].live(world.now), 1);
-    assert!((world.rosters[5].part(world.now, 1, 1).part - 1.0 / 9.0).abs() < 1e-9);
-    assert!(world.rosters[0].part(world.now, 1, 8).part <= 8.0 / 9.0 + 1e-9);
+    assert!((world.rosters[5].part(world.now, 0, 1).part - 1.0 / 9.0).abs() < 1e-9);
+    assert!(world.rosters[0].part(world.now, 0, 8).part <= 8.0 / 9.0 + 1e-9);
     world.cut[5] = false;
     world.run(Duration::from_secs(3));
     for at in 0..9 {
         assert_eq!(world.entries(at), 9);
-        assert!((world.rosters[at].part(world.now, 1, 9).part - 1.0).abs() < 1e-9);
+        assert!((world.rosters[at].part(world.now, 0, 9).part - 1.0).abs() < 1e-9);
     }
 }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -25,6 +25,7 @@
         directory: None,
         metrics: None,
         peer_port: 2,
+        peer_reach: 2,
         cores: 0.25,
         link_mbps: 1000.0,
         seeds: Vec::new(),
