Run members with settings of our own

Members could only be run with the file that the platform names. Errors name file, line, column and field; unknown fields are errors. The reader of the daemon's settings is now generic over what it reads.

--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -4,10 +4,11 @@
 use std::process::ExitCode;
 
 use clap::{CommandFactory, Parser, Subcommand};
-use platform::{PlatformDialect, PlatformStore, SettingsFile};
+use platform::SettingsFile;
 use sheet::{LogFormat, LogLevel, Settings, SettingsError, Sheet, SheetSource};
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::fleet_member::{self, MemberError, MemberSource};
 use crate::logging::{self, Format};
 use crate::{Daemon, demo, feed};
 
@@ -46,28 +47,38 @@
         #[arg(long, default_value = "127.0.0.1:8080")]
         entry: std::net::SocketAddr,
     },
-    /// Run a member of a fleet on the deployment platform, which names the settings file in the
-    /// environment.
-    #[command(after_help = "Examples:\n  primrosechute member\n\n\
-        SIGTERM drains and stops; SIGHUP reads the settings again.\n\
-        Exit codes: 0 stopped, 1 failed, 2 settings rejected.")]
+    /// Run a member of a fleet that reads its configuration and targets from a store.
+    ///
+    /// Without --config the deployment platform names the settings file in the environment.
+    #[command(
+        after_help = "Examples:\n  primrosechute member\n  primrosechute member --config \
+        member.jsonc\n\nSIGTERM drains and stops; SIGHUP reads the seeds again.\n\
+        Exit codes: 0 stopped, 1 failed, 2 settings rejected."
+    )]
     Member {
+        /// Settings file of our own, JSON with comments.
+        #[arg(long, value_name = "FILE", conflicts_with = "metrics_port")]
+        config: Option<PathBuf>,
         /// Least severe level that is logged.
         #[arg(long, value_enum, default_value_t = MemberLog::Info)]
         log: MemberLog,
-        /// Port of the metrics, on the address of the VM.
+        /// Port of the metrics, on the address of the VM, if the platform names the settings.
         #[arg(long, default_value_t = 9464)]
         metrics_port: u16,
     },
     /// Check a settings file, and its sheet file if it names one, without starting anything.
     #[command(
-        after_help = "Examples:\n  primrosechute check --config site.jsonc\n\n\
+        after_help = "Examples:\n  primrosechute check --config site.jsonc\n  \
+        primrosechute check --member --config member.jsonc\n\n\
         Exit codes: 0 accepted, 2 rejected."
     )]
     Check {
         /// Settings file, JSON with comments.
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
+        /// The file holds the settings of a member.
+        #[arg(long)]
+        member: bool,
         /// Print the result as JSON.
         #[arg(long)]
         json: bool,
@@ -97,8 +108,19 @@
             Err(text) => fail(EXIT_CONFIG, &text),
         },
         Command::Demo { entry } => block_on(run_demo(entry)),
-        Command::Member { log, metrics_port } => member(log, metrics_port),
-        Command::Check { config, json } => check(&config, json),
+        Command::Member {
+            config,
+            log,
+            metrics_port,
+        } => run_member(config, log, metrics_port),
+        Command::Check {
+            config,
+            member: true,
+            json,
+        } => report(&config, fleet_member::read(&config).map(|_| None), json),
+        Command::Check { config, json, .. } => {
+            report(&config, read_config(&config).map(|(_, sheet)| sheet), json)
+        }
         Command::Completions { shell } => {
             let mut command = Args::command();
             clap_complete::generate(shell, &mut command, "primrosechute", &mut std::io::stdout());
@@ -137,8 +159,7 @@
     Ok((settings, Some(sheet)))
 }
 
-/// Runs a member on one thread: a VM of a fleet has a part of one core.
-fn member(log: MemberLog, metrics_port: u16) -> ExitCode {
+fn run_member(config: Option<PathBuf>, log: MemberLog, metrics_port: u16) -> ExitCode {
     use logforth::record::Level;
     let level = match log {
         MemberLog::Warn => Level::Warn,
@@ -148,30 +169,22 @@
     if let Err(err) = logging::start_bounded(level) {
         return fail(EXIT_RUN, &format!("cannot start the log: {err}"));
     }
-    let loaded = SettingsFile::from_env(metrics_port).and_then(|file| {
-        let (_, store) = file.load()?;
-        Ok((file, store))
-    });
-    let (file, store) = match loaded {
-        Ok(loaded) => loaded,
-        Err(text) => return fail(EXIT_CONFIG, &text),
-    };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let runtime = match runtime {
-        Ok(runtime) => runtime,
-        Err(err) => return fail(EXIT_RUN, &format!("cannot start the runtime: {err}")),
+    let source = match config {
+        Some(path) => MemberSource::Own(path),
+        None => match SettingsFile::from_env(metrics_port) {
+            Ok(file) => MemberSource::Platform(file),
+            Err(text) => return fail(EXIT_CONFIG, &text),
+        },
     };
-    let run = gateway::run(file, Box::new(PlatformDialect), PlatformStore::new(store));
-    match tokio::task::LocalSet::new().block_on(&runtime, run) {
-        gateway::Outcome::Stopped => ExitCode::SUCCESS,
-        gateway::Outcome::Failed(text) => fail(EXIT_RUN, &text),
+    match fleet_member::run(source) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(MemberError::Settings(text)) => fail(EXIT_CONFIG, &text),
+        Err(MemberError::Start(text)) => fail(EXIT_RUN, &text),
     }
 }
 
-fn check(path: &Path, json: bool) -> ExitCode {
-    let checked = read_config(path).map(|(_, sheet)| sheet);
+/// Prints the result of a check, with the sheet if one was read.
+fn report(path: &Path, checked: Result<Option<Sheet>, String>, json: bool) -> ExitCode {
     match (checked, json) {
         (Ok(_), true) => {
             println!("{{\"ok\":true}}");
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod feed;
 mod fleet;
+mod fleet_member;
 mod logging;
 mod node;
 mod outcome;
--- /dev/null
+++ b/crates/daemon/tests/fleet_member.rs
@@ -0,0 +1,101 @@
+//! Members that run with settings of our own.
+
+#[path = "../../../platform/tests/support/mod.rs"]
+mod platform_support;
+
+use std::path::Path;
+use std::process::Stdio;
+use std::time::Duration;
+
+use platform_support::caller;
+use platform_support::member::{config, publish, register};
+use platform_support::next_ip;
+use platform_support::store::Store;
+use platform_support::worker::{Behaviour, Worker};
+use serde_json::json;
+use tokio::process::{Child, Command};
+use tokio::time::{sleep, timeout};
+
+const LONG: Duration = Duration::from_secs(15);
+
+fn run(arguments: &[&str], config: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_primrosechute"));
+    command
+        .args(arguments)
+        .arg("--config")
+        .arg(config)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .kill_on_drop(true);
+    command
+}
+
+fn start(config: &Path) -> Child {
+    run(&["member"], config).spawn().expect("the program")
+}
+
+/// Two processes find each other through one seed, serve, and end with code 0 at SIGTERM.
+#[tokio::test]
+async fn members_run_with_own_settings() {
+    let dir = tempfile::tempdir().expect("directory");
+    let store = Store::start().await;
+    publish(&store, &config(1, 1, &json!({})));
+    let worker = Worker::start("w-1", Behaviour::Serves).await;
+    register(&store, &worker, "ready");
+    let ips = [next_ip(), next_ip()];
+    let mut members = Vec::new();
+    for ip in ips {
+        let text = format!(
+            r#"{{ // one of two
+                "vm": "vm-{ip}", "ip": "{ip}", "zone": "zone-a", "seeds": ["{}"],
+                "store": "{}", "grace": "5s" }}"#,
+            ips[0], store.address
+        );
+        let path = dir.path().join(format!("{ip}.jsonc"));
+        std::fs::write(&path, text).expect("settings");
+        members.push(start(&path));
+    }
+
+    let found = async {
+        for ip in ips {
+            while caller::entries((ip, 7102).into()).await.len() != 2 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    };
+    timeout(LONG, found).await.expect("both name both");
+    for (at, ip) in ips.into_iter().enumerate() {
+        let extra = caller::keyed("key-1", 1);
+        let request = caller::request("POST", "/order/1", &format!("c-{at}"), &extra, "");
+        let answer = caller::call((ip, 7100).into(), &request).await;
+        assert_eq!((answer.status, answer.whole), (200, true));
+    }
+    for member in &mut members {
+        let pid = member.id().and_then(|id| i32::try_from(id).ok());
+        let pid = pid.and_then(rustix::process::Pid::from_raw).expect("runs");
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("signal");
+        let status = timeout(LONG, member.wait()).await.expect("ends");
+        assert!(status.expect("a child").success());
+    }
+}
+
+/// Guards against a member that starts with settings that it can't keep.
+#[tokio::test]
+async fn bad_own_settings_end_with_code_2() {
+    let dir = tempfile::tempdir().expect("directory");
+    let path = dir.path().join("m.jsonc");
+    let text = r#"{"vm": "a", "ip": "127.0.0.1", "zone": "a", "store": "127.0.0.1:1", "cores": 0}"#;
+    std::fs::write(&path, text).expect("settings");
+
+    for arguments in [&["member"][..], &["check", "--member"]] {
+        let output = run(arguments, &path).output().await.expect("runs");
+
+        assert_eq!(output.status.code(), Some(2));
+        let err = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(err.contains("m.jsonc:1:78: cores is zero"), "{err}");
+    }
+    std::fs::write(&path, text.replace(": 0}", ": 1}")).expect("settings");
+    let output = run(&["check", "--member"], &path).output().await;
+    assert_eq!(output.expect("runs").status.code(), Some(0));
+}
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -1,4 +1,5 @@
-//! Configuration of primrosechute: the planners' CSV sheet and the daemon's settings file.
+//! Configuration of primrosechute: the planners' CSV sheet, and the settings
+//! files of a daemon and of a member.
 //!
 //! This package does no I/O. A sheet is accepted as a whole or rejected as a whole.
 
@@ -11,6 +12,7 @@
 mod diff;
 mod error;
 mod lookup;
+mod member;
 mod model;
 mod name;
 mod parse;
@@ -23,6 +25,7 @@
 pub use diff::{KindDiff, SheetDiff};
 pub use error::{MAX_ERRORS, SheetError, SheetFault};
 pub use lookup::key_hash;
+pub use member::{Excess, MemberPorts, MemberSettings, Repeats};
 pub use model::{
     Access, ContentHash, Key, KeyState, Name, Pool, PoolKind, Route, Sheet, Target, TargetState,
     Tier, Workspace, Zone, ZoneState,
--- /dev/null
+++ b/crates/sheet/src/member.rs
@@ -0,0 +1,248 @@
+//! Settings of a member whose configuration and targets are in a store.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::units::{duration, name};
+use crate::{CheckError, Name};
+
+/// Shortest `grace`: a member serves callers of old directory answers for 2.2 s after SIGTERM, and
+/// then ends its requests.
+const MIN_GRACE: Duration = Duration::from_secs(3);
+
+/// Settings of one member.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemberSettings {
+    /// Name of this VM in logs.
+    #[serde(deserialize_with = "name")]
+    pub vm: Name,
+    /// Address of this VM, on which all ports listen.
+    pub ip: Ipv4Addr,
+    /// Availability zone of this VM.
+    #[serde(deserialize_with = "name")]
+    pub zone: Name,
+    /// Ports that the member listens on.
+    #[serde(default)]
+    pub ports: MemberPorts,
+    /// Addresses of members to ask first; any of them may be gone.
+    #[serde(default)]
+    pub seeds: Vec<Ipv4Addr>,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Cores that the process may use.
+    #[serde(default = "one")]
+    pub cores: f64,
+    /// Bandwidth of the VM's link, in Mbit/s.
+    #[serde(default = "gigabit")]
+    pub link_mbps: f64,
+    /// Time from SIGTERM until the process is killed.
+    #[serde(default = "grace", deserialize_with = "duration")]
+    pub grace: Duration,
+    /// Longest time that callers may keep an answer of the directory.
+    #[serde(default = "directory_ttl", deserialize_with = "duration")]
+    pub directory_ttl: Duration,
+    /// Time for which a lapsed entry of the store is kept after the store's return.
+    #[serde(default = "lapse", deserialize_with = "duration")]
+    pub lapse: Duration,
+    /// Bounds on repeats over the fleet.
+    #[serde(default)]
+    pub repeats: Repeats,
+    /// How far the fleet may exceed the rates of workspaces.
+    #[serde(default = "rate_excess")]
+    pub rates: Excess,
+    /// How far the fleet may exceed the rates of cold targets.
+    #[serde(default = "cold_excess")]
+    pub cold: Excess,
+}
+
+/// Ports of a member. `peer` has to be the same on all VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MemberPorts {
+    /// TCP port for callers.
+    pub entry: u16,
+    /// TCP port of the readiness check.
+    pub ready: u16,
+    /// TCP port of the directory of entries; none is served without it.
+    pub directory: Option<u16>,
+    /// TCP port of the metrics; none are served without it.
+    pub metrics: Option<u16>,
+    /// UDP port for traffic between members.
+    pub peer: u16,
+    /// UDP port at which other members are reached, if a relay stands before their `peer`.
+    pub peer_reach: Option<u16>,
+}
+
+impl Default for MemberPorts {
+    fn default() -> Self {
+        MemberPorts {
+            entry: 7100,
+            ready: 7101,
+            directory: Some(7102),
+            metrics: Some(7103),
+            peer: 7104,
+            peer_reach: None,
+        }
+    }
+}
+
+/// Bounds on repeats of requests over the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Repeats {
+    /// Window over which repeats are counted.
+    #[serde(deserialize_with = "duration")]
+    pub window: Duration,
+    /// Repeats allowed for each request of the window.
+    pub ratio: f64,
+    /// Repeats allowed besides.
+    pub slack: f64,
+}
+
+impl Default for Repeats {
+    fn default() -> Self {
+        Repeats {
+            window: Duration::from_secs(10),
+            ratio: 0.2,
+            slack: 50.0,
+        }
+    }
+}
+
+/// How far a limit may be exceeded while members disagree.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Excess {
+    /// Part of the limit.
+    pub part: f64,
+    /// Units besides.
+    pub slack: f64,
+}
+
+impl MemberSettings {
+    /// Checks the values. [`MemberSettings::parse`] has done so already.
+    ///
+    /// # Errors
+    ///
+    /// The first value that can't be used.
+    pub fn check(&self) -> Result<(), CheckError> {
+        for (field, value) in [("cores", self.cores), ("link_mbps", self.link_mbps)] {
+            number(field, value)?;
+            if value == 0.0 {
+                return Err(CheckError::Zero(field));
+            }
+        }
+        let numbers = [
+            ("repeats.ratio", self.repeats.ratio),
+            ("repeats.slack", self.repeats.slack),
+            ("rates.part", self.rates.part),
+            ("rates.slack", self.rates.slack),
+            ("cold.part", self.cold.part),
+            ("cold.slack", self.cold.slack),
+        ];
+        for (field, value) in numbers {
+            number(field, value)?;
+        }
+        for (field, value) in [
+            ("directory_ttl", self.directory_ttl),
+            ("lapse", self.lapse),
+            ("repeats.window", self.repeats.window),
+        ] {
+            if value.is_zero() {
+                return Err(CheckError::Zero(field));
+            }
+        }
+        if self.grace < MIN_GRACE {
+            return Err(CheckError::Below {
+                field: "grace",
+                values: [self.grace, MIN_GRACE].map(|d| format!("{d:?}").into()),
+            });
+        }
+        self.check_ports()
+    }
+
+    fn check_ports(&self) -> Result<(), CheckError> {
+        if self.ip.is_unspecified() {
+            return Err(CheckError::NotReachable {
+                field: "ip",
+                address: self.ip.to_string().into(),
+            });
+        }
+        if self.ports.peer == 0 {
+            return Err(CheckError::Zero("ports.peer"));
+        }
+        if self.ports.peer_reach == Some(0) {
+            return Err(CheckError::Zero("ports.peer_reach"));
+        }
+        // The peer port is UDP and may have the number of a TCP port.
+        let tcp = [
+            ("ports.entry", Some(self.ports.entry)),
+            ("ports.ready", Some(self.ports.ready)),
+            ("ports.directory", self.ports.directory),
+            ("ports.metrics", self.ports.metrics),
+        ];
+        let set: Vec<_> = tcp
+            .into_iter()
+            .filter_map(|(field, port)| Some((field, port?)))
+            .collect();
+        for (at, &(field, port)) in set.iter().enumerate() {
+            if port == 0 {
+                return Err(CheckError::Zero(field));
+            }
+            if let Some((other, _)) = set[..at].iter().find(|(_, other)| *other == port) {
+                return Err(CheckError::SamePort {
+                    fields: [field, other],
+                    port,
+                });
+            }
+        }
+        Ok(())
+    }
+}
+
+fn number(field: &'static str, value: f64) -> Result<(), CheckError> {
+    if value.is_finite() && value >= 0.0 {
+        return Ok(());
+    }
+    Err(CheckError::NotANumber {
+        field,
+        value: value.to_string().into(),
+    })
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn gigabit() -> f64 {
+    1000.0
+}
+
+fn grace() -> Duration {
+    Duration::from_secs(10)
+}
+
+fn directory_ttl() -> Duration {
+    Duration::from_secs(5)
+}
+
+fn lapse() -> Duration {
+    Duration::from_secs(2)
+}
+
+fn rate_excess() -> Excess {
+    Excess {
+        part: 0.25,
+        slack: 0.0,
+    }
+}
+
+fn cold_excess() -> Excess {
+    Excess {
+        part: 0.5,
+        slack: 5.0,
+    }
+}
--- a/crates/sheet/src/read.rs
+++ b/crates/sheet/src/read.rs
@@ -5,10 +5,11 @@
 use std::io::Read;
 
 use json_comments::CommentSettings;
+use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 use serde_path_to_error::Segment;
 
-use crate::{CheckError, Settings, SettingsError, SettingsFault};
+use crate::{CheckError, MemberSettings, Settings, SettingsError, SettingsFault};
 
 /// Largest settings file in bytes.
 pub const MAX_SETTINGS_BYTES: usize = 1 << 18;
@@ -34,37 +35,22 @@
     /// );
     /// ```
     pub fn parse(text: &str, file: &str) -> Result<Settings, SettingsError> {
-        let fail = |offset, fault| Err(error(text, file, offset, fault));
-        if text.len() > MAX_SETTINGS_BYTES {
-            return fail(0, SettingsFault::TooLarge(text.len()));
-        }
-        let json = match strip_comments(text) {
-            Ok(json) => json,
-            Err(offset) => return fail(offset, SettingsFault::Comment),
-        };
-        let mut reader = serde_json::Deserializer::from_str(&json);
-        let settings: Settings = match serde_path_to_error::deserialize(&mut reader) {
-            Ok(settings) => settings,
-            Err(e) => {
-                let offset = offset_of(&json, e.inner().line(), e.inner().column());
-                let reason = reason(e.inner());
-                if !e.inner().is_data() {
-                    return fail(offset, SettingsFault::Syntax(reason));
-                }
-                let path = e.path().iter().filter_map(|segment| match segment {
-                    Segment::Map { key } => Some(key.as_str()),
-                    _ => None,
-                });
-                let path: Vec<&str> = path.collect();
-                let offset = locate(&json, &path).unwrap_or(offset);
-                let field = path.join(".");
-                return fail(offset, SettingsFault::Field { field, reason });
-            }
-        };
-        if let Err(e) = reader.end() {
-            let offset = offset_of(&json, e.line(), e.column());
-            return fail(offset, SettingsFault::Syntax(reason(&e)));
-        }
+        let settings: Settings = read(text, file)?;
+        settings
+            .check()
+            .map_err(|e| SettingsError::at(text, file, e))?;
+        Ok(settings)
+    }
+}
+
+impl MemberSettings {
+    /// Parses and checks the settings file of a member: JSON with `//` and `/* */` comments.
+    ///
+    /// # Errors
+    ///
+    /// The first error, with its line and column.
+    pub fn parse(text: &str, file: &str) -> Result<MemberSettings, SettingsError> {
+        let settings: MemberSettings = read(text, file)?;
         settings
             .check()
             .map_err(|e| SettingsError::at(text, file, e))?;
@@ -72,6 +58,42 @@
     }
 }
 
+/// Reads JSON with comments without checking fields against each other.
+fn read<T: DeserializeOwned>(text: &str, file: &str) -> Result<T, SettingsError> {
+    let fail = |offset, fault| Err(error(text, file, offset, fault));
+    if text.len() > MAX_SETTINGS_BYTES {
+        return fail(0, SettingsFault::TooLarge(text.len()));
+    }
+    let json = match strip_comments(text) {
+        Ok(json) => json,
+        Err(offset) => return fail(offset, SettingsFault::Comment),
+    };
+    let mut reader = serde_json::Deserializer::from_str(&json);
+    let settings: T = match serde_path_to_error::deserialize(&mut reader) {
+        Ok(settings) => settings,
+        Err(e) => {
+            let offset = offset_of(&json, e.inner().line(), e.inner().column());
+            let reason = reason(e.inner());
+            if !e.inner().is_data() {
+                return fail(offset, SettingsFault::Syntax(reason));
+            }
+            let path = e.path().iter().filter_map(|segment| match segment {
+                Segment::Map { key } => Some(key.as_str()),
+                _ => None,
+            });
+            let path: Vec<&str> = path.collect();
+            let offset = locate(&json, &path).unwrap_or(offset);
+            let field = path.join(".");
+            return fail(offset, SettingsFault::Field { field, reason });
+        }
+    };
+    if let Err(e) = reader.end() {
+        let offset = offset_of(&json, e.line(), e.column());
+        return fail(offset, SettingsFault::Syntax(reason(&e)));
+    }
+    Ok(settings)
+}
+
 impl SettingsError {
     /// Adds the place of the field to an error of [`Settings::check_names`] in the text that was
     /// parsed.
--- a/crates/sheet/src/settings_error.rs
+++ b/crates/sheet/src/settings_error.rs
@@ -86,6 +86,20 @@
     },
     /// The sheet has no zone of this name.
     NoSuchZone(Box<str>),
+    /// The field has to be a finite number that is not below zero.
+    NotANumber {
+        /// The field.
+        field: &'static str,
+        /// The value.
+        value: Box<str>,
+    },
+    /// Two fields have the same port.
+    SamePort {
+        /// The two fields.
+        fields: [&'static str; 2],
+        /// The port.
+        port: u16,
+    },
 }
 
 impl CheckError {
@@ -96,10 +110,12 @@
             Self::Zero(field)
             | Self::Below { field, .. }
             | Self::Above { field, .. }
-            | Self::NotReachable { field, .. } => std::slice::from_ref(field),
+            | Self::NotReachable { field, .. }
+            | Self::NotANumber { field, .. } => std::slice::from_ref(field),
             Self::NotAbove { fields, .. }
             | Self::Inverted { fields, .. }
-            | Self::SameAddress { fields, .. } => fields,
+            | Self::SameAddress { fields, .. }
+            | Self::SamePort { fields, .. } => fields,
             Self::Needs(fields) => &fields[..1],
             Self::NoSuchZone(_) => &["zone"],
         }
@@ -147,6 +163,13 @@
                 "{field} ({address}) can't be reached from other VMs; write the IP number of this \
                  VM and a port"
             ),
+            Self::NotANumber { field, value } => {
+                write!(f, "{field} ({value}) is not a number from 0; correct it")
+            }
+            Self::SamePort { fields, port } => {
+                let [field, other] = fields;
+                write!(f, "{field} is the port of {other} ({port}); use another")
+            }
             Self::NoSuchZone(zone) => write!(
                 f,
                 "zone {zone:?} is not in the sheet; correct the name or add a zone row"
--- a/crates/sheet/tests/examples.rs
+++ b/crates/sheet/tests/examples.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 
-use sheet::{Limits, Settings, Sheet, Timing, key_hash};
+use sheet::{Limits, MemberSettings, Settings, Sheet, Timing, key_hash};
 
 fn path(file: &str) -> PathBuf {
     [env!("CARGO_MANIFEST_DIR"), "../../examples", file]
@@ -89,3 +89,13 @@
         assert_eq!(distinct.len(), addresses.len(), "{site}");
     }
 }
+
+// Guards against an example of a member that the program rejects.
+#[test]
+fn member_example_is_accepted() {
+    let text = std::fs::read_to_string(path("member.jsonc")).unwrap();
+    let settings = MemberSettings::parse(&text, "member.jsonc").unwrap();
+
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.ports.peer, 7104);
+}
