--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -94,6 +94,7 @@
 /// Log levels of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
 enum MemberLog {
+    Off,
     Warn,
     Info,
     Debug,
@@ -162,11 +163,12 @@
 fn run_member(config: Option<PathBuf>, log: MemberLog, metrics_port: u16) -> ExitCode {
     use logforth::record::Level;
     let level = match log {
-        MemberLog::Warn => Level::Warn,
-        MemberLog::Info => Level::Info,
-        MemberLog::Debug => Level::Debug,
+        MemberLog::Off => None,
+        MemberLog::Warn => Some(Level::Warn),
+        MemberLog::Info => Some(Level::Info),
+        MemberLog::Debug => Some(Level::Debug),
     };
-    if let Err(err) = logging::start_bounded(level) {
+    if let Some(Err(err)) = level.map(logging::start_bounded) {
         return fail(EXIT_RUN, &format!("cannot start the log: {err}"));
     }
     let source = match config {
--- a/crates/daemon/tests/fleet_member.rs
+++ b/crates/daemon/tests/fleet_member.rs
@@ -3,6 +3,7 @@
 #[path = "../../../platform/tests/support/mod.rs"]
 mod platform_support;
 
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::process::Stdio;
 use std::time::Duration;
@@ -80,6 +81,68 @@
     }
 }
 
+/// Series of the metrics page, without their values.
+async fn series(ip: std::net::Ipv4Addr) -> BTreeSet<String> {
+    let answer = caller::get((ip, 7103).into(), "/metrics").await;
+    let body = answer.expect("the metrics page").body;
+    let lines = body.lines().filter(|line| !line.starts_with('#'));
+    lines
+        .filter_map(|line| Some(line.rsplit_once(' ')?.0.to_owned()))
+        .collect()
+}
+
+/// Guards against series that grow with what callers send.
+#[tokio::test]
+async fn metrics_do_not_grow_with_requests() {
+    let dir = tempfile::tempdir().expect("directory");
+    let store = Store::start().await;
+    publish(&store, &config(1, 1, &json!({})));
+    let mut workers = Vec::new();
+    for at in 0..3 {
+        let worker = Worker::start(&format!("w-{at}"), Behaviour::Serves).await;
+        register(&store, &worker, "ready");
+        workers.push(worker);
+    }
+    let ip = next_ip();
+    let path = dir.path().join("m.jsonc");
+    let text = json!({ "vm": "vm-1", "ip": ip, "zone": "zone-a", "store": store.address });
+    std::fs::write(&path, text.to_string()).expect("settings");
+    let _member = start(&path);
+    let ready = async {
+        while !caller::is_ready((ip, 7101).into()).await {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(LONG, ready).await.expect("ready");
+    let call = async |id: String, path: String, key: String| {
+        let extra = caller::keyed(&key, 1);
+        let request = caller::request("POST", &path, &id, &extra, "");
+        caller::call((ip, 7100).into(), &request).await.status
+    };
+    let paths = ["/order/", "/read/", "/stream/", "/unknown/"];
+    let round = async |round: &str| {
+        for at in 0..300 {
+            let path = format!("{}{round}{at}", paths[at % paths.len()]);
+            let key = if at % 3 == 0 {
+                format!("key-{round}{at}")
+            } else {
+                "key-2".into()
+            };
+            call(format!("call-{round}{at}"), path, key).await;
+        }
+    };
+    round("a").await;
+    let before = series(ip).await;
+    round("b").await;
+
+    let after = series(ip).await;
+    let new: Vec<_> = after.difference(&before).collect();
+    assert!(new.is_empty(), "{new:?}");
+    assert!(after.len() < 200, "{} series", after.len());
+    let text = after.iter().cloned().collect::<String>();
+    assert!(!text.contains("w-0") && !text.contains("key-"), "{text}");
+}
+
 /// Guards against a member that starts with settings that it can't keep.
 #[tokio::test]
 async fn bad_own_settings_end_with_code_2() {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -97,11 +97,20 @@
     }
 }
 
+/// Why there is no permit.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refused {
+    pub(crate) reason: Refusal,
+    pub(crate) retry_after: Duration,
+    /// Member that refused.
+    pub(crate) owner: Ipv4Addr,
+}
+
 /// Asks for a permit: the owner of a shard, and that of another one if the first has no room.
 ///
 /// # Errors
 /// Returns why the request is refused and when to come back.
-pub(crate) async fn permit(node: &Rc<Node>, ask: &Ask) -> Result<Permit, (Refusal, Duration)> {
+pub(crate) async fn permit(node: &Rc<Node>, ask: &Ask) -> Result<Permit, Refused> {
     let began = clock::now();
     let mut tried = Vec::new();
     loop {
@@ -112,7 +121,7 @@
             Ok(permit) => return Ok(permit),
             Err(refused) => refused,
         };
-        let elsewhere = match refused.0 {
+        let elsewhere = match refused.reason {
             Refusal::Rate | Refusal::Busy | Refusal::NoTarget => true,
             Refusal::Budget | Refusal::Poison => false,
         };
@@ -130,7 +139,7 @@
     ask: &Ask,
     (shard, shards): (u32, u32),
     spent: Duration,
-) -> Result<Permit, (Refusal, Duration)> {
+) -> Result<Permit, Refused> {
     let began = clock::now().saturating_sub(spent);
     let run = node.new_run();
     let mut replies = node.expect(run);
@@ -144,7 +153,11 @@
         let waited = clock::now().saturating_sub(began);
         let wait = ask.wait.saturating_sub(waited);
         if waited > ask.wait + OWNER_DELAY {
-            return Err((Refusal::Busy, OWNER_DELAY));
+            return Err(Refused {
+                reason: Refusal::Busy,
+                retry_after: OWNER_DELAY,
+                owner: asking.asked.unwrap_or(node.settings.ip),
+            });
         }
         let now = clock::now();
         let owners = node.roster.borrow().owners(now, shard);
@@ -176,7 +189,11 @@
                 retry_after,
             } => {
                 asking.asked = None;
-                return Err((reason, retry_after));
+                return Err(Refused {
+                    reason,
+                    retry_after,
+                    owner,
+                });
             }
             Reply::Granted { from, target } => {
                 asking.asked = None;
@@ -184,7 +201,11 @@
                     // This member knows better than the owner, whose view may be old.
                     passed_over.push(from);
                     if passed_over.len() > MAX_STALE {
-                        return Err((Refusal::NoTarget, OWNER_DELAY));
+                        return Err(Refused {
+                            reason: Refusal::NoTarget,
+                            retry_after: OWNER_DELAY,
+                            owner: from,
+                        });
                     }
                     continue;
                 };
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -58,6 +58,8 @@
 #[derive(Default)]
 struct InForce {
     version: u64,
+    /// Time at which it came into force here.
+    since: Duration,
     /// Routes of a host, the longest prefix first.
     hosts: HashMap<Name, Vec<Arc<Route>>>,
     keys: HashMap<Name, Arc<Workspace>>,
@@ -102,6 +104,13 @@
         self.in_force.as_ref().map_or(0, |cfg| cfg.version)
     }
 
+    /// Time for which the configuration has been in force here.
+    #[must_use]
+    pub fn config_age(&self, now: Duration) -> Duration {
+        let since = self.in_force.as_ref().map_or(now, |cfg| cfg.since);
+        now.saturating_sub(since)
+    }
+
     /// Notes that the store did not answer a call.
     pub fn trouble(&mut self, now: Duration) {
         self.last_trouble = Some(now);
@@ -167,7 +176,7 @@
     /// Takes one change.
     fn take(&mut self, now: Duration, change: Change, grace: Option<Duration>) {
         match change {
-            Change::Config(cfg) => self.take_config(cfg),
+            Change::Config(cfg) => self.take_config(now, cfg),
             Change::Evacuate(zone) => {
                 self.evacuated.insert(zone);
             }
@@ -274,7 +283,7 @@
         }
     }
 
-    fn take_config(&mut self, cfg: Config) {
+    fn take_config(&mut self, now: Duration, cfg: Config) {
         if cfg.version <= self.version() {
             return;
         }
@@ -297,6 +306,7 @@
         }
         self.in_force = Some(InForce {
             version: cfg.version,
+            since: now,
             hosts,
             keys,
             workspaces,
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -178,6 +178,15 @@
     let live = u32::try_from(node.roster.borrow().live(now)).unwrap_or(u32::MAX);
     gauge!("primrosechute_members_live").set(live);
     gauge!("primrosechute_store_age_seconds").set(node.store_age(now).as_secs_f64());
+    let silence = node.roster.borrow().longest_silence(now);
+    gauge!("primrosechute_member_silence_seconds").set(silence.as_secs_f64());
+    let report_age = node.owner.borrow().oldest_report(now);
+    gauge!("primrosechute_target_report_age_seconds").set(report_age.as_secs_f64());
+    let version = u32::try_from(node.catalog.borrow().version()).unwrap_or(u32::MAX);
+    gauge!("primrosechute_config_version").set(version);
+    let age = node.catalog.borrow().config_age(now);
+    gauge!("primrosechute_config_age_seconds").set(age.as_secs_f64());
+    metrics_process::Collector::new("primrosechute_").collect();
     let serving = u32::try_from(node.serving.get()).unwrap_or(u32::MAX);
     gauge!("primrosechute_requests_serving").set(serving);
     let page = node.metrics.as_ref().map(PrometheusHandle::render);
--- a/crates/gateway/src/owner/mod.rs
+++ b/crates/gateway/src/owner/mod.rs
@@ -153,6 +153,15 @@
         counts
     }
 
+    /// Longest time since a target that has runs from here ended one or got its first.
+    #[must_use]
+    pub fn oldest_report(&self, now: Duration) -> Duration {
+        let busy = self.targets.values().filter(|state| state.running > 0);
+        busy.map(|state| now.saturating_sub(state.reported))
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Whether an entry asked for the first time since the last call: the parts of the limits may
     /// have changed.
     pub fn take_new_askers(&mut self) -> bool {
--- a/crates/gateway/src/owner/target.rs
+++ b/crates/gateway/src/owner/target.rs
@@ -50,6 +50,8 @@
     /// Whether it could not be reached since it last served.
     unreached: bool,
     pub(super) running: u32,
+    /// Time of the last end of a run, or of the begin of one when it had none.
+    pub(super) reported: Duration,
     /// Sends of the last second.
     sends: VecDeque<Duration>,
     /// Seconds for one unit of work.
@@ -77,6 +79,7 @@
             suspect_until: Duration::ZERO,
             unreached: false,
             running: 0,
+            reported: Duration::ZERO,
             sends: VecDeque::new(),
             pace: None,
             failed: 0.0,
@@ -149,12 +152,16 @@
     }
 
     pub(super) fn sent(&mut self, now: Duration) {
+        if self.running == 0 {
+            self.reported = now;
+        }
         self.sends.push_back(now);
         self.running += 1;
     }
 
     pub(super) fn ended(&mut self, now: Duration, report: &Report) {
         self.running = self.running.saturating_sub(1);
+        self.reported = now;
         if let Some((running, waiting)) = report.load {
             // The answer that carries the figure still counts itself.
             let others = (running + waiting).saturating_sub(self.running + 1);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -227,7 +227,10 @@
             let asked = clock::now();
             let permit = match timeout(left, attempt::permit(&self.node, &self.ask)).await {
                 Ok(Ok(permit)) => permit,
-                Ok(Err((reason, retry_after))) => return self.give_up(reason, retry_after),
+                Ok(Err(refused)) => {
+                    self.story.refused_by(refused.owner);
+                    return self.give_up(refused.reason, refused.retry_after);
+                }
                 Err(_) => return self.give_up(Refusal::Busy, Duration::ZERO),
             };
             let again = self.can_repeat();
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -298,6 +298,15 @@
             .unwrap_or(0)
     }
 
+    /// Longest time since a live member was heard.
+    #[must_use]
+    pub fn longest_silence(&self, now: Duration) -> Duration {
+        let live = self.known.values().filter(|known| is_live(known, now));
+        live.map(|known| now.saturating_sub(known.heard))
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Number of live members with this process.
     #[must_use]
     pub fn live(&self, now: Duration) -> usize {
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -61,6 +61,11 @@
         histogram!("primrosechute_permit_wait_seconds").record(waited.as_secs_f64());
     }
 
+    /// Notes the member that refused a permit.
+    pub(crate) fn refused_by(&mut self, owner: Ipv4Addr) {
+        self.owner = owner.to_string();
+    }
+
     pub(crate) fn sent(&mut self) {
         self.sends += 1;
     }
@@ -72,7 +77,8 @@
     }
 
     /// Notes one attempt that is not the last.
-    pub(crate) fn again(&self, seen: &str) {
+    pub(crate) fn again(&self, seen: &'static str) {
+        counter!("primrosechute_attempts_failed_total", "seen" => seen).increment(1);
         info!(
             id = &*self.id, target = &*self.target, seen = seen, sends = self.sends;
             "entry: another attempt"
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -10,11 +10,13 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use log::debug;
-use metrics::counter;
+use metrics::{counter, histogram};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::clock;
+
 /// Longest time to connect. Targets answer within milliseconds; a lost opening packet is sent
 /// again after a second, and another target is faster then.
 const CONNECT: Duration = Duration::from_millis(250);
@@ -90,8 +92,13 @@
 
 /// Opens a connection. Fails without a byte of a request sent.
 pub(crate) async fn connect(address: SocketAddr) -> Result<Upstream, &'static str> {
+    let began = clock::now();
     let stream = match timeout(CONNECT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
+        Ok(Ok(stream)) => {
+            let took = clock::now().saturating_sub(began);
+            histogram!("primrosechute_connect_seconds").record(took.as_secs_f64());
+            stream
+        }
         Ok(Err(err)) => {
             debug!("target: {address} can't be reached: {err}");
             counter!("primrosechute_connects_failed_total", "reason" => "refused").increment(1);
