--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -24,6 +24,9 @@
 const RESEND: Duration = Duration::from_millis(40);
 /// An owner that left this many offers unanswered is passed over.
 const RESENDS: u32 = 3;
+/// After this many silent owners a member decides itself, with its own part of the limits: many
+/// members that die at once are all taken as live for a while.
+const MAX_SILENT: u32 = 2;
 /// A waiting offer is sent again after this time, to see whether its owner lives.
 const STILL_THERE: Duration = Duration::from_millis(200);
 /// Time beyond the longest wait after which an owner should have refused.
@@ -149,20 +152,23 @@
         asked: None,
     };
     let mut passed_over = Vec::new();
+    let mut silent = 0;
+    let me = node.settings.ip;
     loop {
         let waited = clock::now().saturating_sub(began);
         let wait = ask.wait.saturating_sub(waited);
-        if waited > ask.wait + OWNER_DELAY {
+        if waited > ask.wait + OWNER_DELAY && asking.asked == Some(me) {
             return Err(Refused {
                 reason: Refusal::Busy,
                 retry_after: OWNER_DELAY,
-                owner: asking.asked.unwrap_or(node.settings.ip),
+                owner: me,
             });
         }
         let now = clock::now();
         let owners = node.roster.borrow().owners(now, shard);
         let next = owners.into_iter().find(|ip| !passed_over.contains(ip));
-        let owner = next.unwrap_or(node.settings.ip);
+        let is_last = silent >= MAX_SILENT || waited > ask.wait;
+        let owner = next.filter(|_| !is_last).unwrap_or(me);
         if asking.asked.is_some_and(|asked| asked != owner) {
             // The one before may still have it waiting.
             drop(std::mem::replace(
@@ -180,6 +186,7 @@
         let Some(reply) = ask_owner(node, owner, &msg, &mut replies, wait).await else {
             node.roster.borrow_mut().mistrust(clock::now(), owner);
             passed_over.push(owner);
+            silent += 1;
             continue;
         };
         match reply {
