--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -38,6 +38,10 @@
     /// Cuts the members into two groups.
     Split(u16),
     Heal,
+    /// Suspends some members, which go on later with what they knew.
+    Suspend(u16),
+    /// Share of beats that are lost, in percent.
+    Lossy(u8),
     /// Kills a member, which starts again at once and knows nothing.
     Restart(u8),
     /// Kills all members.
@@ -54,6 +58,8 @@
         1 => any::<u16>().prop_map(Op::Isolate),
         1 => any::<u16>().prop_map(Op::Split),
         2 => Just(Op::Heal),
+        1 => any::<u16>().prop_map(Op::Suspend),
+        1 => (0u8..60).prop_map(Op::Lossy),
         1 => any::<u8>().prop_map(Op::Restart),
         1 => Just(Op::RestartAll),
         2 => (0u8..8).prop_map(Op::Load),
@@ -70,6 +76,7 @@
     /// Group of a split, and whether it is cut off.
     group: bool,
     isolated: bool,
+    suspended: bool,
     next_run: u64,
     /// Runs in flight by their owner.
     runs: HashMap<u64, (usize, u64)>,
@@ -84,6 +91,8 @@
     members: Vec<Member>,
     load: u8,
     failing: bool,
+    /// Percent of beats that are lost.
+    lossy: u64,
     next_incarnation: u64,
     /// Ends of runs that are due: time, member, run, number of sends.
     ends: VecDeque<(Duration, usize, u64, u64, u32)>,
@@ -115,6 +124,7 @@
             members: Vec::new(),
             load: 2,
             failing: false,
+            lossy: 0,
             next_incarnation: 1,
             ends: VecDeque::new(),
             sends: HashMap::new(),
@@ -152,6 +162,7 @@
             owner,
             group: false,
             isolated: false,
+            suspended: false,
             next_run: 0,
             runs: HashMap::new(),
             waiting: HashMap::new(),
@@ -162,12 +173,14 @@
         let mut fresh = self.member(self.members[at].ip);
         fresh.group = self.members[at].group;
         fresh.isolated = self.members[at].isolated;
+        fresh.suspended = self.members[at].suspended;
         self.members[at] = fresh;
     }
 
     fn reaches(&self, a: usize, b: usize) -> bool {
         let (x, y) = (&self.members[a], &self.members[b]);
-        a == b || (!x.isolated && !y.isolated && x.group == y.group)
+        let awake = !x.suspended && !y.suspended;
+        a == b || (awake && !x.isolated && !y.isolated && x.group == y.group)
     }
 
     fn at(&self, ip: Ipv4Addr) -> usize {
@@ -193,8 +206,15 @@
                 for member in &mut self.members {
                     member.group = false;
                     member.isolated = false;
+                    member.suspended = false;
                 }
             }
+            Op::Suspend(mask) => {
+                for (at, member) in self.members.iter_mut().enumerate() {
+                    member.suspended = bit(mask, at);
+                }
+            }
+            Op::Lossy(lossy) => self.lossy = lossy.into(),
             Op::Restart(at) => self.restart(usize::from(at) % self.members.len()),
             Op::RestartAll => (0..self.members.len()).for_each(|at| self.restart(at)),
             Op::Load(load) => self.load = load,
@@ -210,7 +230,7 @@
                 self.beats();
             }
             self.end_runs();
-            for at in 0..self.members.len() {
+            for at in self.awake() {
                 for _ in 0..self.load {
                     let run = self.members[at].next_run;
                     self.members[at].next_run += 1;
@@ -218,21 +238,21 @@
                     self.ask(at, run, 0, self.now);
                 }
             }
-            for at in 0..self.members.len() {
+            for at in self.awake() {
                 self.decide(at);
             }
         }
     }
 
     fn beats(&mut self) {
-        for from in 0..self.members.len() {
+        for from in self.awake() {
             let (beat, to) = self.members[from].roster.beat(self.now);
             let mut to: Vec<usize> = to.into_iter().map(|ip| self.at(ip)).collect();
             to.extend(self.members[from].runs.values().map(|&(owner, _)| owner));
             to.sort_unstable();
             to.dedup();
             for to in to {
-                if to == from || !self.reaches(from, to) {
+                if to == from || !self.reaches(from, to) || self.loses(from, to) {
                     continue;
                 }
                 let runs: Vec<(u64, u64)> = self.members[from]
@@ -247,12 +267,23 @@
                 member.owner.sync(self.now, incarnation, &runs);
             }
         }
-        for at in 0..self.members.len() {
+        for at in self.awake() {
             self.members[at].owner.tidy(self.now);
             self.set_parts(at);
         }
     }
 
+    fn awake(&self) -> Vec<usize> {
+        let all = 0..self.members.len();
+        all.filter(|&at| !self.members[at].suspended).collect()
+    }
+
+    /// Whether a beat of this moment is lost.
+    fn loses(&self, from: usize, to: usize) -> bool {
+        let at = u64::try_from(from * 64 + to).expect("few members");
+        (self.steps * 4096 + at).wrapping_mul(0x9e37_79b9_7f4a_7c15) % 100 < self.lossy
+    }
+
     /// Asks the owners in their order; the ones that can't be reached cost time.
     fn ask(&mut self, from: usize, run: u64, sends: u32, now: Duration) {
         let mut late = Duration::ZERO;
