Split permits from attempts, and remove an unreachable arm and a second clock

A decision of the own owner becomes a reply or a datagram without an arm that can't be reached. The daemon's clock port reads the clock of `gateway` instead of a copy. No change of behaviour.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use rustix::time::{ClockId, clock_gettime};
-
 /// Source of the time since an origin that is fixed for the life of the process.
 pub trait Clock: Send + Sync + 'static {
     /// Time since the origin.
@@ -17,9 +15,6 @@
 
 impl Clock for BootClock {
     fn now(&self) -> Duration {
-        let time = clock_gettime(ClockId::Boottime);
-        let secs = u64::try_from(time.tv_sec).unwrap_or_default();
-        let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
-        Duration::new(secs, nanos)
+        gateway::boot_time()
     }
 }
--- a/crates/daemon/tests/tiers.rs
+++ b/crates/daemon/tests/tiers.rs
@@ -101,7 +101,7 @@
         let workspace = ["w1", "w2"][usize::try_from(n / 5).unwrap() % 2];
         let call = call(workspace, n, 80, OUTPUT)
             .header("x-primrosechute-tier", TIERS[tier])
-            .header("x-primrosechute-deadline", &format!("{TIME_LIMIT:?}"));
+            .header("x-primrosechute-deadline", format!("{TIME_LIMIT:?}"));
         calls.push(tokio::spawn(async move {
             let sent = origin.elapsed();
             let answer = client.call(call).await.unwrap();
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -5,7 +5,8 @@
 use rustix::time::{ClockId, clock_gettime};
 
 /// Time since boot. It counts suspend, so that nothing held outlives a suspended VM.
-pub(crate) fn now() -> Duration {
+#[must_use]
+pub fn now() -> Duration {
     let time = clock_gettime(ClockId::Boottime);
     let secs = u64::try_from(time.tv_sec).unwrap_or_default();
     let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! | `follow` | reads the store | store port |
 //! | `link` | exchanges datagrams | UDP |
 //! | `entry`, `request`, `attempt`, `relay`, `upstream` | serves requests | TCP |
+//! | `permit` | asks owners for permits | through `link` |
 //! | `story` | logs and measures a request | log, metrics |
 //! | `serve` | start, signals, shutdown | all |
 
@@ -38,6 +39,7 @@
 mod model;
 mod node;
 mod owner;
+mod permit;
 pub mod port;
 mod relay;
 mod request;
@@ -50,6 +52,7 @@
 pub use bucket::Bucket;
 pub use budget::Budget;
 pub use catalog::{Catalog, Change, Denied};
+pub use clock::now as boot_time;
 pub use containment::Containment;
 pub use model::{
     Config, Cost, HttpLimits, Kind, Name, Pool, Rate, Route, Settings, Target, Unit, Workspace,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -257,42 +257,23 @@
     }
 
     fn send_decision(&self, decision: Decision) {
-        let (id, reply) = match decision {
-            Decision::Grant { id, target } => (
-                id,
-                Reply::Granted {
-                    from: self.settings.ip,
-                    target,
-                },
-            ),
-            Decision::Refuse {
-                id,
-                reason,
-                retry_after,
-            } => (
-                id,
-                Reply::Refused {
-                    reason,
-                    retry_after,
-                },
-            ),
-        };
+        let id = decision.id();
         if id.entry == self.incarnation {
-            self.deliver(id.run, reply);
+            self.deliver(id.run, self.reply(decision));
             return;
         }
         let Some(to) = self.entries.borrow().get(&id.entry).copied() else {
             return;
         };
-        let body = match reply {
-            Reply::Queued => Body::Queued(id.run),
-            Reply::Granted { target, .. } => Body::Grant(GrantMsg {
+        let body = match decision {
+            Decision::Grant { target, .. } => Body::Grant(GrantMsg {
                 run: id.run,
                 target: target.to_string(),
             }),
-            Reply::Refused {
+            Decision::Refuse {
                 reason,
                 retry_after,
+                ..
             } => Body::Refuse(RefuseMsg {
                 run: id.run,
                 reason: reason.code(),
@@ -301,4 +282,21 @@
         };
         self.send(to, body);
     }
+
+    fn reply(&self, decision: Decision) -> Reply {
+        match decision {
+            Decision::Grant { target, .. } => Reply::Granted {
+                from: self.settings.ip,
+                target,
+            },
+            Decision::Refuse {
+                reason,
+                retry_after,
+                ..
+            } => Reply::Refused {
+                reason,
+                retry_after,
+            },
+        }
+    }
 }
--- a/crates/gateway/src/owner/model.rs
+++ b/crates/gateway/src/owner/model.rs
@@ -116,6 +116,14 @@
     },
 }
 
+impl Decision {
+    pub(crate) fn id(&self) -> RunId {
+        match self {
+            Decision::Grant { id, .. } | Decision::Refuse { id, .. } => *id,
+        }
+    }
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,11 +14,12 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::attempt::{self, Arrived, Ask, Permit, Sendable, Sent};
+use crate::attempt::{self, Arrived, Sendable, Sent};
 use crate::clock;
 use crate::model::Route;
 use crate::node::Node;
 use crate::owner::End;
+use crate::permit::{self, Ask, Permit};
 use crate::port::{Answer, Mark};
 use crate::request::Serving;
 use crate::story::Story;
@@ -312,7 +313,7 @@
     stream.ask.wait = stream.ask.wait.min(left);
     let resumed = async {
         let asked = clock::now();
-        let permit = attempt::permit(&stream.node, &stream.ask).await.ok()?;
+        let permit = permit::permit(&stream.node, &stream.ask).await.ok()?;
         let waited = clock::now().saturating_sub(asked);
         stream
             .story
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -15,12 +15,13 @@
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::attempt::{self, Arrived, Ask, Permit, Sendable, Sent};
+use crate::attempt::{self, Arrived, Sendable, Sent};
 use crate::catalog::{Allowed, Denied};
 use crate::clock;
 use crate::model::{Name, Route};
 use crate::node::Node;
 use crate::owner::{End, Refusal};
+use crate::permit::{self, Ask, Permit};
 use crate::port::{BadHead, Head, Mark};
 use crate::relay::{self, Body, Stream};
 use crate::story::Story;
@@ -225,7 +226,7 @@
             self.ask.left = left;
             self.ask.wait = self.ask.wait.min(left);
             let asked = clock::now();
-            let permit = match timeout(left, attempt::permit(&self.node, &self.ask)).await {
+            let permit = match timeout(left, permit::permit(&self.node, &self.ask)).await {
                 Ok(Ok(permit)) => permit,
                 Ok(Err(refused)) => {
                     self.story.refused_by(refused.owner);
