Let an owner that follows another one start slowly

Not the load, but the order of events that it brought, from the logs: the worker was started again while the store was deaf; its first owner had met it unreachable and gave it 8 sends as to a suspect; that owner got SIGTERM 0.45 s later, and the next one, which knew nothing of it, gave 15 as to a warm one. A member that has just become first owner while another was uses 0.2 of the bound for warm targets in its first second.

--- a/crates/daemon/tests/member_soak.rs
+++ b/crates/daemon/tests/member_soak.rs
@@ -40,7 +40,8 @@
     ),
     (
         11,
-        "a worker started again while the store was deaf was taken for warm by its first owner",
+        "a worker started again while the store was deaf was taken for warm by its first owner, \
+         and later by the owner that followed it",
     ),
     (26, "the same, with a new owner that knew it as cold"),
 ];
--- a/crates/gateway/src/owner/limits.rs
+++ b/crates/gateway/src/owner/limits.rs
@@ -20,6 +20,11 @@
 /// themselves, both first owners stay below the bound.
 const WARM_PART: f64 = 0.75;
 const WARM_PART_OTHER: f64 = 0.4;
+/// The same for a member that has just become the first owner while another one was: that one may
+/// have sent up to its part within the second, and may have known of a cold start.
+const WARM_PART_NEW: f64 = 0.2;
+/// Window of the bound of cold targets.
+const WINDOW: Duration = Duration::from_secs(1);
 /// Least part of the fleet for which these count, for a first owner and for others: a target that
 /// turns cold unseen just then is rarer than a cut under load.
 const WARM_LEAST: f64 = 0.7;
@@ -30,9 +35,6 @@
 const OVERAGE_RATE: f64 = 0.6;
 const OVERAGE_BURST: f64 = 0.8;
 const SLACK_BURST: f64 = 0.4;
-/// A process that started lately sends nothing to cold targets for the window of their bound: it
-/// does not know what was sent before.
-const FIRST_COLD: Duration = Duration::from_secs(1);
 /// Parts of limits that are older than two beats were set before a pause of the process.
 const PARTS_AGE: Duration = Duration::from_millis(600);
 /// A member counts as first owner when it has been the first for this long.
@@ -133,12 +135,16 @@
             COLD_PART_OTHER
         };
         // After a restart of all members the backlog of all callers comes at once.
-        let warm = if first_since.is_some() {
-            WARM_PART * part.part.max(WARM_LEAST)
-        } else {
-            WARM_PART_OTHER * part.part.max(WARM_LEAST_OTHER)
+        let followed_another = |since: Duration| {
+            now.saturating_sub(since) < WINDOW && since.saturating_sub(self.started) >= WINDOW
+        };
+        let warm = match first_since {
+            Some(since) if followed_another(since) => WARM_PART_NEW,
+            Some(_) => WARM_PART * part.part.max(WARM_LEAST),
+            None => WARM_PART_OTHER * part.part.max(WARM_LEAST_OTHER),
         };
-        let is_new = now.saturating_sub(self.started) < FIRST_COLD;
+        // A process that started lately does not know what was sent before.
+        let is_new = now.saturating_sub(self.started) < WINDOW;
         let suspect = bound * cold * part.cold_part;
         Some(Caps {
             cold: if is_new { 0.0 } else { suspect },
--- a/crates/gateway/tests/owner.rs
+++ b/crates/gateway/tests/owner.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use gateway::{Catalog, Decision, End, Owner, Refusal, Report, RunId};
+use gateway::{Catalog, Decision, End, Owner, Part, Refusal, Report, RunId};
 use support::{listing, ms, offer, settings};
 
 fn owner(targets: usize, slots: u32) -> (Owner, Catalog) {
@@ -77,6 +77,38 @@
     assert_eq!(later, warm);
 }
 
+/// Guards against two owners that each send the load of a warm target within the second in which
+/// one follows the other: the first may have known that the target is cold.
+#[test]
+fn an_owner_that_follows_another_one_starts_slowly() {
+    let (mut owner, catalog) = owner(1, 100);
+    let part = |is_first| Part {
+        part: 1.0,
+        cold_part: 1.0,
+        is_first,
+    };
+    for at in 0..10 {
+        owner.set_parts(ms(at * 500), vec![part(false)]);
+    }
+    owner.set_parts(ms(5000), vec![part(true)]);
+    let sends = |owner: &mut Owner, now: Duration, first: u64| {
+        for run in first..first + 100 {
+            owner.offer(now, &catalog, offer(1, run));
+        }
+        let runs = granted(&owner.poll(now)).len();
+        owner.poll(now + ms(200));
+        runs
+    };
+
+    let first = sends(&mut owner, ms(5010), 0);
+    owner.set_parts(ms(5500), vec![part(true)]);
+    owner.set_parts(ms(6000), vec![part(true)]);
+    let later = sends(&mut owner, ms(6050), 200);
+
+    assert!(first <= 9, "{first} sends of a bound of 39.5");
+    assert!(later >= 20, "{later} sends in a later second");
+}
+
 /// Guards against queues inside targets, which know no tiers.
 #[test]
 fn no_target_gets_more_than_its_slots() {
