Use one piece where the gateway had the same logic twice

No change of behaviour; found by reading the whole change again. - Open connections and running requests are counted by one guard. - The sliding maximum and minimum of the roster are one type, `extreme`. - Offers and releases are converted beside their messages, as beats are. - `Report::of` replaces five literals, `Owner::forget` three loops that collect runs and drop them, `live_others` six filters, `number::float` three casts. - What a target's rejection means for its run stands once, for whole answers and resumed streams. - One question, `needs_parts`, replaces two flags that each caller had to combine; an offer that moves to another owner is withdrawn by a method instead of a replaced guard. - Caps and places of a shard are computed once for each decision round, not again after each grant; the size of the fleet once for each part. - A listing clears the evacuations and takes its changes as any others. Checks of member settings use those of the daemon's. `Bookings::book` drops a parameter that was always 1, and `Mark::is_rejection` goes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,7 +12,8 @@
 use crate::clock;
 use crate::model::{Name, Target};
 use crate::node::Node;
-use crate::port::{Answer, Forward};
+use crate::owner::End;
+use crate::port::{Answer, Forward, Mark};
 use crate::upstream::{self, Upstream};
 
 /// A request as it goes to targets.
@@ -45,6 +46,15 @@
     Silent,
 }
 
+/// How the run ended, if the target states that it did not run the request.
+pub(crate) fn rejection(mark: Mark) -> Option<End> {
+    match mark {
+        Mark::Misdirected => Some(End::Misdirected),
+        Mark::NotRun => Some(End::Overloaded),
+        Mark::Signed | Mark::None => None,
+    }
+}
+
 /// Sends a request to the target of a permit and waits for the head of the answer.
 pub(crate) async fn send(
     node: &Rc<Node>,
@@ -89,7 +99,7 @@
     let head = Response::from_parts(parts, ());
     let answer = node.dialect.answer(&head);
     let response = Response::from_parts(head.into_parts().0, body);
-    let rejected = answer.mark.is_rejection() && !upstream.reused;
+    let rejected = rejection(answer.mark).is_some() && !upstream.reused;
     match &answer.id {
         Some(id) if *id == req.id => {}
         // A rejection may lack the id; on a new connection it can't belong to another request.
--- a/crates/gateway/src/bookings.rs
+++ b/crates/gateway/src/bookings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-/// Work that was refused and is expected back. Callers that come back all at once would be
+/// Requests that were refused and are expected back. Callers that come back all at once would be
 /// refused again, so each is told a time after those before it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Bookings {
@@ -11,14 +11,14 @@
 }
 
 impl Bookings {
-    /// Books refused work that is admitted at `per_s` after `ahead` other work. Returns the time
-    /// at which it would be admitted.
-    pub(crate) fn book(&mut self, now: Duration, work: f64, ahead: f64, per_s: f64) -> Duration {
+    /// Books a refused request; requests are admitted at `per_s`, and `ahead` others before it.
+    /// Returns the time at which it would be admitted.
+    pub(crate) fn book(&mut self, now: Duration, ahead: f64, per_s: f64) -> Duration {
         let passed = now.saturating_sub(self.at).as_secs_f64();
         self.at = self.at.max(now);
         self.booked = (self.booked - passed * per_s).max(0.0);
         let wait = (ahead.max(0.0) + self.booked) / per_s;
-        self.booked += work;
+        self.booked += 1.0;
         Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
     }
 }
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -120,20 +120,13 @@
     pub fn take_listing(&mut self, now: Duration, changes: Vec<Change>) {
         self.listed = true;
         let mut listed = HashSet::new();
-        let mut evacuated = HashSet::new();
+        self.evacuated.clear();
         for change in changes {
-            match change {
-                Change::Evacuate(zone) => {
-                    evacuated.insert(zone);
-                }
-                Change::Target(target) => {
-                    listed.insert(target.id.clone());
-                    self.take(now, Change::Target(target), None);
-                }
-                other => self.take(now, other, None),
+            if let Change::Target(target) = &change {
+                listed.insert(target.id.clone());
             }
+            self.take(now, change, None);
         }
-        self.evacuated = evacuated;
         let grace = self.grace(now);
         let missing: Vec<Name> = self
             .targets
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -19,7 +19,7 @@
 use tokio::time::sleep;
 
 use crate::clock;
-use crate::node::Node;
+use crate::node::{Counted, Node};
 use crate::relay::Body;
 use crate::request;
 
@@ -43,22 +43,6 @@
     Metrics,
 }
 
-/// Counts a connection as open.
-struct Open(Rc<Node>);
-
-impl Open {
-    fn new(node: &Rc<Node>) -> Self {
-        node.connections.set(node.connections.get() + 1);
-        Open(Rc::clone(node))
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-    }
-}
-
 /// Accepts connections until told to close. The listener closes then, so that no request is read
 /// that the process has no time to serve.
 pub(crate) async fn serve(
@@ -95,7 +79,7 @@
     service: Service,
     mut close: watch::Receiver<bool>,
 ) {
-    let _open = Open::new(&node);
+    let _open = Counted::new(&node.connections);
     let limits = node.catalog.borrow().limits();
     let idle = match service {
         Service::Callers => limits.idle,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,8 +12,9 @@
 //! |---|---|---|
 //! | `model` | configuration, targets, settings | none |
 //! | `catalog` | configuration and targets in force | none |
-//! | `roster` | members and their liveness | none |
+//! | `roster`, `extreme` | members and their liveness | none |
 //! | `owner`, `bucket`, `bookings`, `budget`, `containment` | admission for one shard | none |
+//! | `number` | conversion of counts | none |
 //! | `verdict` | what a caller is told of an attempt | none |
 //! | `message` | datagrams between members | none |
 //! | `follow` | reads the store | store port |
@@ -33,11 +34,13 @@
 mod clock;
 mod containment;
 mod entry;
+mod extreme;
 mod follow;
 mod link;
 mod message;
 mod model;
 mod node;
+mod number;
 mod owner;
 mod permit;
 pub mod port;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -10,10 +10,10 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::clock;
-use crate::message::{BeatMsg, Body, Datagram, MAX_DATAGRAM, OfferMsg, ReleaseMsg, RunMsg};
-use crate::model::{Cost, Name};
+use crate::message::{BeatMsg, Body, Datagram, MAX_DATAGRAM, ReleaseMsg, RunMsg};
+use crate::model::Name;
 use crate::node::{Node, Reply};
-use crate::owner::{End, Offer, Refusal, Report, RunId};
+use crate::owner::{End, Refusal, Report, RunId};
 
 /// Time between beats. Five lost beats take the ownership of shards from a member.
 const BEAT: Duration = Duration::from_millis(250);
@@ -131,11 +131,9 @@
                 entry: sender,
                 run: msg.run,
             };
-            let run = msg.run;
-            let offer = offer_of(id, msg);
-            node.offer(offer);
+            node.offer(msg.offer(id));
             if node.owner.borrow().is_queued(id) {
-                node.send(from, Body::Queued(run));
+                node.send(from, Body::Queued(id.run));
             }
         }
         Body::Queued(run) => {
@@ -154,8 +152,7 @@
                 entry: sender,
                 run: msg.run,
             };
-            let report = report_of(&msg);
-            node.owner.borrow_mut().release(now, id, &report);
+            node.owner.borrow_mut().release(now, id, &msg.report());
             node.decide();
         }
         Body::Withdraw(run) => {
@@ -194,40 +191,7 @@
     if held == Some(from) || node.deliver(run, Reply::Granted { from, target }) {
         return;
     }
-    let unused = ReleaseMsg {
-        run,
-        end: End::Unused.code(),
-        ..ReleaseMsg::default()
-    };
+    // The run may be in flight with a permit of another owner, so it stays among the runs.
+    let unused = ReleaseMsg::new(run, &Report::of(End::Unused));
     node.send(from, Body::Release(unused));
 }
-
-pub(crate) fn offer_of(id: RunId, msg: OfferMsg) -> Offer {
-    Offer {
-        id,
-        pool: msg.pool.into(),
-        shard: msg.shard,
-        shards: msg.shards,
-        tier: u8::try_from(msg.tier).unwrap_or(u8::MAX),
-        workspace: (!msg.workspace.is_empty()).then(|| msg.workspace.into()),
-        cost: msg.counted.then_some(Cost {
-            prompt: msg.prompt,
-            output: msg.output,
-        }),
-        session: msg.session,
-        wait: Duration::from_millis(msg.wait_ms.into()),
-        left: Duration::from_millis(msg.left_ms.into()),
-        sends: msg.sends,
-        avoid: msg.avoid,
-        fingerprint: msg.fingerprint,
-        zone: msg.zone.into(),
-    }
-}
-
-fn report_of(msg: &ReleaseMsg) -> Report {
-    Report {
-        end: End::from_code(msg.end),
-        pace: (msg.pace_us > 0).then(|| Duration::from_micros(msg.pace_us.into())),
-        load: msg.has_load.then_some((msg.running, msg.waiting)),
-    }
-}
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -5,6 +5,8 @@
 
 use prost::{Message, Oneof};
 
+use crate::model::Cost;
+use crate::owner::{End, Offer, Report, RunId};
 use crate::roster::{Beat, Member};
 
 /// Largest datagram that is read.
@@ -183,6 +185,54 @@
     }
 }
 
+impl OfferMsg {
+    /// The offer of an entry.
+    pub(crate) fn offer(self, id: RunId) -> Offer {
+        Offer {
+            id,
+            pool: self.pool.into(),
+            shard: self.shard,
+            shards: self.shards,
+            tier: u8::try_from(self.tier).unwrap_or(u8::MAX),
+            workspace: (!self.workspace.is_empty()).then(|| self.workspace.into()),
+            cost: self.counted.then_some(Cost {
+                prompt: self.prompt,
+                output: self.output,
+            }),
+            session: self.session,
+            wait: Duration::from_millis(self.wait_ms.into()),
+            left: Duration::from_millis(self.left_ms.into()),
+            sends: self.sends,
+            avoid: self.avoid,
+            fingerprint: self.fingerprint,
+            zone: self.zone.into(),
+        }
+    }
+}
+
+impl ReleaseMsg {
+    pub(crate) fn new(run: u64, report: &Report) -> Self {
+        let (running, waiting) = report.load.unwrap_or_default();
+        let pace = report.pace.map_or(0, |pace| pace.as_micros());
+        ReleaseMsg {
+            run,
+            end: report.end.code(),
+            pace_us: u32::try_from(pace).unwrap_or(u32::MAX),
+            has_load: report.load.is_some(),
+            running,
+            waiting,
+        }
+    }
+
+    pub(crate) fn report(&self) -> Report {
+        Report {
+            end: End::from_code(self.end),
+            pace: (self.pace_us > 0).then(|| Duration::from_micros(self.pace_us.into())),
+            load: self.has_load.then_some((self.running, self.waiting)),
+        }
+    }
+}
+
 impl BeatMsg {
     pub(crate) fn new(beat: &Beat) -> Self {
         BeatMsg {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -43,6 +43,22 @@
     pub(crate) target: u64,
 }
 
+/// Counts one more until it is dropped.
+pub(crate) struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    pub(crate) fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.update(|count| count + 1);
+        Counted(Rc::clone(count))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.update(|count| count - 1);
+    }
+}
+
 pub(crate) struct Node {
     pub(crate) settings: Settings,
     pub(crate) dialect: Box<dyn Dialect>,
@@ -59,9 +75,9 @@
     pub(crate) list_again: Notify,
     pub(crate) stopping: watch::Sender<bool>,
     /// Requests that are being served.
-    pub(crate) serving: Cell<usize>,
+    pub(crate) serving: Rc<Cell<usize>>,
     /// Connections that callers have open.
-    pub(crate) connections: Cell<usize>,
+    pub(crate) connections: Rc<Cell<usize>>,
     /// Time of the last answer of the store.
     pub(crate) store_heard: Cell<Duration>,
     pub(crate) runs: RefCell<HashMap<u64, InFlight>>,
@@ -91,8 +107,8 @@
             owner_changed: Notify::new(),
             list_again: Notify::new(),
             stopping: watch::Sender::new(false),
-            serving: Cell::new(0),
-            connections: Cell::new(0),
+            serving: Rc::default(),
+            connections: Rc::default(),
             store_heard: Cell::new(Duration::ZERO),
             runs: RefCell::default(),
             asked: RefCell::default(),
@@ -127,6 +143,14 @@
         run
     }
 
+    /// Id of a run of this entry.
+    pub(crate) fn own_run(&self, run: u64) -> RunId {
+        RunId {
+            entry: self.incarnation,
+            run,
+        }
+    }
+
     /// Expects replies about a run.
     pub(crate) fn expect(&self, run: u64) -> mpsc::UnboundedReceiver<Reply> {
         let (tx, rx) = mpsc::unbounded_channel();
@@ -175,6 +199,13 @@
         owner.set_parts(now, parts);
     }
 
+    /// Sets the owner's parts if they don't hold any more.
+    fn keep_parts(&self, now: Duration) {
+        if self.owner.borrow().needs_parts(now) {
+            self.set_parts(now);
+        }
+    }
+
     /// Takes what the catalog says into the owner.
     pub(crate) fn refresh_owner(&self) {
         let now = clock::now();
@@ -185,24 +216,17 @@
     /// Takes an offer to the own owner, and decides.
     pub(crate) fn offer(&self, offer: Offer) {
         let now = clock::now();
-        if self.owner.borrow().parts_are_old(now) {
-            self.set_parts(now);
-        }
-        let catalog = self.catalog.borrow();
-        self.owner.borrow_mut().offer(now, &catalog, offer);
-        drop(catalog);
-        if self.owner.borrow_mut().take_new_askers() {
-            self.set_parts(now);
-        }
+        self.keep_parts(now);
+        self.owner
+            .borrow_mut()
+            .offer(now, &self.catalog.borrow(), offer);
         self.decide();
     }
 
     /// Lets the owner decide and sends its decisions.
     pub(crate) fn decide(&self) {
         let now = clock::now();
-        if self.owner.borrow().parts_are_old(now) {
-            self.set_parts(now);
-        }
+        self.keep_parts(now);
         let decisions = self.owner.borrow_mut().poll(now);
         for decision in decisions {
             self.send_decision(decision);
@@ -233,27 +257,12 @@
     pub(crate) fn release(&self, owner: Ipv4Addr, run: u64, report: &Report) {
         self.runs.borrow_mut().remove(&run);
         if owner == self.settings.ip {
-            let id = RunId {
-                entry: self.incarnation,
-                run,
-            };
+            let id = self.own_run(run);
             self.owner.borrow_mut().release(clock::now(), id, report);
             self.decide();
-            return;
+        } else {
+            self.send(owner, Body::Release(ReleaseMsg::new(run, report)));
         }
-        let (running, waiting) = report.load.unwrap_or_default();
-        let pace = report.pace.map_or(0, |pace| pace.as_micros());
-        self.send(
-            owner,
-            Body::Release(ReleaseMsg {
-                run,
-                end: report.end.code(),
-                pace_us: u32::try_from(pace).unwrap_or(u32::MAX),
-                has_load: report.load.is_some(),
-                running,
-                waiting,
-            }),
-        );
     }
 
     fn send_decision(&self, decision: Decision) {
--- /dev/null
+++ b/crates/gateway/src/number.rs
@@ -0,0 +1,7 @@
+//! Counts as numbers to calculate with.
+
+/// A count as a floating-point number.
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+pub(crate) fn float(count: usize) -> f64 {
+    count as f64
+}
--- a/crates/gateway/src/owner/grant.rs
+++ b/crates/gateway/src/owner/grant.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use super::shard::TIE_FACTOR;
-use super::target::State;
-use super::{Decision, Offer, Owner, Refusal, Run, float};
+use super::target::{Caps, State};
+use super::{Decision, Offer, Owner, Refusal, Run};
 use crate::model::Name;
+use crate::number::float;
 
 /// Load by which a target of another zone or without the session's cache is worse.
 const ZONE_LOAD: f64 = 0.02;
@@ -13,36 +14,53 @@
 /// Most sessions whose target is remembered.
 const MAX_SESSIONS: usize = 8192;
 
-/// Targets with room, by number of shards and shard, found when first asked for.
+/// Targets of one shard with room, and what bounds them.
+struct Room {
+    /// Number of shards and shard.
+    of: (u32, u32),
+    caps: Option<Caps>,
+    /// Part of the places of a target that is used here.
+    part: f64,
+    keys: Vec<u64>,
+}
+
+/// The rooms of a pool, found when they are first asked for.
 #[derive(Default)]
-struct Rooms(Vec<((u32, u32), Vec<u64>)>);
+struct Rooms(Vec<Room>);
 
 impl Rooms {
-    fn of(&mut self, owner: &mut Owner, now: Duration, offer: &Offer) -> &mut Vec<u64> {
-        let key = (offer.shards, offer.shard);
-        let at = self.0.iter().position(|(of, _)| *of == key);
+    fn of(&mut self, owner: &mut Owner, now: Duration, offer: &Offer) -> &mut Room {
+        let of = (offer.shards, offer.shard);
+        let at = self.0.iter().position(|room| room.of == of);
         let at = at.unwrap_or_else(|| {
-            self.0.push((key, owner.with_room(now, offer)));
+            self.0.push(owner.room(now, offer));
             self.0.len() - 1
         });
-        &mut self.0[at].1
+        &mut self.0[at]
     }
 }
 
 impl Owner {
     /// Targets of the offer's shard that have room.
-    fn with_room(&mut self, now: Duration, offer: &Offer) -> Vec<u64> {
+    fn room(&mut self, now: Duration, offer: &Offer) -> Room {
         let caps = self.caps(now, &offer.pool, offer.shard);
         let part = self.places_part(offer.shard);
         let of_shard = |state: &State| {
             state.pool == offer.pool
                 && (offer.shards <= 1 || state.shard(offer.shards) == offer.shard)
         };
-        self.targets
+        let keys = self
+            .targets
             .iter_mut()
             .filter(|(_, state)| of_shard(state))
             .filter_map(|(&key, state)| state.has_room(now, caps, part).then_some(key))
-            .collect()
+            .collect();
+        Room {
+            of: (offer.shards, offer.shard),
+            caps,
+            part,
+            keys,
+        }
     }
 
     /// Grants what can be granted of a pool's queue, and refuses what has waited long enough.
@@ -52,21 +70,19 @@
         let mut kept = Vec::new();
         // Mostly nothing can be done: then no entry is moved.
         let first = queue.iter().position(|waiting| {
-            now >= waiting.give_up || !rooms.of(self, now, &waiting.offer).is_empty()
+            now >= waiting.give_up || !rooms.of(self, now, &waiting.offer).keys.is_empty()
         });
         let rest = queue.split_off(first.unwrap_or(queue.len()));
         let pace = self.mean_pace(name);
         let before = queue.len();
         for waiting in rest {
             let room = rooms.of(self, now, &waiting.offer);
-            if let Some(at) = self.choose(room, &waiting.offer, pace) {
-                let key = room[at];
-                let (shard, part) = (waiting.offer.shard, self.places_part(waiting.offer.shard));
+            if let Some(at) = self.choose(&room.keys, &waiting.offer, pace) {
+                let key = room.keys[at];
                 self.grant(now, waiting.offer, key);
-                let caps = self.caps(now, name, shard);
                 let state = self.targets.get_mut(&key).expect("the target was chosen");
-                if !state.has_room(now, caps, part) {
-                    room.swap_remove(at);
+                if !state.has_room(now, room.caps, room.part) {
+                    room.keys.swap_remove(at);
                 }
             } else if now >= waiting.give_up {
                 self.give_back(&waiting.offer, waiting.charged);
--- a/crates/gateway/src/owner/limits.rs
+++ b/crates/gateway/src/owner/limits.rs
@@ -3,11 +3,12 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::target::Caps;
-use super::{Offer, Owner, float};
+use super::target::{Caps, WINDOW};
+use super::{Offer, Owner};
 use crate::bucket::Bucket;
 use crate::catalog::Catalog;
 use crate::model::{Name, Rate, Settings, Unit};
+use crate::number::float;
 use crate::roster::Part;
 
 /// Part of a cold target's bound that its first owner uses, and any other one. Both may decide for
@@ -23,8 +24,6 @@
 /// The same for a member that has just become the first owner while another one was: that one may
 /// have sent up to its part within the second, and may have known of a cold start.
 const WARM_PART_NEW: f64 = 0.2;
-/// Window of the bound of cold targets.
-const WINDOW: Duration = Duration::from_secs(1);
 /// Least part of the fleet for which these count, for a first owner and for others: a target that
 /// turns cold unseen just then is rarer than a cut under load.
 const WARM_LEAST: f64 = 0.7;
@@ -41,9 +40,14 @@
 const NEW_OWNER: Duration = Duration::from_secs(2);
 
 impl Owner {
-    /// Whether the parts are from before a pause of the process, or never were set.
+    /// Whether the parts of the limits have to be set before the next decision: they are from
+    /// before a pause of the process, or an entry asks for the first time.
     #[must_use]
-    pub fn parts_are_old(&self, now: Duration) -> bool {
+    pub fn needs_parts(&self, now: Duration) -> bool {
+        self.new_askers || self.parts_are_old(now)
+    }
+
+    fn parts_are_old(&self, now: Duration) -> bool {
         now.saturating_sub(self.parts_at) > PARTS_AGE
     }
 
@@ -55,6 +59,7 @@
             self.first_since.fill(None);
         }
         self.parts_at = now;
+        self.new_askers = false;
         self.first_since.resize(parts.len(), None);
         for (since, part) in self.first_since.iter_mut().zip(&parts) {
             *since = part.is_first.then(|| since.unwrap_or(now));
--- a/crates/gateway/src/owner/mod.rs
+++ b/crates/gateway/src/owner/mod.rs
@@ -20,6 +20,7 @@
 use crate::catalog::Catalog;
 use crate::containment::Containment;
 use crate::model::{Name, Settings, Unit};
+use crate::number::float;
 use crate::roster::Part;
 use limits::{allowance, give_back};
 use target::State;
@@ -81,7 +82,7 @@
     /// When one more refused request would be admitted.
     fn come_back(&mut self, now: Duration, ahead: usize) -> Duration {
         let per_s = 1.0 / self.drain.max(LEAST_DRAIN);
-        self.refused.book(now, 1.0, float(ahead), per_s)
+        self.refused.book(now, float(ahead), per_s)
     }
 }
 
@@ -165,12 +166,6 @@
             .unwrap_or_default()
     }
 
-    /// Whether an entry asked for the first time since the last call: the parts of the limits may
-    /// have changed.
-    pub fn take_new_askers(&mut self) -> bool {
-        std::mem::take(&mut self.new_askers)
-    }
-
     /// Takes over what the catalog says of targets, pools and workspaces.
     pub fn refresh(&mut self, now: Duration, catalog: &Catalog) {
         let mut seen = HashSet::new();
@@ -275,12 +270,7 @@
                 return;
             }
         }
-        let report = Report {
-            end: End::Unused,
-            pace: None,
-            load: None,
-        };
-        self.release(now, id, &report);
+        self.release(now, id, &Report::of(End::Unused));
     }
 
     /// Ends a run.
@@ -307,19 +297,11 @@
     /// Takes the list of all runs that an entry has in flight here, with their targets.
     pub fn sync(&mut self, now: Duration, entry: u64, listed: &[(u64, u64)]) {
         let ids: HashSet<u64> = listed.iter().map(|&(run, _)| run).collect();
-        let over: Vec<RunId> = self
-            .runs
-            .iter()
-            .filter(|(id, run)| {
-                id.entry == entry
-                    && !ids.contains(&id.run)
-                    && now.saturating_sub(run.granted) > LIST_DELAY
-            })
-            .map(|(&id, _)| id)
-            .collect();
-        for id in over {
-            self.forget(id);
-        }
+        self.forget(|id, run| {
+            id.entry == entry
+                && !ids.contains(&id.run)
+                && now.saturating_sub(run.granted) > LIST_DELAY
+        });
         for &(run, target) in listed {
             let id = RunId { entry, run };
             if self.runs.contains_key(&id) {
@@ -345,15 +327,7 @@
 
     /// Forgets the runs of entries whose process is over.
     pub fn drop_entries(&mut self, is_gone: impl Fn(u64) -> bool) {
-        let over: Vec<RunId> = self
-            .runs
-            .keys()
-            .filter(|id| is_gone(id.entry))
-            .copied()
-            .collect();
-        for id in over {
-            self.forget(id);
-        }
+        self.forget(|id, _| is_gone(id.entry));
         for pool in self.pools.values_mut() {
             pool.queue
                 .retain(|waiting| !is_gone(waiting.offer.id.entry));
@@ -364,15 +338,7 @@
     pub fn tidy(&mut self, now: Duration) {
         self.askers
             .retain(|_, &mut at| now.saturating_sub(at) < ASKER_MEMORY);
-        let over: Vec<RunId> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| now >= run.until)
-            .map(|(&id, _)| id)
-            .collect();
-        for id in over {
-            self.forget(id);
-        }
+        self.forget(|_, run| now >= run.until);
     }
 
     /// Decides as much as can be decided now.
@@ -402,11 +368,12 @@
         waiting.any(|waiting| waiting.offer.id == id)
     }
 
-    fn forget(&mut self, id: RunId) {
-        if let Some(run) = self.runs.remove(&id)
-            && let Some(state) = self.targets.get_mut(&run.target)
-        {
-            state.running = state.running.saturating_sub(1);
+    /// Forgets runs that are over without a report, and frees their places.
+    fn forget(&mut self, is_over: impl Fn(&RunId, &Run) -> bool) {
+        for (_, run) in self.runs.extract_if(|id, run| is_over(id, run)) {
+            if let Some(state) = self.targets.get_mut(&run.target) {
+                state.running = state.running.saturating_sub(1);
+            }
         }
     }
 
@@ -433,8 +400,3 @@
         })
     }
 }
-
-#[expect(clippy::cast_precision_loss, reason = "small counts")]
-fn float(count: usize) -> f64 {
-    count as f64
-}
--- a/crates/gateway/src/owner/model.rs
+++ b/crates/gateway/src/owner/model.rs
@@ -187,3 +187,15 @@
     /// Running and waiting requests as the target said in its answer.
     pub load: Option<(u32, u32)>,
 }
+
+impl Report {
+    /// A report that tells only how the run ended.
+    #[must_use]
+    pub fn of(end: End) -> Self {
+        Report {
+            end,
+            pace: None,
+            load: None,
+        }
+    }
+}
--- a/crates/gateway/src/owner/target.rs
+++ b/crates/gateway/src/owner/target.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::model::{Name, Target};
+use crate::number::float;
 use crate::owner::model::{End, Report};
 use crate::owner::shard::{id_hash, shard_of_hash};
 
@@ -22,8 +23,8 @@
 /// A target that could not be reached may have been started again; it counts as cold for this long
 /// after it serves, or until the store tells of it. Changes of the store arrive within this time.
 const SUSPECT: Duration = Duration::from_secs(2);
-/// Window of the rate of a cold target.
-const SECOND: Duration = Duration::from_secs(1);
+/// Window of the bound of cold targets.
+pub(super) const WINDOW: Duration = Duration::from_secs(1);
 /// Weight of the share of failed runs in the load of a target.
 const FAILURE_WEIGHT: f64 = 8.0;
 
@@ -52,7 +53,7 @@
     pub(super) running: u32,
     /// Time of the last end of a run, or of the begin of one when it had none.
     pub(super) reported: Duration,
-    /// Sends of the last second.
+    /// Sends of the last window.
     sends: VecDeque<Duration>,
     /// Seconds for one unit of work.
     pub(super) pace: Option<f64>,
@@ -114,8 +115,8 @@
         });
         let window = match cap {
             Some(cap) if cap <= 0.0 => return false,
-            Some(cap) if cap < 1.0 => SECOND.div_f64(cap.max(LEAST_CAP)),
-            _ => SECOND,
+            Some(cap) if cap < 1.0 => WINDOW.div_f64(cap.max(LEAST_CAP)),
+            _ => WINDOW,
         };
         while self
             .sends
@@ -137,7 +138,7 @@
         self.open
             && now >= self.resting_until
             && f64::from(self.running.saturating_add(foreign)) < places
-            && cap.is_none_or(|cap| count(&self.sends) < cap.max(1.0).floor())
+            && cap.is_none_or(|cap| float(self.sends.len()) < cap.max(1.0).floor())
     }
 
     /// Load as if one more run were admitted; the lowest is chosen. `pace` is the mean pace of the
@@ -202,8 +203,3 @@
         }
     }
 }
-
-#[expect(clippy::cast_precision_loss, reason = "at most some hundred sends")]
-fn count(sends: &VecDeque<Duration>) -> f64 {
-    sends.len() as f64
-}
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -8,11 +8,10 @@
 use tokio::time::timeout;
 
 use crate::clock;
-use crate::link;
 use crate::message::{Body, OfferMsg, millis};
 use crate::model::{Cost, Name, Target};
 use crate::node::{InFlight, Node, Reply};
-use crate::owner::{self, End, Refusal, Report, RunId};
+use crate::owner::{self, End, Refusal, Report};
 
 /// An offer that is not answered is sent again after this time; answers take a few milliseconds.
 const RESEND: Duration = Duration::from_millis(40);
@@ -77,15 +76,14 @@
     asked: Option<Ipv4Addr>,
 }
 
-impl Drop for Asking<'_> {
-    fn drop(&mut self) {
-        self.node.unexpect(self.run);
-        let Some(asked) = self.asked else { return };
+impl Asking<'_> {
+    /// Withdraws the offer from the member that was asked last.
+    fn withdraw(&mut self) {
+        let Some(asked) = self.asked.take() else {
+            return;
+        };
         if asked == self.node.settings.ip {
-            let id = RunId {
-                entry: self.node.incarnation,
-                run: self.run,
-            };
+            let id = self.node.own_run(self.run);
             self.node.owner.borrow_mut().withdraw(clock::now(), id);
             self.node.decide();
         } else {
@@ -94,6 +92,13 @@
     }
 }
 
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        self.node.unexpect(self.run);
+        self.withdraw();
+    }
+}
+
 /// Why there is no permit.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Refused {
@@ -164,15 +169,8 @@
         let is_last = silent >= MAX_SILENT || waited > ask.wait;
         let owner = next.filter(|_| !is_last).unwrap_or(me);
         if asking.asked.is_some_and(|asked| asked != owner) {
-            // The one before may still have it waiting.
-            drop(std::mem::replace(
-                &mut asking,
-                Asking {
-                    node,
-                    run,
-                    asked: None,
-                },
-            ));
+            // The one before may still have it waiting, and its late replies don't count.
+            asking.withdraw();
             replies = node.expect(run);
         }
         asking.asked = Some(owner);
@@ -232,12 +230,7 @@
 ) -> Option<Reply> {
     node.asked.borrow_mut().insert(owner, clock::now());
     if owner == node.settings.ip {
-        let id = RunId {
-            entry: node.incarnation,
-            run: msg.run,
-        };
-        let offer = link::offer_of(id, msg.clone());
-        node.offer(offer);
+        node.offer(msg.clone().offer(node.own_run(msg.run)));
         let reply = timeout(wait + OWNER_DELAY, replies.recv()).await;
         return reply.ok().flatten();
     }
@@ -272,15 +265,10 @@
 
 /// Checks a grant against what this member knows, right before the request is sent.
 fn take_permit(node: &Rc<Node>, from: Ipv4Addr, run: u64, target: &str) -> Option<Permit> {
-    let unused = Report {
-        end: End::Unused,
-        pace: None,
-        load: None,
-    };
     let catalog = node.catalog.borrow();
     let Some(target) = catalog.target(target).filter(|t| catalog.is_open(t)) else {
         drop(catalog);
-        node.release(from, run, &unused);
+        node.release(from, run, &Report::of(End::Unused));
         return None;
     };
     let key = owner::target_key(target);
@@ -295,11 +283,7 @@
         run,
         target: target.clone(),
         key,
-        report: Report {
-            end: End::Cancelled,
-            pace: None,
-            load: None,
-        },
+        report: Report::of(End::Cancelled),
     })
 }
 
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -62,14 +62,6 @@
     Misdirected,
 }
 
-impl Mark {
-    /// Whether the request did not run.
-    #[must_use]
-    pub fn is_rejection(self) -> bool {
-        matches!(self, Mark::NotRun | Mark::Misdirected)
-    }
-}
-
 /// What the head of a target's answer says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Answer {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,11 +17,10 @@
 use crate::attempt::{self, Arrived, Sendable, Sent};
 use crate::clock;
 use crate::model::Route;
-use crate::node::Node;
+use crate::node::{Counted, Node};
 use crate::owner::End;
 use crate::permit::{self, Ask, Permit};
 use crate::port::{Answer, Mark};
-use crate::request::Serving;
 use crate::story::Story;
 use crate::upstream::Upstream;
 
@@ -135,7 +134,7 @@
     pub(crate) ask: Ask,
     pub(crate) deadline: Duration,
     /// Held for as long as the stream runs.
-    pub(crate) _serving: Serving,
+    pub(crate) _serving: Counted,
 }
 
 struct Source {
@@ -324,13 +323,12 @@
         let target = permit.target.clone();
         let sent = attempt::send(&stream.node, &stream.req, &target, left, left, last_event).await;
         let end = match sent {
-            Sent::Head(arrived) => match arrived.answer.mark {
-                Mark::Signed if arrived.response.status() == 200 => {
+            Sent::Head(arrived) => match attempt::rejection(arrived.answer.mark) {
+                Some(end) => end,
+                None if arrived.answer.mark == Mark::Signed && arrived.response.status() == 200 => {
                     return Some(Source::new(permit, *arrived));
                 }
-                Mark::NotRun => End::Overloaded,
-                Mark::Misdirected => End::Misdirected,
-                Mark::Signed | Mark::None => End::Error,
+                None => End::Error,
             },
             Sent::Nothing => End::Unreachable,
             Sent::Broken(_) => End::Broken,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -19,7 +19,7 @@
 use crate::catalog::{Allowed, Denied};
 use crate::clock;
 use crate::model::{Name, Route};
-use crate::node::Node;
+use crate::node::{Counted, Node};
 use crate::owner::{End, Refusal};
 use crate::permit::{self, Ask, Permit};
 use crate::port::{BadHead, Head, Mark};
@@ -47,29 +47,13 @@
 /// Less time than this does not pay for one more attempt.
 const LEAST_LEFT: Duration = Duration::from_millis(50);
 
-/// Counts a request as being served.
-pub(crate) struct Serving(Rc<Node>);
-
-impl Serving {
-    fn new(node: &Rc<Node>) -> Self {
-        node.serving.set(node.serving.get() + 1);
-        Serving(Rc::clone(node))
-    }
-}
-
-impl Drop for Serving {
-    fn drop(&mut self) {
-        self.0.serving.set(self.0.serving.get() - 1);
-    }
-}
-
 /// Serves one request. The future is dropped when the caller leaves, which ends everything that
 /// it holds.
 pub(crate) async fn handle(
     node: Rc<Node>,
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    let serving = Serving::new(&node);
+    let serving = Counted::new(&node.serving);
     let mut response = match prepare(&node, req).await {
         Ok(call) => call.run(serving).await,
         Err(response) => response,
@@ -217,7 +201,7 @@
 }
 
 impl Call {
-    async fn run(mut self, serving: Serving) -> Response<Body> {
+    async fn run(mut self, serving: Counted) -> Response<Body> {
         loop {
             let left = self.left();
             if left < LEAST_LEFT && (self.last.is_some() || left.is_zero()) {
@@ -358,12 +342,7 @@
             let now = clock::now();
             self.node.upstreams.put(now, upstream, answer.keep_alive);
         }
-        let rejected = match answer.mark {
-            Mark::Misdirected => Some(End::Misdirected),
-            Mark::NotRun => Some(End::Overloaded),
-            Mark::Signed | Mark::None => None,
-        };
-        if let Some(end) = rejected {
+        if let Some(end) = attempt::rejection(answer.mark) {
             permit.ended(end);
             return (Seen::Rejected, None);
         }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -1,12 +1,15 @@
 //! Members of the fleet, found through seeds and kept by gossip.
 
 use std::cmp::Reverse;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::extreme::Extreme;
+use crate::number::float;
+
 /// A member that was silent for this long owns nothing. Five beats of 250 ms.
 const OWNER_SILENCE: Duration = Duration::from_millis(1250);
 /// A member that was silent for this long is not named to callers.
@@ -92,10 +95,10 @@
     me: Member,
     seeds: Vec<Ipv4Addr>,
     known: HashMap<Ipv4Addr, Known>,
-    /// Number of live members over the last `COUNT_MEMORY`, in falling order of the number.
-    counts: VecDeque<(Duration, usize)>,
-    /// Number of live members over the last `SETTLE`, in rising order of the number.
-    settled: VecDeque<(Duration, usize)>,
+    /// Largest number of live members over the last `COUNT_MEMORY`.
+    counts: Extreme,
+    /// Smallest number of live members over the last `SETTLE`.
+    settled: Extreme,
     turn: usize,
     /// Time of the first beat.
     started: Option<Duration>,
@@ -120,8 +123,8 @@
             },
             seeds,
             known: HashMap::new(),
-            counts: VecDeque::new(),
-            settled: VecDeque::new(),
+            counts: Extreme::largest(COUNT_MEMORY),
+            settled: Extreme::smallest(SETTLE),
             // Members that take their turns alike would all beat to the same few at a time.
             turn: usize::from(ip.octets()[3]) * FANOUT + usize::from(ip.octets()[1]),
             started: None,
@@ -152,15 +155,10 @@
         self.known
             .retain(|_, known| now.saturating_sub(known.heard) < FORGET);
         let live = self.live(now);
-        self.count(now, live);
-        self.settle(now, live);
+        self.counts.push(now, live);
+        self.settled.push(now, live);
         self.me.most = u32::try_from(self.counted(live)).unwrap_or(u32::MAX);
-        let mut others: Vec<Member> = self
-            .known
-            .values()
-            .filter(|known| is_live(known, now))
-            .map(|known| known.member)
-            .collect();
+        let mut others: Vec<Member> = self.live_others(now).map(|known| known.member).collect();
         others.sort_unstable_by_key(|member| member.ip);
         let first = usize::try_from(self.me.seq).unwrap_or(0) * MAX_RUMORS;
         let first = first % others.len().max(1);
@@ -199,7 +197,8 @@
         self.met = true;
         if self.is_younger(now, COUNT_MEMORY) {
             // The others know how large the fleet was before this process started.
-            self.count(now, usize::try_from(beat.from.most).unwrap_or(usize::MAX));
+            let most = usize::try_from(beat.from.most).unwrap_or(usize::MAX);
+            self.counts.push(now, most);
         }
         for &member in &beat.others {
             self.learn(now, member, false);
@@ -231,9 +230,8 @@
     #[must_use]
     pub fn owners(&self, now: Duration, shard: u32) -> Vec<Ipv4Addr> {
         let live = self
-            .known
-            .values()
-            .filter(|known| is_live(known, now) && now >= known.mistrusted_until);
+            .live_others(now)
+            .filter(|known| now >= known.mistrusted_until);
         let mut order: Vec<Standing> = live
             .map(|known| standing(&known.member, shard))
             .chain([standing(&self.me, shard)])
@@ -268,17 +266,15 @@
     #[must_use]
     pub fn part(&self, now: Duration, shard: u32, askers: usize) -> Part {
         let live = self.live(now);
-        let settled = self
-            .settled
-            .front()
-            .map_or(1, |&(_, count)| count)
-            .min(live);
+        let settled = self.settled.get().unwrap_or(1).min(live);
         let me = standing(&self.me, shard);
-        let mut others = self.known.values().filter(|known| is_live(known, now));
-        let is_first = others.all(|other| standing(&other.member, shard) > me);
+        let is_first = self
+            .live_others(now)
+            .all(|other| standing(&other.member, shard) > me);
+        let most = float(self.most(now, live));
         let of = |live: usize| {
             let members = if is_first { live } else { askers.min(live) };
-            float(members.max(1)) / float(self.most(now))
+            float(members.max(1)) / most
         };
         Part {
             part: of(live),
@@ -290,9 +286,7 @@
     /// Newest revision of the store that a live member has seen.
     #[must_use]
     pub fn newest_revision(&self, now: Duration) -> u64 {
-        self.known
-            .values()
-            .filter(|known| is_live(known, now))
+        self.live_others(now)
             .map(|known| known.member.revision)
             .max()
             .unwrap_or(0)
@@ -301,8 +295,8 @@
     /// Longest time since a live member was heard.
     #[must_use]
     pub fn longest_silence(&self, now: Duration) -> Duration {
-        let live = self.known.values().filter(|known| is_live(known, now));
-        live.map(|known| now.saturating_sub(known.heard))
+        self.live_others(now)
+            .map(|known| now.saturating_sub(known.heard))
             .max()
             .unwrap_or_default()
     }
@@ -310,8 +304,12 @@
     /// Number of live members with this process.
     #[must_use]
     pub fn live(&self, now: Duration) -> usize {
-        let live = self.known.values().filter(|known| is_live(known, now));
-        1 + live.count()
+        1 + self.live_others(now).count()
+    }
+
+    /// Other members that are live.
+    fn live_others(&self, now: Duration) -> impl Iterator<Item = &Known> {
+        self.known.values().filter(move |known| is_live(known, now))
     }
 
     fn is_younger(&self, now: Duration, age: Duration) -> bool {
@@ -322,8 +320,8 @@
     ///
     /// A process that started lately can't have seen members behind a cut. If it has met none, the
     /// fleet may have any size; if a seed is missing, the other side may be as large as this one.
-    fn most(&self, now: Duration) -> usize {
-        let most = self.counted(self.live(now));
+    fn most(&self, now: Duration, live: usize) -> usize {
+        let most = self.counted(live);
         let mut others = self.seeds.iter().filter(|&&seed| seed != self.me.ip);
         if !self.met && self.is_younger(now, FORGET) && others.clone().next().is_some() {
             return most.max(UNKNOWN_FLEET);
@@ -341,36 +339,7 @@
     }
 
     fn counted(&self, live: usize) -> usize {
-        let most = self.counts.front().map_or(live, |&(_, count)| count);
-        most.max(live)
-    }
-
-    fn settle(&mut self, now: Duration, live: usize) {
-        while self.settled.back().is_some_and(|&(_, count)| count >= live) {
-            self.settled.pop_back();
-        }
-        self.settled.push_back((now, live));
-        while self
-            .settled
-            .front()
-            .is_some_and(|&(at, _)| now.saturating_sub(at) > SETTLE)
-        {
-            self.settled.pop_front();
-        }
-    }
-
-    fn count(&mut self, now: Duration, live: usize) {
-        while self.counts.back().is_some_and(|&(_, count)| count <= live) {
-            self.counts.pop_back();
-        }
-        self.counts.push_back((now, live));
-        while self
-            .counts
-            .front()
-            .is_some_and(|&(at, _)| now.saturating_sub(at) > COUNT_MEMORY)
-        {
-            self.counts.pop_front();
-        }
+        self.counts.get().map_or(live, |most| most.max(live))
     }
 
     fn learn(&mut self, now: Duration, member: Member, direct: bool) -> bool {
@@ -442,8 +411,3 @@
     key[8..].copy_from_slice(&member.incarnation.to_be_bytes());
     xxh3_64(&key)
 }
-
-#[expect(clippy::cast_precision_loss, reason = "a number of members")]
-fn float(count: usize) -> f64 {
-    count as f64
-}
--- a/crates/gateway/tests/advice.rs
+++ b/crates/gateway/tests/advice.rs
@@ -19,11 +19,7 @@
         let now = ms(2000 + run * 100);
         owner.offer(now, &catalog, offer(1, run));
         owner.poll(now);
-        let report = Report {
-            end: End::Served,
-            pace: None,
-            load: None,
-        };
+        let report = Report::of(End::Served);
         owner.release(now + ms(100), RunId { entry: 1, run }, &report);
     }
     let now = ms(10_100);
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -312,12 +312,14 @@
             output: 0,
         });
         self.members[from].waiting.insert(run, (asked, sends));
-        if self.members[asked].owner.parts_are_old(self.now) {
-            self.set_parts(asked);
-        }
+        self.keep_parts(asked);
         self.members[asked].owner.offer(now, &self.catalog, offer);
-        if self.members[asked].owner.take_new_askers() {
-            self.set_parts(asked);
+        self.keep_parts(asked);
+    }
+
+    fn keep_parts(&mut self, at: usize) {
+        if self.members[at].owner.needs_parts(self.now) {
+            self.set_parts(at);
         }
     }
 
@@ -331,9 +333,7 @@
     }
 
     fn decide(&mut self, at: usize) {
-        if self.members[at].owner.parts_are_old(self.now) {
-            self.set_parts(at);
-        }
+        self.keep_parts(at);
         for decision in self.members[at].owner.poll(self.now) {
             match decision {
                 Decision::Grant { id, target } => self.sent(at, id, &target),
@@ -390,9 +390,8 @@
             };
             if self.reaches(from, owner) {
                 let report = Report {
-                    end,
                     pace: Some(ms(100)),
-                    load: None,
+                    ..Report::of(end)
                 };
                 let id = RunId {
                     entry: incarnation,
--- a/crates/gateway/tests/owner.rs
+++ b/crates/gateway/tests/owner.rs
@@ -15,14 +15,6 @@
     (owner, catalog)
 }
 
-fn report(end: End) -> Report {
-    Report {
-        end,
-        pace: None,
-        load: None,
-    }
-}
-
 fn granted(decisions: &[Decision]) -> Vec<u64> {
     decisions
         .iter()
@@ -54,7 +46,7 @@
         }
         let runs = granted(&owner.poll(now));
         for &run in &runs {
-            owner.release(now, RunId { entry: 1, run }, &report(End::Served));
+            owner.release(now, RunId { entry: 1, run }, &Report::of(End::Served));
         }
         // Those that wait are refused before the next step.
         owner.poll(now + ms(200));
@@ -64,11 +56,11 @@
     owner.offer(ms(7000), &catalog, offer(1, 500));
     assert_eq!(granted(&owner.poll(ms(7000))), [500]);
     let id = RunId { entry: 1, run: 500 };
-    owner.release(ms(7000), id, &report(End::Unreachable));
+    owner.release(ms(7000), id, &Report::of(End::Unreachable));
     owner.offer(ms(9000), &catalog, offer(1, 600));
     assert_eq!(granted(&owner.poll(ms(9000))), [600]);
     let id = RunId { entry: 1, run: 600 };
-    owner.release(ms(9000), id, &report(End::Served));
+    owner.release(ms(9000), id, &Report::of(End::Served));
 
     let back = sends(&mut owner, ms(9001), 700);
     let later = sends(&mut owner, ms(12_000), 900);
@@ -119,7 +111,7 @@
 
     assert_eq!(granted(&owner.poll(ms(1))).len(), 6);
     let id = RunId { entry: 1, run: 0 };
-    owner.release(ms(2), id, &report(End::Served));
+    owner.release(ms(2), id, &Report::of(End::Served));
     assert_eq!(granted(&owner.poll(ms(2))).len(), 1);
 }
 
@@ -135,7 +127,7 @@
     }
     let mut order = Vec::new();
     for run in [0, 3, 2, 4] {
-        owner.release(ms(2), RunId { entry: 1, run }, &report(End::Served));
+        owner.release(ms(2), RunId { entry: 1, run }, &Report::of(End::Served));
         order.extend(granted(&owner.poll(ms(2))));
     }
 
@@ -206,7 +198,7 @@
         breaking.avoid = (0..run).map(|at| key(&format!("t-{at}"))).collect();
         owner.offer(ms(run), &catalog, breaking);
         assert_eq!(granted(&owner.poll(ms(run))), [run]);
-        owner.release(ms(run), RunId { entry: 1, run }, &report(End::Broken));
+        owner.release(ms(run), RunId { entry: 1, run }, &Report::of(End::Broken));
     }
     let mut again = offer(1, 9);
     again.fingerprint = 99;
@@ -225,7 +217,11 @@
     let (mut owner, catalog) = owner(1, 4);
     owner.offer(ms(0), &catalog, offer(1, 0));
     owner.poll(ms(0));
-    owner.release(ms(1), RunId { entry: 1, run: 0 }, &report(End::Unreachable));
+    owner.release(
+        ms(1),
+        RunId { entry: 1, run: 0 },
+        &Report::of(End::Unreachable),
+    );
     owner.offer(ms(2), &catalog, offer(1, 1));
     assert_eq!(granted(&owner.poll(ms(2))), []);
     assert_eq!(refused(&owner.poll(ms(200))), [(1, Refusal::Busy)]);
@@ -234,7 +230,11 @@
         owner.offer(ms(400), &catalog, offer(1, run));
     }
     assert_eq!(granted(&owner.poll(ms(400))), [2]);
-    owner.release(ms(410), RunId { entry: 1, run: 2 }, &report(End::Served));
+    owner.release(
+        ms(410),
+        RunId { entry: 1, run: 2 },
+        &Report::of(End::Served),
+    );
     assert_eq!(granted(&owner.poll(ms(410))), [3]);
 }
 
--- a/crates/sheet/src/check.rs
+++ b/crates/sheet/src/check.rs
@@ -154,7 +154,7 @@
     }
 }
 
-fn not_zero(fields: &[(&'static str, Duration)]) -> Checked {
+pub(crate) fn not_zero(fields: &[(&'static str, Duration)]) -> Checked {
     match fields.iter().find(|(_, duration)| duration.is_zero()) {
         Some(&(field, _)) => Err(CheckError::Zero(field)),
         None => Ok(()),
@@ -171,6 +171,6 @@
     })
 }
 
-fn show(duration: Duration) -> Box<str> {
+pub(crate) fn show(duration: Duration) -> Box<str> {
     humantime::format_duration(duration).to_string().into()
 }
--- a/crates/sheet/src/member.rs
+++ b/crates/sheet/src/member.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 
+use crate::check::{not_zero, show};
 use crate::units::{duration, name};
 use crate::{CheckError, Name};
 
@@ -146,19 +147,15 @@
         for (field, value) in numbers {
             number(field, value)?;
         }
-        for (field, value) in [
+        not_zero(&[
             ("directory_ttl", self.directory_ttl),
             ("lapse", self.lapse),
             ("repeats.window", self.repeats.window),
-        ] {
-            if value.is_zero() {
-                return Err(CheckError::Zero(field));
-            }
-        }
+        ])?;
         if self.grace < MIN_GRACE {
             return Err(CheckError::Below {
                 field: "grace",
-                values: [self.grace, MIN_GRACE].map(|d| format!("{d:?}").into()),
+                values: [self.grace, MIN_GRACE].map(show),
             });
         }
         self.check_ports()
