Share the harness of the soak and the stand-ins with what exists

The soak of members started, signalled and killed its processes with code of its own; `testkit::fleet::Process` does so now, with the subcommand as a parameter and standard output in the log as well. Assertions and fixtures are as before.

--- a/crates/daemon/tests/fleet_member.rs
+++ b/crates/daemon/tests/fleet_member.rs
@@ -13,8 +13,10 @@
 use platform_support::next_ip;
 use platform_support::store::Store;
 use platform_support::worker::{Behaviour, Worker};
+use rustix::process::Signal;
 use serde_json::json;
-use tokio::process::{Child, Command};
+use testkit::fleet::Process;
+use tokio::process::Command;
 use tokio::time::{sleep, timeout};
 
 const LONG: Duration = Duration::from_secs(15);
@@ -32,8 +34,11 @@
     command
 }
 
-fn start(config: &Path) -> Child {
-    run(&["member"], config).spawn().expect("the program")
+fn start(config: &Path) -> Process {
+    let mut process = Process::new("member", config.with_extension("log"));
+    let program = Path::new(env!("CARGO_BIN_EXE_primrosechute"));
+    process.spawn(program, config).expect("the program");
+    process
 }
 
 /// Two processes find each other through one seed, serve, and end with code 0 at SIGTERM.
@@ -73,9 +78,7 @@
         assert_eq!((answer.status, answer.whole), (200, true));
     }
     for member in &mut members {
-        let pid = member.id().and_then(|id| i32::try_from(id).ok());
-        let pid = pid.and_then(rustix::process::Pid::from_raw).expect("runs");
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("signal");
+        member.signal(Signal::TERM).expect("runs");
         let status = timeout(LONG, member.wait()).await.expect("ends");
         assert!(status.expect("a child").success());
     }
--- a/crates/daemon/tests/member_soak.rs
+++ b/crates/daemon/tests/member_soak.rs
@@ -17,7 +17,7 @@
 use platform_support::caller;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use soak::checks::Seen;
+use soak::checks::{Seen, float};
 use soak::faults::Faults;
 use soak::fleet::{Fleet, MEMBERS};
 use soak::load::{Ended, Ledger, call_on};
@@ -142,11 +142,7 @@
     let calm = Instant::now().checked_sub(CALM).expect("a later time");
     let last: Vec<_> = calls.iter().filter(|call| call.sent > calm).collect();
     let good = last.iter().copied().filter(served).count();
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "counts of a run of some seconds"
-    )]
-    if (good as f64) < last.len() as f64 * CALM_SHARE {
+    if float(good) < float(last.len()) * CALM_SHARE {
         findings.push(format!(
             "RECOVER {good} of {} calls are served at the end",
             last.len()
--- a/crates/daemon/tests/soak/checks.rs
+++ b/crates/daemon/tests/soak/checks.rs
@@ -294,6 +294,6 @@
     clippy::cast_precision_loss,
     reason = "counts of a run of some seconds"
 )]
-fn float(count: usize) -> f64 {
+pub fn float(count: usize) -> f64 {
     count as f64
 }
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -140,8 +140,11 @@
     fn fits(&self, fleet: &Fleet, fault: Fault) -> bool {
         let lasting = |is: fn(Fault) -> bool| self.lasting.iter().any(|&(_, fault)| is(fault));
         match fault {
-            Fault::Kill(at) => fleet.members[at].child.is_some(),
-            Fault::KillAll => fleet.members.iter().all(|member| member.child.is_some()),
+            Fault::Kill(at) => fleet.members[at].process.is_started(),
+            Fault::KillAll => fleet
+                .members
+                .iter()
+                .all(|member| member.process.is_started()),
             Fault::Pause(at) | Fault::Stop(at) => {
                 let member = &fleet.members[at];
                 member.is_up() && !member.paused && member.stopping.is_none()
@@ -284,7 +287,7 @@
             }
             Fault::Stop(at) => {
                 self.watch(fleet);
-                if fleet.members[at].child.is_none() {
+                if !fleet.members[at].process.is_started() {
                     self.restart(fleet, at);
                 }
             }
@@ -352,7 +355,7 @@
 
     fn restart(&mut self, fleet: &mut Fleet, at: usize) {
         let member = &mut fleet.members[at];
-        if member.child.is_none() {
+        if !member.process.is_started() {
             member.spawn(fleet.dir.path());
             self.spans.end(What::Member(member.ip));
         }
@@ -363,10 +366,7 @@
         for at in 0..MEMBERS {
             let member = &mut fleet.members[at];
             let ip = member.ip;
-            let ended = member
-                .child
-                .as_mut()
-                .and_then(|child| child.try_wait().expect("the child is ours"));
+            let ended = member.process.take_exit().expect("the child is ours");
             match (ended, member.stopping) {
                 (None, Some(since)) if since.elapsed() > GRACE && !member.paused => {
                     member.stopping = None;
@@ -376,13 +376,11 @@
                 }
                 (None, _) => {}
                 (Some(status), Some(_)) if status.success() => {
-                    member.child = None;
                     member.stopping = None;
                     // Nothing is lost by its absence; only changes may pass it by.
                     self.spans.begin(What::Member(ip));
                 }
                 (Some(status), _) => {
-                    member.child = None;
                     member.stopping = None;
                     self.spans.begin(What::Member(ip));
                     self.find(&format!("EXIT {ip} ended by itself: {status}"));
--- a/crates/daemon/tests/soak/fleet.rs
+++ b/crates/daemon/tests/soak/fleet.rs
@@ -1,22 +1,20 @@
 //! The system under test: member processes, workers behind proxies, and a store.
 
-use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
-use std::process::Stdio;
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 use testkit::Proxy;
-use tokio::process::{Child, Command};
+use testkit::fleet::Process;
 
 use super::relay::{PEER, REACH, Relay};
-use crate::platform_support::echo::{EchoWorker, Entry};
+use crate::platform_support::echo::EchoWorker;
 use crate::platform_support::member::{config, evacuate, publish, with_cold, with_keys};
 use crate::platform_support::next_ip;
-use crate::platform_support::store::Store;
+use crate::platform_support::store::{Entry, Store};
 
 pub const MEMBERS: usize = 5;
 pub const WORKERS: usize = 6;
@@ -48,7 +46,7 @@
     pub ip: Ipv4Addr,
     /// Connections of this member to the store.
     pub store: Proxy,
-    pub child: Option<Child>,
+    pub process: Process,
     pub paused: bool,
     /// Time of the SIGTERM that the process has not followed yet.
     pub stopping: Option<Instant>,
@@ -89,53 +87,34 @@
     /// Whether the program has got as far as its first instructions, before which a signal ends
     /// any process.
     pub fn is_up(&self) -> bool {
-        self.child.is_some() && self.started.elapsed() > Duration::from_millis(200)
+        self.process.is_started() && self.started.elapsed() > Duration::from_millis(200)
     }
 
     pub fn signal(&self, signal: Signal) {
-        let id = self.child.as_ref().and_then(Child::id);
-        if let Some(pid) = id
-            .and_then(|id| i32::try_from(id).ok())
-            .and_then(Pid::from_raw)
-        {
-            // It may have ended just now.
-            let _ = kill_process(pid, signal);
-        }
+        // It may have ended just now.
+        let _ = self.process.signal(signal);
     }
 
     /// Kills the process and waits for its end.
     pub async fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            child.kill().await.expect("the child is ours");
-        }
+        self.process.kill().await.expect("the child is ours");
         self.paused = false;
         self.stopping = None;
     }
 
     pub fn spawn(&mut self, dir: &Path) {
         self.started = Instant::now();
+        let program = Path::new(env!("CARGO_BIN_EXE_primrosechute"));
         let config = dir.join(format!("{}.jsonc", self.ip));
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(dir.join(format!("{}.log", self.ip)))
-            .expect("log");
-        let child = Command::new(env!("CARGO_BIN_EXE_primrosechute"))
-            .arg("member")
-            .arg("--config")
-            .arg(config)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().expect("log"))
-            .stderr(log)
-            .kill_on_drop(true)
-            .spawn()
+        self.process
+            .spawn(program, &config)
             .expect("the daemon's program");
-        self.child = Some(child);
     }
 }
 
 impl Fleet {
     pub async fn start() -> Self {
+        let dir = tempfile::tempdir().expect("directory");
         let store = Store::start().await;
         let ips: Vec<Ipv4Addr> = (0..MEMBERS).map(|_| next_ip()).collect();
         let relay = Relay::start(&ips).await;
@@ -146,7 +125,7 @@
             members.push(Member {
                 ip,
                 store: proxy,
-                child: None,
+                process: Process::new("member", dir.path().join(format!("{ip}.log"))),
                 paused: false,
                 stopping: None,
                 started: Instant::now(),
@@ -167,7 +146,7 @@
             });
         }
         let mut fleet = Fleet {
-            dir: tempfile::tempdir().expect("directory"),
+            dir,
             members,
             workers,
             store,
@@ -222,11 +201,11 @@
         let entry = Entry {
             address: worker.proxy.addr(),
             zone: worker.zone,
-            draining: worker.draining,
+            state: if worker.draining { "draining" } else { "ready" },
             cold,
             born: worker.born,
         };
-        worker.echo.register(&self.store, entry);
+        self.store.register(&worker.echo.id, entry);
     }
 
     /// Workers that no fault touches.
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 mod vm;
 
 pub use self::builder::{FleetBuilder, fast_timing};
-pub use self::process::Usage;
+pub use self::process::{Process, Usage};
 
 use std::collections::BTreeMap;
 use std::io;
--- a/crates/testkit/src/fleet/process.rs
+++ b/crates/testkit/src/fleet/process.rs
@@ -38,19 +38,30 @@
     }
 }
 
-/// A child process whose standard error goes to a file.
-pub(crate) struct Process {
+/// A child process of the daemon's program, whose output goes to a file.
+pub struct Process {
+    /// Subcommand, which takes a settings file.
+    role: &'static str,
     log: PathBuf,
     child: Option<Child>,
 }
 
 impl Process {
-    pub(crate) fn new(log: PathBuf) -> Self {
-        Self { log, child: None }
+    /// A process that is not started yet.
+    #[must_use]
+    pub fn new(role: &'static str, log: PathBuf) -> Self {
+        Self {
+            role,
+            log,
+            child: None,
+        }
     }
 
-    /// Starts the program; fails while it runs.
-    pub(crate) fn spawn(&mut self, program: &Path, config: &Path) -> io::Result<()> {
+    /// Starts the program.
+    ///
+    /// # Errors
+    /// It runs already, or can't be started.
+    pub fn spawn(&mut self, program: &Path, config: &Path) -> io::Result<()> {
         if self.is_running() {
             return Err(io::Error::other("the process runs already"));
         }
@@ -59,11 +70,11 @@
             .append(true)
             .open(&self.log)?;
         let child = Command::new(program)
-            .arg("serve")
+            .arg(self.role)
             .arg("--config")
             .arg(config)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .kill_on_drop(true)
             .spawn()
@@ -83,7 +94,11 @@
         Pid::from_raw(i32::try_from(id).ok()?)
     }
 
-    pub(crate) fn signal(&self, signal: Signal) -> io::Result<()> {
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// The process does not run.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
         let pid = self.pid().ok_or_else(not_running)?;
         Ok(rustix::process::kill_process(pid, signal)?)
     }
@@ -98,7 +113,43 @@
         Ok(())
     }
 
-    pub(crate) async fn wait(&mut self) -> io::Result<ExitStatus> {
+    /// Whether it was started and its exit was not taken.
+    #[must_use]
+    pub fn is_started(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// The exit status, once, if the process has ended.
+    ///
+    /// # Errors
+    /// The state of the process can't be read.
+    pub fn take_exit(&mut self) -> io::Result<Option<ExitStatus>> {
+        let Some(child) = &mut self.child else {
+            return Ok(None);
+        };
+        let status = child.try_wait()?;
+        if status.is_some() {
+            self.child = None;
+        }
+        Ok(status)
+    }
+
+    /// Kills the process, if it was started, and waits for its end.
+    ///
+    /// # Errors
+    /// It can't be killed.
+    pub async fn kill(&mut self) -> io::Result<()> {
+        match self.child.take() {
+            Some(mut child) => child.kill().await,
+            None => Ok(()),
+        }
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Errors
+    /// The process does not run.
+    pub async fn wait(&mut self) -> io::Result<ExitStatus> {
         self.child.as_mut().ok_or_else(not_running)?.wait().await
     }
 
--- a/crates/testkit/src/fleet/vm.rs
+++ b/crates/testkit/src/fleet/vm.rs
@@ -64,7 +64,7 @@
             sheet_proxy,
             list_proxy,
             settings: cfg.settings.clone(),
-            process: Process::new(dir.join(format!("{name}.log"))),
+            process: Process::new("serve", dir.join(format!("{name}.log"))),
             sheets,
             list,
             config: dir.join(format!("{name}.json")),
