gateway: give up a transfer only when it stalls

Cause: the limit of 0.7 s counted the whole of a response. At 10 Mbit/s a page of 1.4 MB takes 1.1 s, was cut each time, and was requested again without end. The same limit stood in three other places: frames between members, the follower that took a reader in the middle of a transfer for lagging, and the reader that listed again in the middle of one.

Change: a response has to begin within the old limit and must not stall for as long; less than 16 KiB in that time is a stall, so that a byte now and then does not hold a connection.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -9,6 +9,7 @@
 
 use crate::catalog::Change;
 use crate::model::{Name, Settings, TokenCounts};
+use crate::transfer::Progress;
 
 /// Contents of the head of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -165,10 +166,11 @@
     reason = "all futures run on the one thread of the process"
 )]
 pub trait Store {
-    /// Lists everything in the store. Each call to the store may take `timeout`.
+    /// Lists everything in the store. Each response may take `timeout` to begin and to go on.
     async fn list(&mut self, timeout: Duration) -> Result<Batch, StoreError>;
 
-    /// Waits up to `wait` for changes after a revision. The result may be empty.
+    /// Waits up to `wait` for changes after a revision. The result may be empty. The response may
+    /// take `timeout` beyond that to begin, and to go on.
     async fn watch(
         &mut self,
         after: u64,
@@ -176,6 +178,9 @@
         timeout: Duration,
     ) -> Result<Batch, StoreError>;
 
+    /// Bytes of the responses as they are received.
+    fn progress(&self) -> Progress;
+
     /// The change that a record means, if any. A record that can't be parsed is logged.
     fn decode(&self, record: &Record) -> Option<Change>;
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -8,19 +8,25 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::io::{InspectReader, InspectWriter};
 
 use crate::adapter::Record;
 use crate::record_log::LogDelta;
+use crate::transfer::{Progress, until_stalled};
 
 /// Maximum size of a response. A snapshot of 12,000 targets has about 6 MB.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// Maximum size of a request, which has two numbers.
 const MAX_REQUEST_BYTES: usize = 64;
 
+type Inspect = Box<dyn FnMut(&[u8])>;
+
 /// Connection on which one member follows another one.
 pub(crate) struct Connection {
-    rx: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
-    tx: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    rx: FramedRead<InspectReader<OwnedReadHalf, Inspect>, LengthDelimitedCodec>,
+    tx: FramedWrite<InspectWriter<OwnedWriteHalf, Inspect>, LengthDelimitedCodec>,
+    received: Progress,
+    sent: Progress,
 }
 
 /// Asks for changes after a revision.
@@ -130,17 +136,18 @@
 }
 
 impl Connection {
-    /// The side that sends requests.
-    pub(crate) fn client(stream: TcpStream) -> Self {
-        Connection::new(stream, MAX_REQUEST_BYTES, MAX_RESPONSE_BYTES)
+    /// The side that sends requests. `received` counts the bytes of the responses.
+    pub(crate) fn client(stream: TcpStream, received: Progress) -> Self {
+        Connection::new(stream, MAX_REQUEST_BYTES, MAX_RESPONSE_BYTES, received)
     }
 
     /// The side that sends responses.
     pub(crate) fn server(stream: TcpStream) -> Self {
-        Connection::new(stream, MAX_RESPONSE_BYTES, MAX_REQUEST_BYTES)
+        let received = Progress::default();
+        Connection::new(stream, MAX_RESPONSE_BYTES, MAX_REQUEST_BYTES, received)
     }
 
-    fn new(stream: TcpStream, max_sent: usize, max_received: usize) -> Self {
+    fn new(stream: TcpStream, max_sent: usize, max_received: usize, received: Progress) -> Self {
         // Best effort: this only reduces latency.
         let _ = stream.set_nodelay(true);
         let (rx, tx) = stream.into_split();
@@ -149,35 +156,50 @@
                 .max_frame_length(max)
                 .new_codec()
         };
+        let sent = Progress::default();
+        let rx = InspectReader::new(rx, inspect(&received));
+        let tx = InspectWriter::new(tx, inspect(&sent));
         Connection {
             rx: FramedRead::new(rx, codec(max_received)),
             tx: FramedWrite::new(tx, codec(max_sent)),
+            received,
+            sent,
         }
     }
 
-    /// Sends one message.
+    /// Sends one message, unless it stalls for `max_stall`.
     pub(crate) async fn send(
         &mut self,
         msg: &impl Message,
-        timeout: Duration,
+        max_stall: Duration,
     ) -> Result<(), FeedError> {
         let encoded = Bytes::from(msg.encode_to_vec());
-        match tokio::time::timeout(timeout, self.tx.send(encoded)).await {
-            Ok(sent) => sent.map_err(|err| FeedError::from_io(&err)),
-            Err(_) => Err(FeedError::Timeout),
+        let sending = self.tx.send(encoded);
+        match until_stalled(&self.sent, max_stall, max_stall, sending).await {
+            Some(sent) => sent.map_err(|err| FeedError::from_io(&err)),
+            None => Err(FeedError::Timeout),
         }
     }
 
-    /// Receives one message; `None` if the other side has closed the connection.
+    /// Receives one message; `None` if the other side has closed the connection. The message has to
+    /// begin within `wait`, and not to stall for `max_stall` then.
     pub(crate) async fn receive<M: Message + Default>(
         &mut self,
-        timeout: Duration,
+        wait: Duration,
+        max_stall: Duration,
     ) -> Result<Option<M>, FeedError> {
-        match tokio::time::timeout(timeout, self.rx.next()).await {
-            Err(_) => Err(FeedError::Timeout),
-            Ok(None) => Ok(None),
-            Ok(Some(Err(err))) => Err(FeedError::from_io(&err)),
-            Ok(Some(Ok(frame))) => M::decode(frame).map(Some).map_err(|_| FeedError::Malformed),
+        let next = self.rx.next();
+        match until_stalled(&self.received, wait, max_stall, next).await {
+            None => Err(FeedError::Timeout),
+            Some(None) => Ok(None),
+            Some(Some(Err(err))) => Err(FeedError::from_io(&err)),
+            Some(Some(Ok(frame))) => M::decode(frame).map(Some).map_err(|_| FeedError::Malformed),
         }
     }
 }
+
+/// Counts the bytes that pass.
+fn inspect(progress: &Progress) -> Inspect {
+    let progress = progress.clone();
+    Box::new(move |bytes| progress.record(bytes.len()))
+}
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -8,15 +8,23 @@
 
 use crate::feed::{Connection, FeedError, FeedRequest, FeedResponse};
 use crate::message::millis;
+use crate::transfer::Progress;
 
 /// Client of one reader at a time.
 #[derive(Default)]
 pub(crate) struct FeedClient {
     conn: Option<(SocketAddr, Connection)>,
+    /// Bytes of the responses as they are received.
+    progress: Progress,
 }
 
 impl FeedClient {
-    /// Waits up to `wait` for changes after a revision. After a failure, or if this future is
+    pub(crate) fn progress(&self) -> Progress {
+        self.progress.clone()
+    }
+
+    /// Waits up to `wait` for changes after a revision. The response may take `response_timeout`
+    /// beyond that to begin, and to go on. After a failure, or if this future is
     /// dropped, the connection is not used again: a late response could be taken for the next one.
     pub(crate) async fn watch(
         &mut self,
@@ -27,24 +35,30 @@
     ) -> Result<FeedResponse, FeedError> {
         let mut conn = match self.conn.take() {
             Some((address, conn)) if address == reader => conn,
-            _ => connect(reader, response_timeout).await?,
+            _ => self.connect(reader, response_timeout).await?,
         };
         let req = FeedRequest {
             after,
             wait_ms: millis(wait),
         };
         conn.send(&req, response_timeout).await?;
-        let response = conn.receive(wait + response_timeout).await?;
+        let response = conn
+            .receive(wait + response_timeout, response_timeout)
+            .await?;
         let response = response.ok_or(FeedError::Broken)?;
         self.conn = Some((reader, conn));
         Ok(response)
     }
-}
 
-async fn connect(address: SocketAddr, connect_timeout: Duration) -> Result<Connection, FeedError> {
-    let stream = timeout(connect_timeout, TcpStream::connect(address))
-        .await
-        .map_err(|_| FeedError::Timeout)?
-        .map_err(|_| FeedError::Broken)?;
-    Ok(Connection::client(stream))
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        connect_timeout: Duration,
+    ) -> Result<Connection, FeedError> {
+        let stream = timeout(connect_timeout, TcpStream::connect(address))
+            .await
+            .map_err(|_| FeedError::Timeout)?
+            .map_err(|_| FeedError::Broken)?;
+        Ok(Connection::client(stream, self.progress()))
+    }
 }
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -23,8 +23,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest wait for a change, whatever the request says.
 const MAX_WAIT: Duration = Duration::from_secs(5);
-/// Longest time for a follower to read a response.
-const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for which a follower may stop reading a response.
+const MAX_SEND_STALL: Duration = Duration::from_secs(2);
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(50);
 
@@ -62,9 +62,12 @@
 ) {
     let mut conn = Connection::server(stream);
     let exchange = async {
-        while let Some(req) = conn.receive::<FeedRequest>(IDLE_TIMEOUT).await? {
+        while let Some(req) = conn
+            .receive::<FeedRequest>(IDLE_TIMEOUT, IDLE_TIMEOUT)
+            .await?
+        {
             let response = respond(&node, &req).await;
-            conn.send(&response, SEND_TIMEOUT).await?;
+            conn.send(&response, MAX_SEND_STALL).await?;
             counter!("primrosechute_feed_responses_total").increment(1);
         }
         Ok::<(), FeedError>(())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 //! | `node` | state shared by all tasks | UDP |
 //! | `record_log` | copy of the store's items and recent changes | none |
 //! | `store_follower` | follows the store, or a member that reads it | `Store` trait |
+//! | `transfer` | time limits for large responses | none |
 //! | `feed`, `feed_client`, `feed_server` | pass on changes of the store to other members | TCP |
 //! | `peer_link` | exchanges datagrams | UDP |
 //! | `http_server`, `request`, `attempt`, `relay`, `upstream` | serves requests | TCP |
@@ -62,6 +63,7 @@
 mod sliding_extremum;
 mod store_follower;
 mod token_bucket;
+mod transfer;
 mod upstream;
 
 pub use catalog::{Access, AccessError, Catalog, Change};
@@ -78,3 +80,4 @@
 pub use retry_decision::{AttemptOutcome, NextStep, next_step};
 pub use serve::{Outcome, run};
 pub use token_bucket::TokenBucket;
+pub use transfer::{Progress, until_stalled};
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -20,6 +20,7 @@
 use crate::feed_client::FeedClient;
 use crate::node::Node;
 use crate::record_log::LogDelta;
+use crate::transfer::Progress;
 
 /// Longest wait of one watch. A dead connection is detected after this time plus
 /// `RESPONSE_TIMEOUT`, unless another member reports a newer revision first.
@@ -28,7 +29,8 @@
 /// Calls cost money, and each change wakes the watches of all readers. Changes may take seconds to
 /// take effect.
 const BATCH_PAUSE: Duration = Duration::from_millis(400);
-/// Longest time for a response, beyond the time for which the call itself waits.
+/// Longest time for a response to begin, beyond the time for which the call itself waits, and for
+/// which it may stall. A large response on a slow link takes longer as a whole.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause after a failed call. It doubles up to the maximum.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -135,9 +137,10 @@
         self.watch_from = None;
         let after = self.node.record_log.borrow().revision();
         let address = SocketAddr::from((reader, self.node.settings.peer_port));
+        let progress = self.feed.progress();
         let received = tokio::select! {
             received = self.feed.watch(address, after, WATCH_WAIT, RESPONSE_TIMEOUT) => received,
-            () = wait_until_behind(&self.node, MAX_FEED_LAG) => Err(FeedError::Stale),
+            () = wait_until_behind(&self.node, MAX_FEED_LAG, &progress) => Err(FeedError::Stale),
             () = wait_until_silent(&self.node, reader) => Err(FeedError::Silent),
         };
         let Err(err) = received.and_then(|response| self.apply_response(&response)) else {
@@ -230,10 +233,10 @@
 
     /// Watches once. Returns `None` if the store has to be listed again.
     async fn watch(&mut self, watch_from: u64) -> Result<Option<u64>, StoreError> {
-        let timeout = WATCH_WAIT + RESPONSE_TIMEOUT;
+        let progress = self.store.progress();
         let batch = tokio::select! {
-            batch = self.store.watch(watch_from, WATCH_WAIT, timeout) => batch?,
-            () = wait_until_behind(&self.node, MAX_REVISION_LAG) => {
+            batch = self.store.watch(watch_from, WATCH_WAIT, RESPONSE_TIMEOUT) => batch?,
+            () = wait_until_behind(&self.node, MAX_REVISION_LAG, &progress) => {
                 info!("store: another member has seen a newer revision, listing again");
                 return Ok(None);
             }
@@ -350,20 +353,21 @@
     }
 }
 
-/// Waits until this member has been behind another one for `max_lag`.
-async fn wait_until_behind(node: &Rc<Node>, max_lag: Duration) {
+/// Waits until this member has been behind another one for `max_lag` without a transfer in progress,
+/// which may bring what it lacks.
+async fn wait_until_behind(node: &Rc<Node>, max_lag: Duration, progress: &Progress) {
     let is_behind = || {
         let membership = node.membership.borrow();
         membership.newest_revision(clock::now()) > membership.local().revision
     };
     loop {
         node.relist_requested.notified().await;
-        if !is_behind() {
-            continue;
-        }
-        sleep(max_lag).await;
-        if is_behind() {
-            return;
+        while is_behind() {
+            let received = progress.total();
+            sleep(max_lag).await;
+            if is_behind() && progress.has_stalled_since(received) {
+                return;
+            }
         }
     }
 }
