gateway: members that the store refuses follow those that it serves

Cause: a member that is one of the two readers of its zone read the store itself, whether its calls succeeded or not, and no member followed another zone. In a zone of two, or one that is turned away whole, nobody passed changes on.

Change: a member whose last call failed follows a reader whose calls succeed, in its own zone first. If no reader succeeds, members behave as before.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -1,7 +1,7 @@
 //! Membership of the fleet, discovered through seeds and maintained by gossip.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -447,25 +447,57 @@
     ///
     /// In each zone a few members read the store, in an order on which all members of the zone
     /// agree. The others spread over them. A member whose calls to the store fail comes last, so
-    /// that another one takes its place.
+    /// that another one takes its place. It follows a member whose calls succeed itself, in another
+    /// zone if there is none in its own: the store may refuse some members and serve others.
     #[must_use]
     pub fn store_reader(&self, now: Duration, avoided: &[Ipv4Addr]) -> Option<Ipv4Addr> {
-        let of_zone = self
-            .live_others(now)
-            .map(|known| &known.member)
-            .filter(|member| member.zone != 0 && member.zone == self.local.zone);
-        let mut order: Vec<ReaderPreference> = of_zone
-            .chain([&self.local])
-            .map(reader_preference)
-            .collect();
-        order.sort_unstable();
-        order.truncate(READERS_PER_ZONE);
-        let readers: Vec<Ipv4Addr> = order.into_iter().map(|(.., ip)| ip).collect();
-        if readers.contains(&self.local.ip) {
+        let own_zone = self.zone_readers(now, self.local.zone);
+        let is_reader = own_zone.iter().any(|reader| reader.ip == self.local.ip);
+        if is_reader && !self.local.store_failed {
             return None;
         }
-        let usable = readers.into_iter().filter(|ip| !avoided.contains(ip));
-        usable.min_by_key(|reader| follower_rank(self.local.ip, *reader))
+        let closest = |readers: &[&Member], may_fail: bool| {
+            let usable = readers.iter().filter(|reader| {
+                reader.ip != self.local.ip
+                    && (may_fail || !reader.store_failed)
+                    && !avoided.contains(&reader.ip)
+            });
+            let ips = usable.map(|reader| reader.ip);
+            ips.min_by_key(|&reader| follower_rank(self.local.ip, reader))
+        };
+        if let Some(reader) = closest(&own_zone, false) {
+            return Some(reader);
+        }
+        if self.local.store_failed
+            && let Some(reader) = closest(&self.readers_of_other_zones(now), false)
+        {
+            return Some(reader);
+        }
+        if is_reader {
+            return None;
+        }
+        closest(&own_zone, true)
+    }
+
+    fn readers_of_other_zones(&self, now: Duration) -> Vec<&Member> {
+        let zones = self.live_others(now).map(|known| known.member.zone);
+        let zones: HashSet<u32> = zones.filter(|&zone| zone != self.local.zone).collect();
+        let readers = zones.into_iter().map(|zone| self.zone_readers(now, zone));
+        readers.flatten().collect()
+    }
+
+    /// Members of a zone that read the store. A member without a zone reads it for itself.
+    fn zone_readers(&self, now: Duration, zone: u32) -> Vec<&Member> {
+        let others = self.live_others(now).map(|known| &known.member);
+        let mut members: Vec<&Member> = others
+            .filter(|member| member.zone != 0 && member.zone == zone)
+            .collect();
+        if zone == self.local.zone {
+            members.push(&self.local);
+        }
+        members.sort_unstable_by_key(|member| reader_preference(member));
+        members.truncate(READERS_PER_ZONE);
+        members
     }
 
     /// Whether another member was heard of recently enough to own shards.
