gateway: refuse requests with a part of a prompt that crashes targets

What callers saw: requests that share one part of their prompts, and nothing else, crashed one target after the other with all runs on them.

Cause: a poison request was recognized by a hash of path, key and body only, at the owner that granted its runs. Class of fault: evidence about a cause that many requests share was kept by request and by shard.

Change: a member whose run broke before its answer began checks whether the target still accepts connections. If not, it blames the parts of the prompt on which no answer has begun for 10 s, but never the last one. Heartbeats carry the blamed parts and their last answers, so that an answer at any member clears a part, and a restarted member knows what the others know. After three crashed targets a part is refused by all members, before a permit is asked and again before the request is sent, for two minutes; then one more crash is enough.

--- /dev/null
+++ b/crates/gateway/src/crash_check.rs
@@ -0,0 +1,58 @@
+//! Checks whether the target of a broken run has crashed.
+//!
+//! A connection breaks for many reasons: a target drops an idle one, a response is damaged, a link
+//! fails. After a crash the target does not accept connections for a while.
+
+use std::rc::Rc;
+
+use log::warn;
+use metrics::counter;
+
+use crate::clock;
+use crate::model::Target;
+use crate::node::Node;
+use crate::owner::target_key;
+use crate::upstream;
+
+/// Checks the target of a run that broke before its answer began, and blames the parts of the prompt
+/// if it has crashed. Does not delay the caller.
+pub(crate) fn check_target(node: &Rc<Node>, parts: &Rc<[u64]>, target: &Target) {
+    if parts.is_empty() {
+        return;
+    }
+    let (node, parts, target) = (Rc::clone(node), Rc::clone(parts), target.clone());
+    tokio::task::spawn_local(async move {
+        let connected = upstream::connect(target.address).await;
+        let now = clock::now();
+        match connected {
+            Ok(upstream) => node.upstreams.put(now, upstream, None),
+            Err(_) => blame(&node, &parts, &target),
+        }
+    });
+}
+
+fn blame(node: &Node, parts: &[u64], target: &Target) {
+    let now = clock::now();
+    let mut poison_parts = node.poison_parts.borrow_mut();
+    let was_refused = poison_parts.refusal(now, parts).is_some();
+    let blamed = poison_parts.record_crash(now, parts, target_key(target));
+    counter!("primrosechute_crashes_total").increment(1);
+    for &part in &blamed {
+        warn!(part = &*hex(part), target = &*target.id; "poison: a target crashed");
+    }
+    let refused = blamed
+        .into_iter()
+        .filter(|&part| !was_refused && poison_parts.refusal(now, &[part]).is_some());
+    log_refused(&refused.collect::<Vec<u64>>());
+}
+
+/// Logs parts that are refused from now on.
+pub(crate) fn log_refused(parts: &[u64]) {
+    for &part in parts {
+        warn!(part = &*hex(part); "poison: requests with a part are refused");
+    }
+}
+
+fn hex(part: u64) -> String {
+    format!("{part:x}")
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,8 @@
 //! | `token_bucket`, `retry_budget` | limits on rates and retries | none |
 //! | `retry_schedule` | retry times of refused callers | none |
 //! | `poison_requests` | detection of poison requests | none |
+//! | `poison_parts` | detection of poison parts of prompts | none |
+//! | `crash_check` | checks whether the target of a broken run has crashed | TCP |
 //! | `convert` | conversion of counts | none |
 //! | `retry_decision` | response to the caller or retry after an attempt | none |
 //! | `message` | datagrams between members | none |
@@ -40,6 +42,7 @@
 mod catalog;
 mod clock;
 mod convert;
+mod crash_check;
 mod feed;
 mod feed_client;
 mod feed_server;
@@ -51,6 +54,7 @@
 mod owner;
 mod peer_link;
 mod permit;
+mod poison_parts;
 mod poison_requests;
 mod record_log;
 mod relay;
@@ -74,6 +78,7 @@
     Workspace,
 };
 pub use owner::{Decision, Offer, Owner, Refusal, RunEnd, RunId, RunReport, target_key};
+pub use poison_parts::{PartReport, PoisonParts};
 pub use poison_requests::PoisonRequests;
 pub use record_log::{LogDelta, RecordLog};
 pub use retry_budget::RetryBudget;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -8,6 +8,7 @@
 use crate::membership::{Heartbeat, Member, Sighting};
 use crate::model::TokenCounts;
 use crate::owner::{Offer, RunEnd, RunId, RunReport};
+use crate::poison_parts::PartReport;
 
 /// Maximum size of a datagram that is received.
 pub(crate) const MAX_DATAGRAM: usize = 16 * 1024;
@@ -79,6 +80,29 @@
     pub(crate) runs: Vec<RunMsg>,
     #[prost(message, repeated, tag = "4")]
     pub(crate) sightings: Vec<SightingMsg>,
+    /// Parts of prompts that may crash targets.
+    #[prost(message, repeated, tag = "5")]
+    pub(crate) poison_parts: Vec<PartReportMsg>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct PartReportMsg {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) part: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) crashes: Vec<CrashMsg>,
+    /// Milliseconds since an answer began on the part, if one is known.
+    #[prost(uint32, optional, tag = "3")]
+    pub(crate) answered_ms: Option<u32>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct CrashMsg {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    /// Milliseconds since the crash.
+    #[prost(uint32, tag = "2")]
+    pub(crate) age_ms: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -226,6 +250,32 @@
     }
 }
 
+impl From<&PartReport> for PartReportMsg {
+    fn from(report: &PartReport) -> Self {
+        let crash = |&(target, age): &(u64, Duration)| CrashMsg {
+            target,
+            age_ms: millis(age),
+        };
+        PartReportMsg {
+            part: report.part,
+            crashes: report.crashes.iter().map(crash).collect(),
+            answered_ms: report.answered.map(millis),
+        }
+    }
+}
+
+impl From<&PartReportMsg> for PartReport {
+    fn from(msg: &PartReportMsg) -> Self {
+        let age = |ms: u32| Duration::from_millis(ms.into());
+        let crashes = msg.crashes.iter();
+        PartReport {
+            part: msg.part,
+            crashes: crashes.map(|c| (c.target, age(c.age_ms))).collect(),
+            answered: msg.answered_ms.map(age),
+        }
+    }
+}
+
 impl OfferMsg {
     /// Converts the message to an offer.
     pub(crate) fn into_offer(self, id: RunId) -> Offer {
@@ -284,6 +334,7 @@
             others: heartbeat.others.iter().map(MemberMsg::from).collect(),
             runs: Vec::new(),
             sightings: heartbeat.sightings.iter().map(SightingMsg::from).collect(),
+            poison_parts: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -20,6 +20,7 @@
 use crate::message::{Body, Datagram, GrantMsg, RefuseMsg, ReleaseMsg, millis};
 use crate::model::{Name, Settings};
 use crate::owner::{Decision, Offer, Owner, Refusal, RunId, RunReport};
+use crate::poison_parts::PoisonParts;
 use crate::record_log::RecordLog;
 use crate::upstream::UpstreamPool;
 
@@ -69,6 +70,7 @@
     pub(crate) catalog: RefCell<Catalog>,
     pub(crate) membership: RefCell<Membership>,
     pub(crate) owner: RefCell<Owner>,
+    pub(crate) poison_parts: RefCell<PoisonParts>,
     pub(crate) upstreams: UpstreamPool,
     /// Wakes the task that polls the owner.
     pub(crate) owner_changed: Notify,
@@ -115,6 +117,7 @@
             catalog: RefCell::new(Catalog::new(settings.lapse_grace)),
             membership: RefCell::new(membership),
             owner: RefCell::new(Owner::new(clock::now(), settings.clone())),
+            poison_parts: RefCell::default(),
             upstreams: UpstreamPool::default(),
             owner_changed: Notify::new(),
             record_log: RefCell::default(),
--- a/crates/gateway/src/owner/model.rs
+++ b/crates/gateway/src/owner/model.rs
@@ -59,6 +59,8 @@
     RetryBudget,
     /// It is a poison request: its runs broke on several targets.
     Poison,
+    /// A part of its prompt crashed several targets, in whatever request.
+    PoisonPart,
 }
 
 impl Refusal {
@@ -71,6 +73,7 @@
             Refusal::NoTarget => "no_target",
             Refusal::RetryBudget => "retry_budget",
             Refusal::Poison => "poison",
+            Refusal::PoisonPart => "poison_part",
         }
     }
 
@@ -81,6 +84,7 @@
             Refusal::NoTarget => 3,
             Refusal::RetryBudget => 4,
             Refusal::Poison => 5,
+            Refusal::PoisonPart => 6,
         }
     }
 
@@ -90,6 +94,7 @@
             3 => Refusal::NoTarget,
             4 => Refusal::RetryBudget,
             5 => Refusal::Poison,
+            6 => Refusal::PoisonPart,
             _ => Refusal::Busy,
         }
     }
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -10,10 +10,14 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::clock;
-use crate::message::{Body, Datagram, HeartbeatMsg, MAX_DATAGRAM, ReleaseMsg, RunMsg};
+use crate::crash_check;
+use crate::message::{
+    Body, Datagram, HeartbeatMsg, MAX_DATAGRAM, PartReportMsg, ReleaseMsg, RunMsg,
+};
 use crate::model::Name;
 use crate::node::{Node, Reply};
 use crate::owner::{Refusal, RunEnd, RunId, RunReport};
+use crate::poison_parts::PartReport;
 
 /// Interval between heartbeats. A member loses the ownership of shards after five lost heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -38,6 +42,7 @@
         node.owner.borrow_mut().remove_stale(now);
         node.set_limit_shares(now);
         node.upstreams.close_expired(now);
+        node.poison_parts.borrow_mut().expire(now);
     }
 }
 
@@ -61,6 +66,7 @@
             to.push(owner);
         }
     }
+    let reports = node.poison_parts.borrow().reports(now);
     let runs = node.runs.borrow();
     for (at, ip) in to.into_iter().enumerate() {
         let mut msg = HeartbeatMsg::new(&heartbeat);
@@ -69,6 +75,8 @@
             // the regular rotation.
             msg.others.clear();
             msg.sightings.clear();
+        } else {
+            msg.poison_parts = reports.iter().map(PartReportMsg::from).collect();
         }
         msg.runs = runs
             .iter()
@@ -180,6 +188,9 @@
             heartbeat.from.ip
         );
     }
+    let reports: Vec<PartReport> = msg.poison_parts.iter().map(PartReport::from).collect();
+    let refused = node.poison_parts.borrow_mut().merge(now, &reports);
+    crash_check::log_refused(&refused);
     let runs: Vec<(u64, u64)> = msg.runs.iter().map(|run| (run.run, run.target)).collect();
     node.owner.borrow_mut().sync_runs(now, sender, &runs);
     node.decide();
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -129,7 +129,7 @@
         };
         let try_other_shard = match refused.reason {
             Refusal::Rate | Refusal::Busy | Refusal::NoTarget => true,
-            Refusal::RetryBudget | Refusal::Poison => false,
+            Refusal::RetryBudget | Refusal::Poison | Refusal::PoisonPart => false,
         };
         let is_wait_over = clock::now().saturating_sub(started_at) >= request.max_wait;
         let max_tried = usize::try_from(shards).unwrap_or(usize::MAX);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::adapter::{Attestation, ResponseHead};
 use crate::attempt::{self, OutboundRequest, ReceivedHead, SendOutcome};
 use crate::clock;
+use crate::crash_check;
 use crate::model::Route;
 use crate::node::{CountGuard, Node};
 use crate::owner::RunEnd;
@@ -242,6 +243,10 @@
             }
             StreamEnd::Broken => {
                 stream.log.log_failed_attempt("broken stream");
+                if events.count == 0 {
+                    let parts = &stream.req.shared_parts;
+                    crash_check::check_target(&stream.node, parts, &permit.target);
+                }
                 permit.end(RunEnd::Broken);
             }
             StreamEnd::Stalled(next) => {
@@ -280,6 +285,7 @@
     resume_request: Option<&PermitRequest>,
 ) -> StreamEnd {
     let mut first: Option<(Duration, u32)> = None;
+    let mut has_answered = false;
     loop {
         let time_left = stream.deadline.saturating_sub(clock::now());
         if time_left.is_zero() {
@@ -307,6 +313,10 @@
                     concat(ready, remainder)
                 };
                 let now = clock::now();
+                if events.count > 0 && !std::mem::replace(&mut has_answered, true) {
+                    let mut poison_parts = stream.node.poison_parts.borrow_mut();
+                    poison_parts.record_answer(now, &stream.req.shared_parts);
+                }
                 let (first_at, first_count) = *first.get_or_insert((now, events.count));
                 let new_events = events.count.saturating_sub(first_count);
                 if new_events > 0 {
@@ -363,7 +373,16 @@
     last_event: Option<&str>,
     tx: &mpsc::Sender<Result<Bytes, Aborted>>,
 ) -> Option<TargetStream> {
-    let time_left = stream.deadline.saturating_sub(clock::now());
+    let now = clock::now();
+    let refusal = stream
+        .node
+        .poison_parts
+        .borrow()
+        .refusal(now, &stream.req.shared_parts);
+    if refusal.is_some() {
+        return None;
+    }
+    let time_left = stream.deadline.saturating_sub(now);
     stream.permit_request.time_left = time_left;
     stream.permit_request.max_wait = stream.permit_request.max_wait.min(time_left);
     let resumed = async {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -19,6 +19,7 @@
 use crate::attempt::{self, OutboundRequest, ReceivedHead, SendOutcome};
 use crate::catalog::{Access, AccessError};
 use crate::clock;
+use crate::crash_check;
 use crate::model::{Name, Route};
 use crate::node::{CountGuard, Node};
 use crate::owner::{Refusal, RunEnd};
@@ -166,6 +167,7 @@
             body,
             id: head.id,
             workspace: allowed.workspace.as_ref().map(|w| w.name.clone()),
+            shared_parts: shared_parts(&head.prompt_parts),
         },
         route: allowed.route,
         permit_request,
@@ -175,6 +177,13 @@
     })
 }
 
+fn shared_parts(prompt_parts: &[(u64, u32)]) -> Rc<[u64]> {
+    let shared = prompt_parts
+        .split_last()
+        .map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|&(part, _)| part).collect()
+}
+
 /// Waits briefly for the first configuration: a process that has just started reads it within
 /// milliseconds.
 async fn wait_until_ready(node: &Node) {
@@ -221,22 +230,10 @@
 impl AdmittedRequest {
     async fn run(mut self, serving: CountGuard) -> Response<Body> {
         loop {
-            let time_left = self.time_left();
-            if time_left < MIN_ATTEMPT_TIME && (self.fallback.is_some() || time_left.is_zero()) {
-                return self.final_response(Refusal::Busy, Duration::ZERO);
-            }
-            self.permit_request.time_left = time_left;
-            self.permit_request.max_wait = self.permit_request.max_wait.min(time_left);
-            let asked_at = clock::now();
-            let permit =
-                match timeout(time_left, permit::acquire(&self.node, &self.permit_request)).await {
-                    Ok(Ok(permit)) => permit,
-                    Ok(Err(refused)) => {
-                        self.log.record_refusing_owner(refused.owner);
-                        return self.final_response(refused.reason, refused.retry_after);
-                    }
-                    Err(_) => return self.final_response(Refusal::Busy, Duration::ZERO),
-                };
+            let permit = match self.acquire_permit().await {
+                Ok(permit) => permit,
+                Err((reason, retry_after)) => return self.final_response(reason, retry_after),
+            };
             let can_retry = self.can_retry();
             let head_timeout = if can_retry && self.route.kind.is_retryable() {
                 self.time_left()
@@ -246,8 +243,6 @@
             };
             let target = permit.target.clone();
             let sent_at = clock::now();
-            self.log
-                .record_permit(permit.owner(), &target.id, sent_at.saturating_sub(asked_at));
             let sent = attempt::send(
                 &self.node,
                 &self.req,
@@ -297,6 +292,16 @@
                     self.read_response(permit, *received, sent_at).await
                 }
             };
+            match outcome.0 {
+                AttemptOutcome::Broken => {
+                    crash_check::check_target(&self.node, &self.req.shared_parts, &target);
+                }
+                AttemptOutcome::Answered {
+                    status: 200..=299,
+                    signed: true,
+                } => self.record_answer(),
+                _ => {}
+            }
             let next = next_step(outcome.0, self.route.kind, self.can_retry());
             match next {
                 NextStep::Relay => {
@@ -320,6 +325,45 @@
         }
     }
 
+    /// Waits for a permit for the next attempt. Otherwise returns why the request is refused, and
+    /// when to retry.
+    async fn acquire_permit(&mut self) -> Result<Permit, (Refusal, Duration)> {
+        const OUT_OF_TIME: (Refusal, Duration) = (Refusal::Busy, Duration::ZERO);
+        let time_left = self.time_left();
+        if time_left < MIN_ATTEMPT_TIME && (self.fallback.is_some() || time_left.is_zero()) {
+            return Err(OUT_OF_TIME);
+        }
+        self.check_parts()?;
+        self.permit_request.time_left = time_left;
+        self.permit_request.max_wait = self.permit_request.max_wait.min(time_left);
+        let asked_at = clock::now();
+        let acquire = permit::acquire(&self.node, &self.permit_request);
+        let permit = match timeout(time_left, acquire).await {
+            Ok(Ok(permit)) => permit,
+            Ok(Err(refused)) => {
+                self.log.record_refusing_owner(refused.owner);
+                return Err((refused.reason, refused.retry_after));
+            }
+            Err(_) => return Err(OUT_OF_TIME),
+        };
+        // A part may have become known while the request waited.
+        if let Err(refused) = self.check_parts() {
+            permit.end(RunEnd::Unused);
+            return Err(refused);
+        }
+        let waited = clock::now().saturating_sub(asked_at);
+        self.log
+            .record_permit(permit.owner(), &permit.target.id, waited);
+        Ok(permit)
+    }
+
+    /// Checks that no part of the prompt is refused.
+    fn check_parts(&self) -> Result<(), (Refusal, Duration)> {
+        let poison_parts = self.node.poison_parts.borrow();
+        let refusal = poison_parts.refusal(clock::now(), &self.req.shared_parts);
+        refusal.map_or(Ok(()), |left| Err((Refusal::PoisonPart, left)))
+    }
+
     /// Records what the caller gets if this was the last attempt. If this attempt did not run, an
     /// earlier one may still have run, so its result is kept.
     fn record_fallback(&mut self, next: NextStep, response: Option<Response<Body>>) {
@@ -328,6 +372,11 @@
         }
     }
 
+    fn record_answer(&self) {
+        let mut poison_parts = self.node.poison_parts.borrow_mut();
+        poison_parts.record_answer(clock::now(), &self.req.shared_parts);
+    }
+
     fn time_left(&self) -> Duration {
         self.deadline.saturating_sub(clock::now())
     }
--- /dev/null
+++ b/crates/gateway/tests/poison_parts.rs
@@ -0,0 +1,193 @@
+//! Parts of prompts that crash targets are told from sound ones.
+
+mod support;
+
+use std::time::Duration;
+
+use gateway::{PartReport, PoisonParts};
+use support::ms;
+
+/// A part of all prompts, one of a few, and one that crashes targets.
+const COMMON: u64 = 1;
+const RARE: u64 = 2;
+const POISON: u64 = 3;
+const START: Duration = Duration::from_secs(100);
+
+fn is_refused(parts: &PoisonParts, now: Duration, part: u64) -> bool {
+    parts.refusal(now, &[COMMON, part]).is_some()
+}
+
+/// Members that gossip with each other.
+struct Fleet {
+    now: Duration,
+    members: Vec<PoisonParts>,
+}
+
+impl Fleet {
+    fn new(size: usize) -> Self {
+        let members = (0..size).map(|_| PoisonParts::default()).collect();
+        Fleet {
+            now: START,
+            members,
+        }
+    }
+
+    /// Each member gets the reports of all others.
+    fn gossip(&mut self) {
+        let reports: Vec<Vec<PartReport>> =
+            self.members.iter().map(|m| m.reports(self.now)).collect();
+        for member in &mut self.members {
+            for reports in &reports {
+                member.merge(self.now, reports);
+            }
+        }
+    }
+
+    fn refusing(&self, part: u64) -> usize {
+        let refuses = |member: &&PoisonParts| is_refused(member, self.now, part);
+        self.members.iter().filter(refuses).count()
+    }
+}
+
+/// Guards against targets that crash one after the other because no request is like another one.
+/// Each crash is seen by another member.
+#[test]
+fn a_part_that_crashes_three_targets_is_refused_by_all_members() {
+    let mut fleet = Fleet::new(9);
+    for target in 0..3 {
+        assert_eq!(fleet.refusing(POISON), 0, "after {target} crashes");
+        let now = fleet.now;
+        let member = usize::try_from(target).expect("small");
+        fleet.members[member].record_answer(now, &[COMMON]);
+        fleet.members[member].record_crash(now, &[COMMON, POISON], target);
+        fleet.now += ms(300);
+        fleet.gossip();
+    }
+
+    assert_eq!(fleet.refusing(POISON), 9);
+    assert_eq!(fleet.refusing(COMMON), 0);
+}
+
+/// Guards against sound requests that are refused because they share parts with poison ones, or ran
+/// on targets that crashed: an answer at any member clears a part.
+#[test]
+fn parts_on_which_answers_begin_are_not_refused() {
+    let mut fleet = Fleet::new(9);
+    for target in 0..60 {
+        let now = fleet.now;
+        let member = usize::try_from(target % 8).expect("small");
+        fleet.members[member].record_crash(now, &[COMMON, RARE, POISON], target);
+        if target % 10 == 0 {
+            fleet.members[8].record_answer(now, &[COMMON, RARE]);
+        }
+        fleet.now += ms(100);
+        fleet.gossip();
+        assert_eq!(fleet.refusing(RARE), 0, "after {target} crashes");
+    }
+
+    assert_eq!(fleet.refusing(POISON), 9);
+}
+
+/// Guards against the refusal of a sound part whose runs were on crashed targets by chance.
+#[test]
+fn crashes_before_an_answer_do_not_count() {
+    let mut parts = PoisonParts::default();
+    let mut now = START;
+    for target in 0..20 {
+        parts.record_crash(now, &[RARE], target);
+        now += Duration::from_secs(15);
+        if target % 2 == 1 {
+            parts.record_answer(now, &[RARE]);
+            now += Duration::from_secs(15);
+        }
+        assert!(!is_refused(&parts, now, RARE), "after {target} crashes");
+    }
+}
+
+/// A part that was sound may become poison, for example with a new version of the targets.
+#[test]
+fn a_part_without_answers_for_a_while_is_blamed_again() {
+    let mut parts = PoisonParts::default();
+    parts.record_answer(START, &[COMMON]);
+    let mut now = START + Duration::from_secs(10);
+
+    for target in 0..3 {
+        assert!(!is_refused(&parts, now, COMMON));
+        parts.record_crash(now, &[COMMON], target);
+        now += ms(500);
+    }
+
+    assert!(is_refused(&parts, now, COMMON));
+}
+
+/// One crash that several members see is one crash.
+#[test]
+fn a_crash_is_counted_once() {
+    let mut fleet = Fleet::new(9);
+    for member in &mut fleet.members {
+        member.record_crash(START, &[POISON], 1);
+        member.record_crash(START + ms(1), &[POISON], 2);
+    }
+    fleet.now += ms(250);
+
+    fleet.gossip();
+
+    assert_eq!(fleet.refusing(POISON), 0);
+}
+
+/// Guards against members that forget a part when those that know it restart, one after the other.
+#[test]
+fn restarted_members_learn_of_refused_parts() {
+    let mut fleet = Fleet::new(9);
+    for target in 0..3 {
+        fleet.members[0].record_crash(START, &[POISON], target);
+    }
+    fleet.now += ms(250);
+    fleet.gossip();
+    for at in 0..9 {
+        fleet.members[at] = PoisonParts::default();
+        fleet.now += Duration::from_secs(5);
+        fleet.gossip();
+    }
+
+    assert_eq!(fleet.refusing(POISON), 9);
+}
+
+/// A refused part is tried again, and one more crash is enough.
+#[test]
+fn a_refusal_ends_and_returns_after_one_crash() {
+    let mut parts = PoisonParts::default();
+    for target in 0..3 {
+        parts.record_crash(START, &[POISON], target);
+    }
+    let later = START + Duration::from_mins(2);
+    assert!(is_refused(&parts, later - ms(1), POISON));
+    assert!(!is_refused(&parts, later, POISON));
+
+    parts.record_crash(later, &[POISON], 4);
+
+    assert!(is_refused(&parts, later, POISON));
+}
+
+/// Guards against memory and heartbeats that grow with the number of parts.
+#[test]
+fn the_state_is_bounded() {
+    const CRASHES: u64 = 20_000;
+    let mut parts = PoisonParts::default();
+    let mut now = START;
+    for target in 0..3 {
+        parts.record_crash(now, &[POISON], target);
+    }
+    for at in 0..CRASHES {
+        now += ms(1);
+        parts.record_crash(now, &[1000 + at], at);
+        parts.record_answer(now, &[100_000 + at]);
+    }
+    parts.expire(now);
+
+    let reports = parts.reports(now);
+
+    // The heartbeat of a member has room for a few dozen parts.
+    assert!(reports.len() <= 24, "{}", reports.len());
+    assert_eq!(reports[0].part, POISON, "refused parts come first");
+}
