--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -201,6 +201,10 @@
         "no_target" => format!("not run: no target of its pool was available; {sends} sends"),
         "retry_budget" => "not run: the retry budget of its pool was used up".to_owned(),
         "poison" => "not run: the same request broke three targets".to_owned(),
+        "poison_part" => {
+            "not run: a part of its prompt crashed three targets, in this or other requests"
+                .to_owned()
+        }
         "outcome unknown" => format!(
             "it may have run: {target} received it but returned no complete response; its route \
              allows no further attempt, or none was left ({sends} sends)"
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -4,8 +4,8 @@
 use std::path::{Path, PathBuf};
 
 /// Prefixes of log messages, by the component that logs.
-const EVENT_PREFIXES: [&str; 6] = [
-    "entry: ", "member: ", "store: ", "config: ", "target: ", "peer: ",
+const EVENT_PREFIXES: [&str; 7] = [
+    "entry: ", "member: ", "store: ", "config: ", "target: ", "peer: ", "poison: ",
 ];
 const METRIC_PREFIX: &str = "primrosechute_";
 
