gateway: take a stream that ends inside an event as broken off

What callers saw: a target that crashes in the middle of a stream without length or chunks ends its connection; the caller got the part before it as a complete stream.

Cause: the end of such a connection is the end of the response, and the relay did not look at what came last. The splitter of events also looked at the last three bytes it still held, of which streams that can't be resumed kept none, so that a blank line split between two frames was not seen as the end of an event.

Change: the splitter keeps its place in a line and in an event from frame to frame. A stream that ends inside an event is broken: it is resumed if it may be, and else ends without its end at the caller.

Tests: rows of responses_with_one_worker_and_one_attempt with such streams failed before, "left: (200, true, 1) right: (200, false, 1)". New rows with heads and bodies without end passed at once; they were not tested before.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -82,43 +82,70 @@
 }
 
 /// Splits a stream into complete events and remembers the id of the last one.
-#[derive(Default)]
 struct EventSplitter {
     partial: BytesMut,
     last_id: Option<String>,
     count: u32,
+    /// Whether the next byte begins a line.
+    at_line_start: bool,
+    /// Whether an event has begun that no blank line has ended.
+    is_inside_event: bool,
 }
 
 impl EventSplitter {
+    fn new() -> Self {
+        EventSplitter {
+            partial: BytesMut::new(),
+            last_id: None,
+            count: 0,
+            at_line_start: true,
+            is_inside_event: false,
+        }
+    }
+
     /// Adds bytes and returns the events that are now complete.
     fn push(&mut self, data: &[u8]) -> Option<Bytes> {
-        let scan_start = self.partial.len().saturating_sub(3);
+        let scan_start = self.partial.len();
         self.partial.extend_from_slice(data);
         let mut end = 0;
-        let mut at = scan_start;
-        while at < self.partial.len() {
-            let remainder = &self.partial[at..];
-            let separator_len = if remainder.starts_with(b"\n\n") {
-                2
-            } else if remainder.starts_with(b"\n\r\n") {
-                3
-            } else {
-                at += 1;
+        for at in scan_start..self.partial.len() {
+            if !self.ends_event(self.partial[at]) {
                 continue;
-            };
-            at += separator_len;
-            let event = &self.partial[end..at];
-            if let Some(id) = event_id(event) {
+            }
+            if let Some(id) = event_id(&self.partial[end..=at]) {
                 self.last_id = Some(id);
             }
             self.count += 1;
-            end = at;
+            end = at + 1;
         }
         if end == 0 && self.partial.len() > MAX_EVENT_BYTES {
             end = self.partial.len();
         }
         (end > 0).then(|| self.partial.split_to(end).freeze())
     }
+
+    /// Whether a byte is the end of a blank line that ends an event.
+    fn ends_event(&mut self, byte: u8) -> bool {
+        match byte {
+            b'\n' => {
+                let is_blank_line = std::mem::replace(&mut self.at_line_start, true);
+                is_blank_line && std::mem::take(&mut self.is_inside_event)
+            }
+            b'\r' => false,
+            _ => {
+                self.at_line_start = false;
+                self.is_inside_event = true;
+                false
+            }
+        }
+    }
+
+    /// Discards what was received of an incomplete event.
+    fn restart(&mut self) {
+        self.partial.clear();
+        self.at_line_start = true;
+        self.is_inside_event = false;
+    }
 }
 
 fn event_id(event: &[u8]) -> Option<String> {
@@ -193,7 +220,7 @@
     mut source: TargetStream,
     tx: mpsc::Sender<Result<Bytes, Aborted>>,
 ) {
-    let mut events = EventSplitter::default();
+    let mut events = EventSplitter::new();
     loop {
         let can_resume = stream.route.kind.is_retryable()
             && stream.permit_request.sends < stream.route.max_attempts;
@@ -272,7 +299,7 @@
             return;
         };
         counter!("primrosechute_streams_resumed_total").increment(1);
-        events.partial.clear();
+        events.restart();
         source = next;
     }
 }
@@ -299,6 +326,8 @@
         };
         match frame {
             Err(_) => return StreamEnd::DeadlinePassed,
+            // The end of a connection may be the end of the response.
+            Ok(None) if events.is_inside_event => return StreamEnd::Broken,
             Ok(None) => return StreamEnd::Complete,
             Ok(Some(Err(_))) => return StreamEnd::Broken,
             Ok(Some(Ok(frame))) => {
--- a/crates/gateway/tests/poison_parts.rs
+++ b/crates/gateway/tests/poison_parts.rs
@@ -161,7 +161,7 @@
         parts.record_crash(START, &[POISON], target);
     }
     let later = START + Duration::from_mins(2);
-    assert!(is_refused(&parts, later - ms(1), POISON));
+    assert!(is_refused(&parts, START + ms(119_999), POISON));
     assert!(!is_refused(&parts, later, POISON));
 
     parts.record_crash(later, &[POISON], 4);
