--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -166,11 +166,12 @@
     reason = "all futures run on the one thread of the process"
 )]
 pub trait Store {
-    /// Lists everything in the store. Each response may take `timeout` to begin and to go on.
+    /// Lists everything in the store. Each response has to begin within `timeout` and must not
+    /// stall for longer.
     async fn list(&mut self, timeout: Duration) -> Result<Batch, StoreError>;
 
-    /// Waits up to `wait` for changes after a revision. The result may be empty. The response may
-    /// take `timeout` beyond that to begin, and to go on.
+    /// Waits up to `wait` for changes after a revision. The result may be empty. The response has
+    /// to begin within `timeout` after that, and must not stall for longer.
     async fn watch(
         &mut self,
         after: u64,
@@ -178,7 +179,7 @@
         timeout: Duration,
     ) -> Result<Batch, StoreError>;
 
-    /// Bytes of the responses as they are received.
+    /// Counts the bytes of the responses as they are received.
     fn progress(&self) -> Progress;
 
     /// The change that a record means, if any. A record that can't be parsed is logged.
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -22,28 +22,21 @@
     }
     let (node, parts, target) = (Rc::clone(node), Rc::clone(parts), target.clone());
     tokio::task::spawn_local(async move {
-        let connected = upstream::connect(target.address).await;
-        let now = clock::now();
-        match connected {
-            Ok(upstream) => node.upstreams.put(now, upstream, None),
+        match upstream::connect(target.address).await {
+            Ok(upstream) => node.upstreams.put(clock::now(), upstream, None),
             Err(_) => blame(&node, &parts, &target),
         }
     });
 }
 
 fn blame(node: &Node, parts: &[u64], target: &Target) {
-    let now = clock::now();
     let mut poison_parts = node.poison_parts.borrow_mut();
-    let was_refused = poison_parts.refusal(now, parts).is_some();
-    let blamed = poison_parts.record_crash(now, parts, target_key(target));
-    counter!("primrosechute_crashes_total").increment(1);
-    for &part in &blamed {
+    let blame = poison_parts.record_crash(clock::now(), parts, target_key(target));
+    counter!("primrosechute_crashed_runs_total").increment(1);
+    for &part in &blame.parts {
         warn!(part = &*hex(part), target = &*target.id; "poison: a target crashed");
     }
-    let refused = blamed
-        .into_iter()
-        .filter(|&part| !was_refused && poison_parts.refusal(now, &[part]).is_some());
-    log_refused(&refused.collect::<Vec<u64>>());
+    log_refused(&blame.refused);
 }
 
 /// Logs parts that are refused from now on.
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -14,7 +14,7 @@
 #[derive(Default)]
 pub(crate) struct FeedClient {
     conn: Option<(SocketAddr, Connection)>,
-    /// Bytes of the responses as they are received.
+    /// Counts the bytes of the responses as they are received.
     progress: Progress,
 }
 
@@ -23,9 +23,10 @@
         self.progress.clone()
     }
 
-    /// Waits up to `wait` for changes after a revision. The response may take `response_timeout`
-    /// beyond that to begin, and to go on. After a failure, or if this future is
-    /// dropped, the connection is not used again: a late response could be taken for the next one.
+    /// Waits up to `wait` for changes after a revision. The response has to begin within
+    /// `response_timeout` after that, and must not stall for longer. After a failure, or if this
+    /// future is dropped, the connection is not used again: a late response could be taken for the
+    /// next one.
     pub(crate) async fn watch(
         &mut self,
         reader: SocketAddr,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -78,7 +78,7 @@
     Workspace,
 };
 pub use owner::{Decision, Offer, Owner, Refusal, RunEnd, RunId, RunReport, target_key};
-pub use poison_parts::{PartReport, PoisonParts};
+pub use poison_parts::{Blame, PartReport, PoisonParts};
 pub use poison_requests::PoisonRequests;
 pub use record_log::{LogDelta, RecordLog};
 pub use retry_budget::RetryBudget;
--- a/crates/gateway/src/poison_parts.rs
+++ b/crates/gateway/src/poison_parts.rs
@@ -40,6 +40,15 @@
     pub answered: Option<Duration>,
 }
 
+/// Parts that are blamed for a crash.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Blame {
+    /// All of them. Most are sound.
+    pub parts: Vec<u64>,
+    /// Those that are refused from now on.
+    pub refused: Vec<u64>,
+}
+
 #[derive(Clone, Copy)]
 struct Crash {
     target: u64,
@@ -54,17 +63,15 @@
 }
 
 impl Suspect {
-    fn add_crash(&mut self, crash: Crash) -> bool {
-        let is_known = self.crashes.iter().any(|c| c.target == crash.target);
-        if is_known {
-            return false;
+    fn add_crash(&mut self, crash: Crash) {
+        if self.crashes.iter().any(|c| c.target == crash.target) {
+            return;
         }
         let position = self.crashes.partition_point(|c| c.at <= crash.at);
         self.crashes.insert(position, crash);
         if self.crashes.len() > REFUSE_AFTER_CRASHES {
             self.crashes.pop_front();
         }
-        true
     }
 
     fn last_crash(&self) -> Duration {
@@ -106,8 +113,11 @@
     #[must_use]
     pub fn refused_parts(&self, now: Duration) -> usize {
         let parts = self.suspects.keys();
-        let refused = parts.filter(|&&part| self.refusal(now, &[part]).is_some());
-        refused.count()
+        parts.filter(|&&part| self.is_refused(now, part)).count()
+    }
+
+    fn is_refused(&self, now: Duration, part: u64) -> bool {
+        self.refusal(now, &[part]).is_some()
     }
 
     /// Records that an answer began on a prompt with these parts.
@@ -123,26 +133,32 @@
         }
     }
 
-    /// Records that a target crashed with an unanswered run whose prompt has these parts. Returns
-    /// the parts that it is blamed on.
-    pub fn record_crash(&mut self, now: Duration, parts: &[u64], target: u64) -> Vec<u64> {
+    /// Records that a target crashed with an unanswered run whose prompt has these parts.
+    pub fn record_crash(&mut self, now: Duration, parts: &[u64], target: u64) -> Blame {
         let is_blamed = |part: &u64| {
             self.last_answer(*part)
                 .is_none_or(|at| now.saturating_sub(at) >= ANSWER_MEMORY)
         };
-        let blamed: Vec<u64> = parts.iter().copied().filter(is_blamed).collect();
-        for &part in &blamed {
+        let mut blame = Blame {
+            parts: parts.iter().copied().filter(is_blamed).collect(),
+            refused: Vec::new(),
+        };
+        for &part in &blame.parts {
+            let was_refused = self.is_refused(now, part);
             let crash = Crash { target, at: now };
             self.suspect(part).add_crash(crash);
+            if !was_refused && self.is_refused(now, part) {
+                blame.refused.push(part);
+            }
         }
-        blamed
+        blame
     }
 
-    /// Applies what another member observed. Returns the parts that are refused because of it.
+    /// Applies what another member observed. Returns the parts that are refused from now on.
     pub fn merge(&mut self, now: Duration, reports: &[PartReport]) -> Vec<u64> {
         let mut refused = Vec::new();
         for report in reports {
-            let was_refused = self.refusal(now, &[report.part]).is_some();
+            let was_refused = self.is_refused(now, report.part);
             let crashes = report.crashes.iter().filter(|(_, age)| *age < CRASH_MEMORY);
             let crashes: Vec<Crash> = crashes
                 .map(|&(target, age)| Crash {
@@ -159,7 +175,7 @@
             }
             let answered = report.answered.map(|age| now.saturating_sub(age));
             suspect.last_answer = suspect.last_answer.max(answered);
-            if !was_refused && self.refusal(now, &[report.part]).is_some() {
+            if !was_refused && self.is_refused(now, report.part) {
                 refused.push(report.part);
             }
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,6 +36,8 @@
 /// arrives and can't be resumed.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Ends the connection to the caller before the end of the response.
 #[derive(Debug)]
 pub(crate) struct Aborted;
@@ -173,15 +175,21 @@
     upstream: Upstream,
     body: Incoming,
     head: ResponseHead,
+    /// Whether the body is a series of events. Another body may end anywhere.
+    has_events: bool,
 }
 
 impl TargetStream {
     fn new(permit: Permit, received: ReceivedHead) -> Self {
+        let content_type = received.response.headers().get(http::header::CONTENT_TYPE);
+        let has_events =
+            content_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM.as_bytes()));
         TargetStream {
             permit,
             upstream: received.upstream,
             body: received.response.into_body(),
             head: received.head,
+            has_events,
         }
     }
 }
@@ -327,7 +335,7 @@
         match frame {
             Err(_) => return StreamEnd::DeadlinePassed,
             // The end of a connection may be the end of the response.
-            Ok(None) if events.is_inside_event => return StreamEnd::Broken,
+            Ok(None) if events.is_inside_event && source.has_events => return StreamEnd::Broken,
             Ok(None) => return StreamEnd::Complete,
             Ok(Some(Err(_))) => return StreamEnd::Broken,
             Ok(Some(Ok(frame))) => {
