gateway: refuse the fewest parts that explain the crashes

Cause: each part with three crashes was refused by itself, although the poison part explains the same crashes.

Change: parts are refused in the order of the crashes that none before them explains, three at least; of parts with the same crashes, the last in the prompt. Heartbeats carry the position of a part.

Tests: only_the_most_specific_part_of_the_same_prompts_is_refused and parts_of_other_runs_on_the_same_targets_are_not_refused fail without the explained crashes.

--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -94,6 +94,9 @@
     /// Milliseconds since an answer began on the part, if one is known.
     #[prost(uint32, optional, tag = "3")]
     pub(crate) answered_ms: Option<u32>,
+    /// Position in the prompts.
+    #[prost(uint32, tag = "4")]
+    pub(crate) depth: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -258,6 +261,7 @@
         };
         PartReportMsg {
             part: report.part,
+            depth: report.depth,
             crashes: report.crashes.iter().map(crash).collect(),
             answered_ms: report.answered.map(millis),
         }
@@ -270,6 +274,7 @@
         let crashes = msg.crashes.iter();
         PartReport {
             part: msg.part,
+            depth: msg.depth,
             crashes: crashes.map(|c| (c.target, age(c.age_ms))).collect(),
             answered: msg.answered_ms.map(age),
         }
--- a/crates/gateway/src/poison_parts.rs
+++ b/crates/gateway/src/poison_parts.rs
@@ -3,11 +3,11 @@
 //!
 //! Each member observes the runs of its own callers and learns from heartbeats what the others
 //! observed. A crash is blamed on the parts of the runs that it cut off before their answer began.
-//! Most of these parts are sound. They are told apart by answers: an answer that begins on a part
-//! clears it, at all members.
+//! Most of these parts are sound. An answer that begins on a part clears it, at all members; the
+//! poison parts are the fewest that explain all other crashes.
 
 use std::cmp::Reverse;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 /// A part is refused after it was in the prompts of unanswered runs on this many crashed targets.
@@ -26,6 +26,9 @@
 const MAX_SUSPECTS: usize = 1024;
 /// Maximum number of parts whose last answer is remembered; the oldest half is evicted.
 const MAX_ANSWERED: usize = 8192;
+/// Maximum number of crashes of one part that are remembered, and that are in one heartbeat.
+const MAX_CRASHES: usize = 16;
+const MAX_REPORTED_CRASHES: usize = 4;
 /// Maximum number of suspected parts in one heartbeat.
 const MAX_REPORTS: usize = 12;
 
@@ -34,6 +37,8 @@
 pub struct PartReport {
     /// Hash of the part.
     pub part: u64,
+    /// Position in the prompts; 0 is the first part.
+    pub depth: u32,
     /// Targets that crashed with unanswered runs of the part, each with the time since the crash.
     pub crashes: Vec<(u64, Duration)>,
     /// Time since an answer began on the part, if one is known.
@@ -57,7 +62,9 @@
 
 #[derive(Default)]
 struct Suspect {
-    /// The newest crashes, oldest first, at most `REFUSE_AFTER_CRASHES`.
+    /// Position in the prompts; 0 is the first part.
+    depth: u32,
+    /// The newest crashes, oldest first.
     crashes: VecDeque<Crash>,
     last_answer: Option<Duration>,
 }
@@ -69,7 +76,7 @@
         }
         let position = self.crashes.partition_point(|c| c.at <= crash.at);
         self.crashes.insert(position, crash);
-        if self.crashes.len() > REFUSE_AFTER_CRASHES {
+        if self.crashes.len() > MAX_CRASHES {
             self.crashes.pop_front();
         }
     }
@@ -78,17 +85,19 @@
         self.crashes.back().map_or(Duration::ZERO, |crash| crash.at)
     }
 
-    /// Number of crashes that no answer has cleared.
-    fn blamed_crashes(&self) -> usize {
+    /// Crashes that no answer has cleared.
+    fn blamed_crashes(&self) -> impl Iterator<Item = &Crash> {
         let cleared_until = self.last_answer.map(|at| at + ANSWER_MEMORY);
         let crashes = self.crashes.iter();
-        let blamed = crashes.filter(|crash| cleared_until.is_none_or(|until| crash.at >= until));
-        blamed.count()
+        crashes.filter(move |crash| cleared_until.is_none_or(|until| crash.at >= until))
     }
 
-    fn refused_until(&self) -> Option<Duration> {
-        let is_poison = self.blamed_crashes() >= REFUSE_AFTER_CRASHES;
-        is_poison.then(|| self.last_crash() + REFUSE_TIME)
+    /// Crashes that no answer has cleared, without those at the given targets.
+    fn unexplained_crashes(&self, explained: &HashSet<u64>) -> usize {
+        let crashes = self.blamed_crashes();
+        crashes
+            .filter(|crash| !explained.contains(&crash.target))
+            .count()
     }
 }
 
@@ -98,36 +107,40 @@
     /// Time at which the last answer on a part began at this member.
     answered: HashMap<u64, Duration>,
     suspects: HashMap<u64, Suspect>,
+    /// Parts that explain the crashes, with the time until which they are refused.
+    poison: HashMap<u64, Duration>,
 }
 
 impl PoisonParts {
     /// Time for which requests with any of the parts are refused; `None` if they are not.
     #[must_use]
     pub fn refusal(&self, now: Duration, parts: &[u64]) -> Option<Duration> {
-        let suspects = parts.iter().filter_map(|part| self.suspects.get(part));
-        let until = suspects.filter_map(Suspect::refused_until).max()?;
+        let until = parts
+            .iter()
+            .filter_map(|part| self.poison.get(part))
+            .max()?;
         until.checked_sub(now).filter(|left| !left.is_zero())
     }
 
     /// Number of parts that are refused.
     #[must_use]
     pub fn refused_parts(&self, now: Duration) -> usize {
-        let parts = self.suspects.keys();
-        parts.filter(|&&part| self.is_refused(now, part)).count()
-    }
-
-    fn is_refused(&self, now: Duration, part: u64) -> bool {
-        self.refusal(now, &[part]).is_some()
+        self.poison.values().filter(|&&until| now < until).count()
     }
 
     /// Records that an answer began on a prompt with these parts.
     pub fn record_answer(&mut self, now: Duration, parts: &[u64]) {
+        let mut is_suspected = false;
         for &part in parts {
             self.answered.insert(part, now);
             if let Some(suspect) = self.suspects.get_mut(&part) {
                 suspect.last_answer = Some(now);
+                is_suspected = true;
             }
         }
+        if is_suspected {
+            self.find_poison();
+        }
         if self.answered.len() > MAX_ANSWERED {
             self.evict_answered();
         }
@@ -139,71 +152,69 @@
             self.last_answer(*part)
                 .is_none_or(|at| now.saturating_sub(at) >= ANSWER_MEMORY)
         };
-        let mut blame = Blame {
-            parts: parts.iter().copied().filter(is_blamed).collect(),
-            refused: Vec::new(),
-        };
-        for &part in &blame.parts {
-            let was_refused = self.is_refused(now, part);
-            let crash = Crash { target, at: now };
-            self.suspect(part).add_crash(crash);
-            if !was_refused && self.is_refused(now, part) {
-                blame.refused.push(part);
-            }
+        let blamed = (0..).zip(parts).filter(|(_, part)| is_blamed(part));
+        let blamed: Vec<(u32, u64)> = blamed.map(|(depth, &part)| (depth, part)).collect();
+        for &(depth, part) in &blamed {
+            let suspect = self.suspect(part);
+            suspect.depth = suspect.depth.max(depth);
+            suspect.add_crash(Crash { target, at: now });
+        }
+        Blame {
+            parts: blamed.into_iter().map(|(_, part)| part).collect(),
+            refused: self.find_newly_refused(now),
         }
-        blame
     }
 
     /// Applies what another member observed. Returns the parts that are refused from now on.
     pub fn merge(&mut self, now: Duration, reports: &[PartReport]) -> Vec<u64> {
-        let mut refused = Vec::new();
+        if reports.is_empty() {
+            return Vec::new();
+        }
         for report in reports {
-            let was_refused = self.is_refused(now, report.part);
             let crashes = report.crashes.iter().filter(|(_, age)| *age < CRASH_MEMORY);
-            let crashes: Vec<Crash> = crashes
-                .map(|&(target, age)| Crash {
-                    target,
-                    at: now.saturating_sub(age),
-                })
-                .collect();
-            if crashes.is_empty() {
+            let mut crashes = crashes.peekable();
+            if crashes.peek().is_none() {
                 continue;
             }
             let suspect = self.suspect(report.part);
-            for crash in crashes {
-                suspect.add_crash(crash);
+            suspect.depth = suspect.depth.max(report.depth);
+            for &(target, age) in crashes {
+                let at = now.saturating_sub(age);
+                suspect.add_crash(Crash { target, at });
             }
             let answered = report.answered.map(|age| now.saturating_sub(age));
             suspect.last_answer = suspect.last_answer.max(answered);
-            if !was_refused && self.is_refused(now, report.part) {
-                refused.push(report.part);
-            }
         }
-        refused
+        self.find_newly_refused(now)
     }
 
-    /// Reports for the next heartbeat: the parts with the most crashes, and then the newest.
+    /// Reports for the next heartbeat: refused parts, those with the most crashes, and then the
+    /// newest.
     #[must_use]
     pub fn reports(&self, now: Duration) -> Vec<PartReport> {
-        let is_gossiped = |suspect: &Suspect| {
+        let is_refused = |part: &u64| self.poison.get(part).is_some_and(|&until| now < until);
+        let is_gossiped = |part: &u64, suspect: &Suspect| {
             let age = now.saturating_sub(suspect.last_crash());
-            let is_refused = suspect.refused_until().is_some_and(|until| now < until);
-            is_refused || age < SUSPECT_GOSSIP_TIME
+            is_refused(part) || age < SUSPECT_GOSSIP_TIME
         };
         let suspects = self.suspects.iter();
         let mut gossiped: Vec<(&u64, &Suspect)> = suspects
-            .filter(|(_, suspect)| is_gossiped(suspect))
+            .filter(|(part, suspect)| is_gossiped(part, suspect))
             .collect();
-        gossiped.sort_unstable_by_key(|(_, suspect)| {
-            Reverse((suspect.blamed_crashes(), suspect.last_crash()))
+        gossiped.sort_unstable_by_key(|(part, suspect)| {
+            let crashes = suspect.blamed_crashes().count();
+            Reverse((is_refused(part), crashes, suspect.last_crash()))
         });
         gossiped.truncate(MAX_REPORTS);
         let age = |at: Duration| now.saturating_sub(at);
         let report = |(&part, suspect): (&u64, &Suspect)| PartReport {
             part,
+            depth: suspect.depth,
             crashes: suspect
                 .crashes
                 .iter()
+                .rev()
+                .take(MAX_REPORTED_CRASHES)
                 .map(|crash| (crash.target, age(crash.at)))
                 .collect(),
             answered: suspect.last_answer.map(age),
@@ -217,6 +228,47 @@
             .retain(|_, suspect| now.saturating_sub(suspect.last_crash()) < CRASH_MEMORY);
         self.answered
             .retain(|_, &mut at| now.saturating_sub(at) < ANSWER_MEMORY);
+        let suspects = &self.suspects;
+        self.poison.retain(|part, _| suspects.contains_key(part));
+    }
+
+    /// Updates the parts that explain the crashes. Returns those that are refused from now on.
+    fn find_newly_refused(&mut self, now: Duration) -> Vec<u64> {
+        let before = std::mem::take(&mut self.poison);
+        self.find_poison();
+        let was_refused = |part: &u64| before.get(part).is_some_and(|&until| now < until);
+        let refused = self.poison.iter().filter(|&(_, &until)| now < until);
+        let new = refused.filter(|(part, _)| !was_refused(part));
+        new.map(|(&part, _)| part).collect()
+    }
+
+    /// Updates the parts that explain the crashes: again and again the one with the most crashes
+    /// that none before it explains. Sound parts of the same prompts, and of other runs on the same
+    /// targets, have no crashes of their own. Of parts with the same crashes the last in the prompt
+    /// is the most specific.
+    fn find_poison(&mut self) {
+        self.poison.clear();
+        let mut explained: HashSet<u64> = HashSet::new();
+        let suspects = self.suspects.iter();
+        let mut candidates: Vec<(&u64, &Suspect)> = suspects
+            .filter(|(_, suspect)| suspect.crashes.len() >= REFUSE_AFTER_CRASHES)
+            .collect();
+        loop {
+            let unexplained = |suspect: &Suspect| suspect.unexplained_crashes(&explained);
+            let best = candidates
+                .iter()
+                .enumerate()
+                .max_by_key(|(_, (part, suspect))| (unexplained(suspect), suspect.depth, **part));
+            let Some((at, &(&part, suspect))) = best else {
+                return;
+            };
+            if unexplained(suspect) < REFUSE_AFTER_CRASHES {
+                return;
+            }
+            explained.extend(suspect.blamed_crashes().map(|crash| crash.target));
+            self.poison.insert(part, suspect.last_crash() + REFUSE_TIME);
+            candidates.swap_remove(at);
+        }
     }
 
     fn last_answer(&self, part: u64) -> Option<Duration> {
@@ -227,8 +279,7 @@
     fn suspect(&mut self, part: u64) -> &mut Suspect {
         if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&part) {
             let suspects = self.suspects.iter();
-            let oldest = suspects
-                .min_by_key(|(_, suspect)| (suspect.blamed_crashes(), suspect.last_crash()));
+            let oldest = suspects.min_by_key(|(_, s)| (s.blamed_crashes().count(), s.last_crash()));
             if let Some((&oldest, _)) = oldest {
                 self.suspects.remove(&oldest);
             }
--- a/crates/gateway/tests/poison_parts.rs
+++ b/crates/gateway/tests/poison_parts.rs
@@ -88,6 +88,52 @@
     assert_eq!(fleet.refusing(POISON), 9);
 }
 
+/// Guards against a kind of request that is refused whole, when no answer began on its common part
+/// because targets were overloaded or down.
+#[test]
+fn only_the_most_specific_part_of_the_same_prompts_is_refused() {
+    let mut fleet = Fleet::new(9);
+    for target in 0..3 {
+        fleet.members[0].record_crash(fleet.now, &[COMMON, POISON], target);
+        fleet.now += ms(50);
+    }
+    fleet.gossip();
+
+    assert_eq!(fleet.refusing(POISON), 9);
+    assert_eq!(fleet.refusing(RARE), 0, "prompts with the common part");
+}
+
+/// The common part may be the cause: then the other parts differ.
+#[test]
+fn a_common_part_with_crashes_of_its_own_is_refused() {
+    let mut fleet = Fleet::new(9);
+    for target in 0..3 {
+        let now = fleet.now;
+        fleet.members[0].record_crash(now, &[COMMON, 100 + target], target);
+    }
+    fleet.gossip();
+
+    assert_eq!(fleet.refusing(RARE), 9, "prompts with the common part");
+}
+
+/// Guards against the refusal of parts of other runs on the targets that a poison part crashes.
+#[test]
+fn parts_of_other_runs_on_the_same_targets_are_not_refused() {
+    let mut fleet = Fleet::new(9);
+    for target in 0..6 {
+        let now = fleet.now;
+        if target < 4 {
+            fleet.members[1].record_crash(now, &[RARE], target);
+        }
+        fleet.members[0].record_crash(now, &[POISON], target);
+        fleet.now += ms(300);
+        fleet.gossip();
+    }
+
+    assert_eq!(fleet.refusing(POISON), 9);
+    assert_eq!(fleet.refusing(RARE), 0);
+}
+
 /// Guards against the refusal of a sound part whose runs were on crashed targets by chance.
 #[test]
 fn crashes_before_an_answer_do_not_count() {
