gateway: pass on crashes and refused parts at once

On grown sites 4 to 28 more targets crashed in the one or two seconds in which a refused part reached all members by regular heartbeats. A member that blames a part for a crash, or learns that a part is refused, sends a heartbeat 20 ms later.

The cut members learn for themselves.

--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -36,14 +36,21 @@
     for &part in &blame.parts {
         warn!(part = &*hex(part), target = &*target.id; "poison: a target crashed");
     }
-    log_refused(&blame.refused);
+    if !blame.parts.is_empty() {
+        node.heartbeat_requested.notify_one();
+    }
+    announce_refused(node, &blame.refused);
 }
 
-/// Logs parts that are refused from now on.
-pub(crate) fn log_refused(parts: &[u64]) {
+/// Logs parts that are refused from now on, and passes them on at once: until all members know them,
+/// each of their requests crashes a target.
+pub(crate) fn announce_refused(node: &Node, parts: &[u64]) {
     for &part in parts {
         warn!(part = &*hex(part); "poison: requests with a part are refused");
     }
+    if !parts.is_empty() {
+        node.heartbeat_requested.notify_one();
+    }
 }
 
 fn hex(part: u64) -> String {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -80,6 +80,8 @@
     pub(crate) log_changed: watch::Sender<()>,
     /// Whether this member reads the store itself.
     pub(crate) reads_store: Cell<bool>,
+    /// Requests a heartbeat before the next regular one.
+    pub(crate) heartbeat_requested: Notify,
     /// Notifies the store follower that another member may have seen a newer revision.
     pub(crate) relist_requested: Notify,
     pub(crate) stopping: watch::Sender<bool>,
@@ -123,6 +125,7 @@
             record_log: RefCell::default(),
             log_changed: watch::Sender::new(()),
             reads_store: Cell::new(true),
+            heartbeat_requested: Notify::new(),
             relist_requested: Notify::new(),
             stopping: watch::Sender::new(false),
             serving: Rc::default(),
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -21,6 +21,8 @@
 
 /// Interval between heartbeats. A member loses the ownership of shards after five lost heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Delay of a heartbeat that is requested, so that one heartbeat serves the requests of a moment.
+const URGENT_HEARTBEAT_DELAY: Duration = Duration::from_millis(20);
 /// An owner gets the list of runs in flight for this long after the last offer to it.
 const RECENT_OWNER_MEMORY: Duration = Duration::from_secs(3);
 /// While offers are queued, the owner is polled at this interval in addition, for waits and
@@ -32,7 +34,10 @@
     let mut tick = interval(HEARTBEAT_INTERVAL);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        tick.tick().await;
+        tokio::select! {
+            _ = tick.tick() => {}
+            () = node.heartbeat_requested.notified() => sleep(URGENT_HEARTBEAT_DELAY).await,
+        }
         send_heartbeat(&node);
         let now = clock::now();
         if node.catalog.borrow_mut().expire(now) {
@@ -190,7 +195,7 @@
     }
     let reports: Vec<PartReport> = msg.poison_parts.iter().map(PartReport::from).collect();
     let refused = node.poison_parts.borrow_mut().merge(now, &reports);
-    crash_check::log_refused(&refused);
+    crash_check::announce_refused(node, &refused);
     let runs: Vec<(u64, u64)> = msg.runs.iter().map(|run| (run.run, run.target)).collect();
     node.owner.borrow_mut().sync_runs(now, sender, &runs);
     node.decide();
