gateway: at most ten heartbeats a second

A member that blames parts for many crashes in a row sent a heartbeat each 20 ms, up to 1.3 MB/s by its size and number of recipients (computed, not measured), more than the slowest links carry. Requested heartbeats keep a distance of 100 ms from the last one.

--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -21,8 +21,9 @@
 
 /// Interval between heartbeats. A member loses the ownership of shards after five lost heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
-/// Delay of a heartbeat that is requested, so that one heartbeat serves the requests of a moment.
-const URGENT_HEARTBEAT_DELAY: Duration = Duration::from_millis(20);
+/// Shortest time between two heartbeats if more are requested. It bounds their traffic while targets
+/// crash one after the other.
+const MIN_HEARTBEAT_GAP: Duration = Duration::from_millis(100);
 /// An owner gets the list of runs in flight for this long after the last offer to it.
 const RECENT_OWNER_MEMORY: Duration = Duration::from_secs(3);
 /// While offers are queued, the owner is polled at this interval in addition, for waits and
@@ -33,12 +34,17 @@
 pub(crate) async fn run_heartbeats(node: Rc<Node>) {
     let mut tick = interval(HEARTBEAT_INTERVAL);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last_sent = Duration::ZERO;
     loop {
         tokio::select! {
             _ = tick.tick() => {}
-            () = node.heartbeat_requested.notified() => sleep(URGENT_HEARTBEAT_DELAY).await,
+            () = node.heartbeat_requested.notified() => {
+                let elapsed = clock::now().saturating_sub(last_sent);
+                sleep(MIN_HEARTBEAT_GAP.saturating_sub(elapsed)).await;
+            }
         }
         send_heartbeat(&node);
+        last_sent = clock::now();
         let now = clock::now();
         if node.catalog.borrow_mut().expire(now) {
             node.apply_catalog_to_owner();
