gateway: follow another zone only after two failed calls to the store

Where all connections broke at once, nobody could be followed, so that members counted as without the store for some 250 ms, other owners took their shards, and cold starts were seen later.

Change: a member follows readers of other zones, or the other one of its own zone although it is a reader, only after two failed calls in a row.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -191,6 +191,8 @@
     /// Time at which the local process created its first heartbeat.
     first_heartbeat_at: Option<Duration>,
     has_met_member: bool,
+    /// Whether the store keeps refusing the local process.
+    is_refused_by_store: bool,
 }
 
 impl Membership {
@@ -221,6 +223,7 @@
             discoveries: 0,
             first_heartbeat_at: None,
             has_met_member: false,
+            is_refused_by_store: false,
         }
     }
 
@@ -242,6 +245,12 @@
         change(&mut self.local);
     }
 
+    /// Sets whether the store keeps refusing the local process. `Member::store_failed` is set from
+    /// the first failed call, which may be a broken connection alone.
+    pub(crate) fn set_refused_by_store(&mut self, is_refused: bool) {
+        self.is_refused_by_store = is_refused;
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: Vec<Ipv4Addr>) {
         self.seeds = seeds;
@@ -447,13 +456,14 @@
     ///
     /// In each zone a few members read the store, in an order on which all members of the zone
     /// agree. The others spread over them. A member whose calls to the store fail comes last, so
-    /// that another one takes its place. It follows a member whose calls succeed itself, in another
-    /// zone if there is none in its own: the store may refuse some members and serve others.
+    /// that another one takes its place. If they keep failing, it follows a member whose calls
+    /// succeed itself, in another zone if there is none in its own: the store may refuse some
+    /// members and serve others.
     #[must_use]
     pub fn store_reader(&self, now: Duration, avoided: &[Ipv4Addr]) -> Option<Ipv4Addr> {
         let own_zone = self.zone_readers(now, self.local.zone);
         let is_reader = own_zone.iter().any(|reader| reader.ip == self.local.ip);
-        if is_reader && !self.local.store_failed {
+        if is_reader && !self.is_refused_by_store {
             return None;
         }
         let closest = |readers: &[&Member], may_fail: bool| {
@@ -468,7 +478,7 @@
         if let Some(reader) = closest(&own_zone, false) {
             return Some(reader);
         }
-        if self.local.store_failed
+        if self.is_refused_by_store
             && let Some(reader) = closest(&self.readers_of_other_zones(now), false)
         {
             return Some(reader);
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -53,6 +53,9 @@
 const NON_READER_RETRY_PAUSE: Duration = Duration::from_millis(1500);
 /// A member whose calls to the store fail is the last choice as a reader for this long.
 const STORE_FAILURE_MEMORY: Duration = Duration::from_secs(5);
+/// After this many failed calls in a row, a member follows one that the store serves. A single
+/// failure is usually a broken connection, after which the store itself is the fastest source.
+const REFUSED_AFTER_FAILURES: u32 = 2;
 /// Interval at which a follower checks that its reader is live.
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -64,7 +67,7 @@
         feed: FeedClient::default(),
         watch_from: None,
         retry_pause: MIN_RETRY_PAUSE,
-        is_failing: false,
+        failures: 0,
         last_failure: None,
         avoided: Vec::new(),
         follow_failing_since: None,
@@ -85,8 +88,8 @@
     /// Revision from which to watch the store; `None` if it has to be listed.
     watch_from: Option<u64>,
     retry_pause: Duration,
-    /// Whether the last call to the store failed.
-    is_failing: bool,
+    /// Calls to the store that failed since the last one that succeeded.
+    failures: u32,
     last_failure: Option<Duration>,
     /// Readers that are not followed, each until the given time.
     avoided: Vec<(Ipv4Addr, Duration)>,
@@ -255,9 +258,10 @@
     }
 
     fn end_failure(&mut self) {
-        if std::mem::take(&mut self.is_failing) {
+        if std::mem::take(&mut self.failures) > 0 {
             info!("store: reachable again");
         }
+        self.set_refused_by_store(false);
         self.retry_pause = MIN_RETRY_PAUSE;
         self.last_failure = None;
         self.follow_failing_since = None;
@@ -271,9 +275,11 @@
             info!("store: the watched revision is no longer kept, listing again");
             return;
         }
-        if !std::mem::replace(&mut self.is_failing, true) {
+        if self.failures == 0 {
             warn!("store: no answer: {err:?}");
         }
+        self.failures = self.failures.saturating_add(1);
+        self.set_refused_by_store(self.failures >= REFUSED_AFTER_FAILURES);
         let now = clock::now();
         self.last_failure = Some(now);
         self.next_own_call = now + NON_READER_RETRY_PAUSE;
@@ -331,6 +337,11 @@
         self.set_store_reachable(true);
     }
 
+    fn set_refused_by_store(&self, is_refused: bool) {
+        let mut membership = self.node.membership.borrow_mut();
+        membership.set_refused_by_store(is_refused);
+    }
+
     fn set_store_reachable(&self, reachable: bool) {
         let mut membership = self.node.membership.borrow_mut();
         membership.update_local(|me| me.store_reachable = reachable);
