gateway: keep to the limits that targets name

Callers saw nothing; targets in need did: the requests a second that they name in their responses were exceeded from the first moment on.

Cause: nothing read the limit. An owner chose targets by slots, load and the limits of cold targets.

Members record the limit of each response (named_limits), report it with their heartbeats, at once when it changes, and owners fill a bucket per target with their share of it (owner/limit_bucket). All sends of a target pass its owner, so that retries and resumed streams count. A new owner starts with an empty bucket, one that is not first has half of the share of the entries that ask it, and after a change of the fleet's size a share grows only when the number has settled, as for cold targets.

A limit ends when a signed response names none, half a second after the last one that did. A target that names zero gets a request in 20 s, since only a response tells of the end. Malformed limits change nothing and are logged once a minute and target. A refusal has the reason target_limit, and a wait is logged as met_limit; primrosectl explain tells both.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -159,8 +159,9 @@
     match line.message.as_str() {
         "entry: served" => format!(
             "served by {target} in {took} ms: first byte after {} ms, {waited} ms of it waiting \
-             for a permit, {} sends",
+             for a permit{}, {} sends",
             number_field(line, "first_ms"),
+            limit_note(line),
             number_field(line, "sends"),
         ),
         "entry: not served whole" => match text_field(line, "outcome") {
@@ -186,6 +187,16 @@
     }
 }
 
+/// Says whether a wait was one for targets that had reached the limits that they name.
+fn limit_note(line: &LogLine) -> &'static str {
+    let met_limit = line.fields.get("met_limit").and_then(Value::as_bool);
+    if met_limit == Some(true) {
+        " (targets with free capacity had reached the limits that they name)"
+    } else {
+        ""
+    }
+}
+
 fn failure_cause(line: &LogLine, target: &str, took: u64) -> String {
     let (live_members, sends) = (number_field(line, "live"), number_field(line, "sends"));
     match text_field(line, "reason") {
@@ -199,6 +210,10 @@
              after it arrived)"
         ),
         "no_target" => format!("not run: no target of its pool was available; {sends} sends"),
+        "target_limit" => format!(
+            "not run: the targets with free capacity had reached the limits that they name, and no \
+             other target had room within the time that it could wait ({took} ms after it arrived)"
+        ),
         "retry_budget" => "not run: the retry budget of its pool was used up".to_owned(),
         "poison" => "not run: the same request broke three targets".to_owned(),
         "poison_part" => {
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -16,6 +16,10 @@
     "\n",
     r#"   0.50 vm-1 {"timestamp":"2026-04-06T21:05:05.0+00:00","level":"WARN","target":"t","message":"entry: refused or failed","kvs":{"id":"call-2","target":"","reason":"rate","status":429,"workspace":"salon","live":3}}"#,
     "\n",
+    r#"   0.55 vm-1 {"timestamp":"2026-04-06T21:05:05.2+00:00","level":"WARN","target":"t","message":"entry: refused or failed","kvs":{"id":"call-3","target":"","reason":"target_limit","status":503,"took_ms":151}}"#,
+    "\n",
+    r#"   0.56 vm-1 {"timestamp":"2026-04-06T21:05:05.3+00:00","level":"INFO","target":"t","message":"entry: served","kvs":{"id":"call-4","target":"i-8","waited_ms":90,"first_ms":120,"took_ms":130,"sends":1,"met_limit":true}}"#,
+    "\n",
     r#"   0.60 vm-1 {"timestamp":"2026-04-06T21:05:06.0+00:00","level":"WA"#,
     "\n",
 );
@@ -56,6 +60,29 @@
     );
 }
 
+/// Guards against a refusal or a wait for the limit of a target that looks like overload.
+#[test]
+fn a_refusal_and_a_wait_for_a_named_limit_are_told() {
+    let dir = tempfile::tempdir().unwrap();
+    let log = write_file(&dir, "all.log", LOG);
+    let rows = [
+        (
+            "call-3",
+            "not run: the targets with free capacity had reached the limits",
+        ),
+        (
+            "call-4",
+            "90 ms of it waiting for a permit (targets with free capacity had reached",
+        ),
+    ];
+    for (id, expected) in rows {
+        let done = run(&["explain", id, &log]);
+
+        assert_eq!(done.code, Some(0), "{}", done.stderr);
+        assert!(done.stdout.contains(expected), "{id}: {}", done.stdout);
+    }
+}
+
 #[test]
 fn a_request_without_log_lines_is_a_partial_result() {
     let dir = tempfile::tempdir().unwrap();
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -64,8 +64,20 @@
     Misdirected,
 }
 
+/// Request rate that a response of a target names as the target's limit.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum StatedLimit {
+    /// None.
+    #[default]
+    None,
+    /// Requests per second from all members together.
+    PerSecond(f64),
+    /// The value, cut to a length that fits into a log line, is not a usable number.
+    Malformed(String),
+}
+
 /// Contents of the head of a target's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// Id of the request that this responds to.
     pub id: Option<String>,
@@ -77,6 +89,8 @@
     pub keep_alive: Option<Duration>,
     /// Whether the target closes the connection after this response.
     pub close: bool,
+    /// Limit that the target names.
+    pub limit: StatedLimit,
 }
 
 /// HTTP headers and paths of a deployment.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::model::{Name, Target};
 use crate::node::Node;
 use crate::owner::RunEnd;
+use crate::target_notices;
 use crate::upstream::{self, Upstream};
 
 /// A request in the form in which it is sent to targets.
@@ -109,6 +110,7 @@
         None if rejected => {}
         _ => return SendOutcome::Broken("answer to another request"),
     }
+    target_notices::record(node, target, &head);
     SendOutcome::Head(Box::new(ReceivedHead {
         response,
         head,
--- a/crates/gateway/src/http_server.rs
+++ b/crates/gateway/src/http_server.rs
@@ -175,6 +175,8 @@
     gauge!("primrosechute_config_age_seconds").set(age.as_secs_f64());
     let refused = node.poison_parts.borrow().refused_parts(now);
     gauge!("primrosechute_poison_parts").set(u32::try_from(refused).unwrap_or(u32::MAX));
+    let limits = node.named_limits.borrow().count();
+    gauge!("primrosechute_target_limits").set(u32::try_from(limits).unwrap_or(u32::MAX));
     metrics_process::Collector::new("primrosechute_").collect();
     let serving = u32::try_from(node.serving.get()).unwrap_or(u32::MAX);
     gauge!("primrosechute_requests_serving").set(serving);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,9 @@
 //! | `owner` | admission for the targets of shards | none |
 //! | `token_bucket`, `retry_budget` | limits on rates and retries | none |
 //! | `retry_schedule` | retry times of refused callers | none |
+//! | `target_notices` | acts on what targets state in their responses | through `node` |
+//! | `named_limits` | limits that targets name | none |
+//! | `log_throttle` | bounds lines about repeated faults | none |
 //! | `poison_requests` | detection of poison requests | none |
 //! | `poison_parts` | detection of poison parts of prompts | none |
 //! | `crash_check` | checks whether the target of a broken run has crashed | TCP |
@@ -47,9 +50,11 @@
 mod feed_client;
 mod feed_server;
 mod http_server;
+mod log_throttle;
 mod membership;
 mod message;
 mod model;
+mod named_limits;
 mod node;
 mod owner;
 mod peer_link;
@@ -66,17 +71,20 @@
 mod serve;
 mod sliding_extremum;
 mod store_follower;
+mod target_notices;
 mod token_bucket;
 mod transfer;
 mod upstream;
 
 pub use catalog::{Access, AccessError, Catalog, Change};
 pub use clock::now as boot_time;
+pub use log_throttle::LogThrottle;
 pub use membership::{Heartbeat, LimitShare, Member, Membership, Sighting};
 pub use model::{
     Config, HttpLimits, Name, Pool, Rate, Route, RouteKind, Settings, Target, TokenCounts, Unit,
     Workspace,
 };
+pub use named_limits::{LimitReport, NamedLimits};
 pub use owner::{Decision, Offer, Owner, Refusal, RunEnd, RunId, RunReport, target_key};
 pub use poison_parts::{Blame, PartReport, PoisonParts};
 pub use poison_requests::PoisonRequests;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -7,6 +7,7 @@
 
 use crate::membership::{Heartbeat, Member, Sighting};
 use crate::model::TokenCounts;
+use crate::named_limits::LimitReport;
 use crate::owner::{Offer, RunEnd, RunId, RunReport};
 use crate::poison_parts::PartReport;
 
@@ -83,6 +84,20 @@
     /// Parts of prompts that may crash targets.
     #[prost(message, repeated, tag = "5")]
     pub(crate) poison_parts: Vec<PartReportMsg>,
+    /// Limits that targets have named.
+    #[prost(message, repeated, tag = "6")]
+    pub(crate) limits: Vec<LimitMsg>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct LimitMsg {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    /// Requests per second; missing if the target no longer names a limit.
+    #[prost(double, optional, tag = "2")]
+    pub(crate) per_s: Option<f64>,
+    #[prost(uint32, tag = "3")]
+    pub(crate) age_ms: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -168,6 +183,9 @@
     pub(crate) run: u64,
     #[prost(string, tag = "2")]
     pub(crate) target: String,
+    /// Whether a target was passed over before because of the limit that it names.
+    #[prost(bool, tag = "3")]
+    pub(crate) has_met_limit: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -281,6 +299,26 @@
     }
 }
 
+impl From<&LimitReport> for LimitMsg {
+    fn from(report: &LimitReport) -> Self {
+        LimitMsg {
+            target: report.target,
+            per_s: report.per_s,
+            age_ms: millis(report.age),
+        }
+    }
+}
+
+impl From<&LimitMsg> for LimitReport {
+    fn from(msg: &LimitMsg) -> Self {
+        LimitReport {
+            target: msg.target,
+            per_s: msg.per_s,
+            age: Duration::from_millis(msg.age_ms.into()),
+        }
+    }
+}
+
 impl OfferMsg {
     /// Converts the message to an offer.
     pub(crate) fn into_offer(self, id: RunId) -> Offer {
@@ -340,6 +378,7 @@
             runs: Vec::new(),
             sightings: heartbeat.sightings.iter().map(SightingMsg::from).collect(),
             poison_parts: Vec::new(),
+            limits: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,9 +16,11 @@
 use crate::adapter::HttpDialect;
 use crate::catalog::Catalog;
 use crate::clock;
+use crate::log_throttle::LogThrottle;
 use crate::membership::{Membership, vm_class, zone_code};
 use crate::message::{Body, Datagram, GrantMsg, RefuseMsg, ReleaseMsg, millis};
 use crate::model::{Name, Settings};
+use crate::named_limits::NamedLimits;
 use crate::owner::{Decision, Offer, Owner, Refusal, RunId, RunReport};
 use crate::poison_parts::PoisonParts;
 use crate::record_log::RecordLog;
@@ -31,6 +33,8 @@
     Granted {
         from: Ipv4Addr,
         target: Name,
+        /// Whether a target was passed over before because of the limit that it names.
+        has_met_limit: bool,
     },
     Refused {
         reason: Refusal,
@@ -71,6 +75,9 @@
     pub(crate) membership: RefCell<Membership>,
     pub(crate) owner: RefCell<Owner>,
     pub(crate) poison_parts: RefCell<PoisonParts>,
+    pub(crate) named_limits: RefCell<NamedLimits>,
+    /// Targets, by key, whose malformed limits were logged.
+    pub(crate) malformed_limits: RefCell<LogThrottle<u64>>,
     pub(crate) upstreams: UpstreamPool,
     /// Wakes the task that polls the owner.
     pub(crate) owner_changed: Notify,
@@ -120,6 +127,8 @@
             membership: RefCell::new(membership),
             owner: RefCell::new(Owner::new(clock::now(), settings.clone())),
             poison_parts: RefCell::default(),
+            named_limits: RefCell::default(),
+            malformed_limits: RefCell::default(),
             upstreams: UpstreamPool::default(),
             owner_changed: Notify::new(),
             record_log: RefCell::default(),
@@ -242,9 +251,18 @@
     /// Applies the catalog to the owner.
     pub(crate) fn apply_catalog_to_owner(&self) {
         let now = clock::now();
+        let mut owner = self.owner.borrow_mut();
+        owner.apply_catalog(now, &self.catalog.borrow());
+        owner.apply_named_limits(now, &self.named_limits.borrow());
+        drop(owner);
+        self.decide();
+    }
+
+    /// Applies the limits that targets have named to the owner.
+    pub(crate) fn apply_named_limits(&self) {
         self.owner
             .borrow_mut()
-            .apply_catalog(now, &self.catalog.borrow());
+            .apply_named_limits(clock::now(), &self.named_limits.borrow());
         self.decide();
     }
 
@@ -310,9 +328,14 @@
             return;
         };
         let body = match decision {
-            Decision::Grant { target, .. } => Body::Grant(GrantMsg {
+            Decision::Grant {
+                target,
+                has_met_limit,
+                ..
+            } => Body::Grant(GrantMsg {
                 run: id.run,
                 target: target.to_string(),
+                has_met_limit,
             }),
             Decision::Refuse {
                 reason,
@@ -329,9 +352,14 @@
 
     fn reply(&self, decision: Decision) -> Reply {
         match decision {
-            Decision::Grant { target, .. } => Reply::Granted {
+            Decision::Grant {
+                target,
+                has_met_limit,
+                ..
+            } => Reply::Granted {
                 from: self.settings.ip,
                 target,
+                has_met_limit,
             },
             Decision::Refuse {
                 reason,
--- a/crates/gateway/src/owner/grant.rs
+++ b/crates/gateway/src/owner/grant.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::shard::HASH_MULTIPLIER;
-use super::target::{RateCaps, TargetState};
-use super::{Decision, Offer, Owner, Refusal, Run};
+use super::target::{OwnerShares, Room, TargetState};
+use super::{Decision, Offer, Owner, QueuedOffer, Refusal, Run};
 use crate::convert::count_to_f64;
 use crate::model::Name;
 
@@ -19,10 +19,14 @@
 struct ShardCandidates {
     /// Number of shards, and index of the shard.
     shard_key: (u32, u32),
-    caps: Option<RateCaps>,
-    /// Share of a target's slots that this owner may use.
-    slot_share: f64,
+    shares: OwnerShares,
     keys: Vec<u64>,
+    /// Whether a further target would have capacity, but for the limit that it has named.
+    is_limited: bool,
+}
+
+fn is_of_shard(state: &TargetState, offer: &Offer) -> bool {
+    state.pool == offer.pool && (offer.shards <= 1 || state.shard(offer.shards) == offer.shard)
 }
 
 /// Candidates by shard, computed on first use.
@@ -47,24 +51,25 @@
 impl Owner {
     /// Targets of the offer's shard with free capacity.
     fn candidates(&mut self, now: Duration, offer: &Offer) -> ShardCandidates {
-        let caps = self.caps(now, &offer.pool, offer.shard);
-        let slot_share = self.slot_share(offer.shard);
+        let shares = self.owner_shares(now, &offer.pool, offer.shard);
         let salt = self.tie_salt;
-        let of_shard = |state: &TargetState| {
-            state.pool == offer.pool
-                && (offer.shards <= 1 || state.shard(offer.shards) == offer.shard)
-        };
-        let keys = self
-            .targets
-            .iter_mut()
-            .filter(|(_, state)| of_shard(state))
-            .filter_map(|(&key, state)| state.has_room(now, caps, slot_share, salt).then_some(key))
-            .collect();
+        let mut keys = Vec::new();
+        let mut is_limited = false;
+        for (&key, state) in &mut self.targets {
+            if !is_of_shard(state, offer) {
+                continue;
+            }
+            match state.room(now, &shares, salt) {
+                Room::Free => keys.push(key),
+                Room::LimitReached => is_limited = true,
+                Room::Full => {}
+            }
+        }
         ShardCandidates {
             shard_key: (offer.shards, offer.shard),
-            caps,
-            slot_share,
+            shares,
             keys,
+            is_limited,
         }
     }
 
@@ -84,23 +89,20 @@
             let candidates = candidates.get(self, now, &waiting.offer);
             if let Some(at) = self.choose_target(&candidates.keys, &waiting.offer, time_per_unit) {
                 let key = candidates.keys[at];
-                self.grant(now, waiting.offer, key);
+                self.grant(now, waiting, key);
                 let salt = self.tie_salt;
                 let state = self
                     .targets
                     .get_mut(&key)
                     .expect("candidates are known targets");
-                if !state.has_room(now, candidates.caps, candidates.slot_share, salt) {
+                let room = state.room(now, &candidates.shares, salt);
+                if room != Room::Free {
                     candidates.keys.swap_remove(at);
+                    candidates.is_limited |= room == Room::LimitReached;
                 }
             } else if now >= waiting.deadline {
                 self.refund(&waiting.offer, waiting.charged);
-                let open = self.targets.values().any(|s| s.open && s.pool == *name);
-                let reason = if open {
-                    Refusal::Busy
-                } else {
-                    Refusal::NoTarget
-                };
+                let reason = self.no_capacity_reason(now, &waiting.offer);
                 let after = self.pool(name).retry_after(now, before + kept.len());
                 self.refuse(waiting.offer.id, reason, after);
             } else {
@@ -108,9 +110,33 @@
             }
         }
         queue.append(&mut kept);
+        if candidates.0.iter().any(|candidates| candidates.is_limited) {
+            for waiting in &mut queue {
+                let candidates = candidates.get(self, now, &waiting.offer);
+                waiting.has_met_limit |= candidates.is_limited;
+            }
+        }
         self.pool(name).queue = queue;
     }
 
+    /// Why an offer is refused for which no target has capacity.
+    pub(super) fn no_capacity_reason(&mut self, now: Duration, offer: &Offer) -> Refusal {
+        let is_open = |state: &TargetState| state.open && state.pool == offer.pool;
+        if !self.targets.values().any(is_open) {
+            return Refusal::NoTarget;
+        }
+        let shares = self.owner_shares(now, &offer.pool, offer.shard);
+        let salt = self.tie_salt;
+        let is_limited = |state: &mut TargetState| {
+            is_of_shard(state, offer) && state.room(now, &shares, salt) == Room::LimitReached
+        };
+        if self.targets.values_mut().any(is_limited) {
+            Refusal::TargetLimit
+        } else {
+            Refusal::Busy
+        }
+    }
+
     /// Returns the position of the candidate with the lowest load.
     fn choose_target(
         &self,
@@ -140,17 +166,8 @@
         best.map(|(.., at)| at)
     }
 
-    /// Share of a target's slots that this owner may use. Entries skip a first owner that is slow,
-    /// which may still grant runs to other entries; both owners together must stay within the
-    /// slots.
-    fn slot_share(&self, shard: u32) -> f64 {
-        match self.limit_share_of(shard) {
-            Some(limit_share) if !limit_share.is_first_owner => limit_share.share,
-            _ => 1.0,
-        }
-    }
-
-    fn grant(&mut self, now: Duration, offer: Offer, key: u64) {
+    fn grant(&mut self, now: Duration, waiting: QueuedOffer, key: u64) {
+        let offer = waiting.offer;
         if offer.session != 0 {
             if self.session_targets.len() >= MAX_SESSIONS {
                 self.session_targets.clear();
@@ -165,6 +182,7 @@
         self.decisions.push(Decision::Grant {
             id: offer.id,
             target: state.id.clone(),
+            has_met_limit: waiting.has_met_limit,
         });
         self.runs.insert(
             offer.id,
--- a/crates/gateway/src/owner/limits.rs
+++ b/crates/gateway/src/owner/limits.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::target::{COLD_WINDOW, RateCaps};
+use super::target::{COLD_WINDOW, OwnerShares, RateCaps};
 use super::{Offer, Owner};
 use crate::catalog::Catalog;
 use crate::convert::count_to_f64;
@@ -38,6 +38,9 @@
 const RATE_OVERAGE_SHARE: f64 = 0.6;
 const BURST_OVERAGE_SHARE: f64 = 0.8;
 const BURST_SLACK_SHARE: f64 = 0.4;
+/// Share of a limit that a target has named, for an owner that is not the first one. Some entries may
+/// ask it while others still ask the first owner.
+const NAMED_LIMIT_SHARE_OTHER: f64 = 0.5;
 /// Limit shares that are older than two heartbeats were set before a pause of the process.
 const MAX_LIMIT_SHARES_AGE: Duration = Duration::from_millis(600);
 /// A member uses the full share of a first owner after it has been first for this long.
@@ -148,8 +151,37 @@
         refund(&mut self.buckets, offer, charged);
     }
 
+    /// Parts of the limits of a shard's targets that this owner may use.
+    pub(super) fn owner_shares(&self, now: Duration, pool: &str, shard: u32) -> OwnerShares {
+        OwnerShares {
+            caps: self.caps(now, pool, shard),
+            slots: self.slot_share(shard),
+            limit: self.named_limit_share(shard),
+        }
+    }
+
+    /// Share of a target's slots that this owner may use. Entries skip a first owner that is slow,
+    /// which may still grant runs to other entries; both owners together must stay within the
+    /// slots.
+    fn slot_share(&self, shard: u32) -> f64 {
+        match self.limit_share_of(shard) {
+            Some(limit_share) if !limit_share.is_first_owner => limit_share.share,
+            _ => 1.0,
+        }
+    }
+
+    /// Share of the limits that targets have named. It grows only after the number of live members
+    /// has settled, like that of the limits of cold targets.
+    fn named_limit_share(&self, shard: u32) -> f64 {
+        match self.limit_share_of(shard) {
+            Some(known) if known.is_first_owner => known.cold_share,
+            Some(known) => known.cold_share * NAMED_LIMIT_SHARE_OTHER,
+            None => 1.0,
+        }
+    }
+
     /// Sends per second that this owner may grant to a target of the shard.
-    pub(super) fn caps(&self, now: Duration, pool: &str, shard: u32) -> Option<RateCaps> {
+    fn caps(&self, now: Duration, pool: &str, shard: u32) -> Option<RateCaps> {
         let per_s = *self.cold_limits.get(pool)?;
         let bound = per_s * self.settings.cold_overage + self.settings.cold_slack;
         let limit_share = self.limit_share_of(shard)?;
--- a/crates/gateway/src/owner/mod.rs
+++ b/crates/gateway/src/owner/mod.rs
@@ -4,6 +4,7 @@
 //! they have in flight, so that another member can take over at any time.
 
 mod grant;
+mod limit_bucket;
 mod limits;
 mod model;
 mod shard;
@@ -18,6 +19,7 @@
 use crate::convert::count_to_f64;
 use crate::membership::LimitShare;
 use crate::model::{Name, Settings, Unit};
+use crate::named_limits::NamedLimits;
 use crate::poison_requests::PoisonRequests;
 use crate::retry_budget::RetryBudget;
 use crate::retry_schedule::RetrySchedule;
@@ -68,6 +70,8 @@
     deadline: Duration,
     /// Units charged to the workspace's token bucket.
     charged: f64,
+    /// Whether a target with capacity was passed over because it had reached the limit that it names.
+    has_met_limit: bool,
 }
 
 struct PoolState {
@@ -209,6 +213,19 @@
         });
     }
 
+    /// Whether a target is known.
+    #[must_use]
+    pub fn has_target(&self, key: u64) -> bool {
+        self.targets.contains_key(&key)
+    }
+
+    /// Applies the limits that targets have named.
+    pub fn apply_named_limits(&mut self, now: Duration, limits: &NamedLimits) {
+        for (&key, state) in &mut self.targets {
+            state.set_limit(now, limits.get(key));
+        }
+    }
+
     /// Submits an offer. [`Owner::poll`] returns the decision.
     pub fn offer(&mut self, now: Duration, catalog: &Catalog, offer: Offer) {
         let asked = self
@@ -221,6 +238,7 @@
                 self.decisions.push(Decision::Grant {
                     id: offer.id,
                     target,
+                    has_met_limit: false,
                 });
             }
             return;
@@ -252,7 +270,8 @@
         if ahead > 0 && wait > offer.max_wait {
             let after = pool.retry_after(now, ahead);
             self.refund(&offer, charged);
-            return self.refuse(offer.id, Refusal::Busy, after);
+            let reason = self.no_capacity_reason(now, &offer);
+            return self.refuse(offer.id, reason, after);
         }
         let deadline = now + offer.max_wait;
         let key = (offer.tier, deadline);
@@ -264,6 +283,7 @@
                 offer,
                 deadline,
                 charged,
+                has_met_limit: false,
             },
         );
     }
--- a/crates/gateway/src/owner/model.rs
+++ b/crates/gateway/src/owner/model.rs
@@ -61,6 +61,8 @@
     Poison,
     /// A part of its prompt crashed several targets, in whatever request.
     PoisonPart,
+    /// The targets that could serve it in time have reached the limits that they name.
+    TargetLimit,
 }
 
 impl Refusal {
@@ -74,6 +76,7 @@
             Refusal::RetryBudget => "retry_budget",
             Refusal::Poison => "poison",
             Refusal::PoisonPart => "poison_part",
+            Refusal::TargetLimit => "target_limit",
         }
     }
 
@@ -85,6 +88,7 @@
             Refusal::RetryBudget => 4,
             Refusal::Poison => 5,
             Refusal::PoisonPart => 6,
+            Refusal::TargetLimit => 7,
         }
     }
 
@@ -95,6 +99,7 @@
             4 => Refusal::RetryBudget,
             5 => Refusal::Poison,
             6 => Refusal::PoisonPart,
+            7 => Refusal::TargetLimit,
             _ => Refusal::Busy,
         }
     }
@@ -109,6 +114,9 @@
         id: RunId,
         /// Id of the target.
         target: Name,
+        /// Whether a target with capacity was passed over before because it had reached the limit
+        /// that it names.
+        has_met_limit: bool,
     },
     /// The request is refused.
     Refuse {
--- a/crates/gateway/src/owner/target.rs
+++ b/crates/gateway/src/owner/target.rs
@@ -7,6 +7,7 @@
 
 use crate::convert::count_to_f64;
 use crate::model::{Name, Target};
+use crate::owner::limit_bucket::LimitBucket;
 use crate::owner::model::{RunEnd, RunReport};
 use crate::owner::shard::{HASH_MULTIPLIER, id_hash, shard_of_hash};
 
@@ -38,6 +39,26 @@
     pub(super) warm: f64,
 }
 
+/// Parts of the limits of a shard's targets that one owner may use.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OwnerShares {
+    /// Sends per second, if the pool has a limit for cold targets.
+    pub(super) caps: Option<RateCaps>,
+    /// Share of the slots.
+    pub(super) slots: f64,
+    /// Share of the limits that targets have named.
+    pub(super) limit: f64,
+}
+
+/// Whether a target may get one more run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Room {
+    Free,
+    /// Only the limit that the target has named prevents it.
+    LimitReached,
+    Full,
+}
+
 pub(super) struct TargetState {
     pub(super) id: Name,
     hash: u64,
@@ -67,6 +88,8 @@
     half_open: bool,
     other_load: u32,
     other_load_until: Duration,
+    /// Limit that the target has named.
+    limit: Option<LimitBucket>,
 }
 
 impl TargetState {
@@ -91,6 +114,16 @@
             half_open: false,
             other_load: 0,
             other_load_until: Duration::ZERO,
+            limit: None,
+        }
+    }
+
+    /// Applies the limit that the target names, in requests per second.
+    pub(super) fn set_limit(&mut self, now: Duration, per_s: Option<f64>) {
+        match (per_s, &mut self.limit) {
+            (Some(per_s), Some(bucket)) => bucket.set_limit(per_s),
+            (Some(per_s), None) => self.limit = Some(LimitBucket::new(now, per_s)),
+            (None, _) => self.limit = None,
         }
     }
 
@@ -107,24 +140,18 @@
         }
     }
 
-    /// Whether it may get one more run. `share` is the share of its slots that this owner may use.
+    /// Whether it may get one more run.
     ///
     /// A cap below one send per second allows one send in some seconds, which differ between
     /// members: many members with small shares would otherwise send to a cold target at once.
-    pub(super) fn has_room(
-        &mut self,
-        now: Duration,
-        caps: Option<RateCaps>,
-        share: f64,
-        member_salt: u64,
-    ) -> bool {
-        let cap = caps.map(|caps| match now {
+    pub(super) fn room(&mut self, now: Duration, shares: &OwnerShares, member_salt: u64) -> Room {
+        let cap = shares.caps.map(|caps| match now {
             now if now < self.cold_until => caps.cold,
             now if now < self.maybe_cold_until => caps.maybe_cold,
             _ => caps.warm,
         });
         if cap.is_some_and(|cap| cap < 1.0 && !self.is_drawn(now, cap, member_salt)) {
-            return false;
+            return Room::Full;
         }
         while self
             .sends
@@ -141,12 +168,21 @@
         let max_running = if self.half_open {
             1.0
         } else {
-            (f64::from(self.slots) * share).max(1.0)
+            (f64::from(self.slots) * shares.slots).max(1.0)
         };
-        self.open
+        let has_capacity = self.open
             && now >= self.backoff_until
             && f64::from(self.running.saturating_add(other_load)) < max_running
-            && cap.is_none_or(|cap| count_to_f64(self.sends.len()) < cap.max(1.0).floor())
+            && cap.is_none_or(|cap| count_to_f64(self.sends.len()) < cap.max(1.0).floor());
+        let is_below_limit = self
+            .limit
+            .as_mut()
+            .is_none_or(|limit| limit.has_room(now, shares.limit));
+        match (has_capacity, is_below_limit) {
+            (true, true) => Room::Free,
+            (true, false) => Room::LimitReached,
+            (false, _) => Room::Full,
+        }
     }
 
     /// Whether a member may send in the current second, with the given probability.
@@ -173,6 +209,9 @@
             self.last_activity = now;
         }
         self.sends.push_back(now);
+        if let Some(limit) = &mut self.limit {
+            limit.record_send();
+        }
         self.running += 1;
     }
 
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -12,12 +12,15 @@
 use crate::clock;
 use crate::crash_check;
 use crate::message::{
-    Body, Datagram, HeartbeatMsg, MAX_DATAGRAM, PartReportMsg, ReleaseMsg, RunMsg,
+    Body, Datagram, GrantMsg, HeartbeatMsg, LimitMsg, MAX_DATAGRAM, PartReportMsg, ReleaseMsg,
+    RunMsg,
 };
 use crate::model::Name;
+use crate::named_limits::LimitReport;
 use crate::node::{Node, Reply};
 use crate::owner::{Refusal, RunEnd, RunId, RunReport};
 use crate::poison_parts::PartReport;
+use crate::target_notices;
 
 /// Interval between heartbeats. A member loses the ownership of shards after five lost heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -54,6 +57,8 @@
         node.set_limit_shares(now);
         node.upstreams.close_expired(now);
         node.poison_parts.borrow_mut().expire(now);
+        let mut limits = node.named_limits.borrow_mut();
+        limits.remove_stale(now, |target| node.owner.borrow().has_target(target));
     }
 }
 
@@ -78,9 +83,12 @@
         }
     }
     let reports = node.poison_parts.borrow().reports(now);
+    let limits = node.named_limits.borrow_mut().reports(now);
+    let limits: Vec<LimitMsg> = limits.iter().map(LimitMsg::from).collect();
     let runs = node.runs.borrow();
     for (at, ip) in to.into_iter().enumerate() {
         let mut msg = HeartbeatMsg::new(&heartbeat);
+        msg.limits.clone_from(&limits);
         if at >= gossip_recipients {
             // Sent only for the list of runs. All entries send to an owner, which gets gossip in
             // the regular rotation.
@@ -160,7 +168,7 @@
         Body::Queued(run) => {
             node.deliver(run, Reply::Queued);
         }
-        Body::Grant(msg) => handle_grant(node, from, msg.run, Name::from(msg.target)),
+        Body::Grant(msg) => handle_grant(node, from, msg),
         Body::Refuse(msg) => {
             let reply = Reply::Refused {
                 reason: Refusal::from_code(msg.reason),
@@ -202,6 +210,8 @@
     let reports: Vec<PartReport> = msg.poison_parts.iter().map(PartReport::from).collect();
     let refused = node.poison_parts.borrow_mut().merge(now, &reports);
     crash_check::announce_refused(node, &refused);
+    let limits: Vec<LimitReport> = msg.limits.iter().map(LimitReport::from).collect();
+    target_notices::merge_limits(node, &limits);
     let runs: Vec<(u64, u64)> = msg.runs.iter().map(|run| (run.run, run.target)).collect();
     node.owner.borrow_mut().sync_runs(now, sender, &runs);
     node.decide();
@@ -216,9 +226,15 @@
 
 /// Delivers a grant. If no request waits for it, it is released; otherwise its slot would stay
 /// taken.
-fn handle_grant(node: &Node, from: Ipv4Addr, run: u64, target: Name) {
+fn handle_grant(node: &Node, from: Ipv4Addr, msg: GrantMsg) {
+    let run = msg.run;
     let held = node.runs.borrow().get(&run).map(|run| run.owner);
-    if held == Some(from) || node.deliver(run, Reply::Granted { from, target }) {
+    let granted = Reply::Granted {
+        from,
+        target: Name::from(msg.target),
+        has_met_limit: msg.has_met_limit,
+    };
+    if held == Some(from) || node.deliver(run, granted) {
         return;
     }
     // The run may be in flight with a permit of another owner, so it stays in the list of runs.
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -49,6 +49,8 @@
     run: u64,
     pub(crate) target: Target,
     pub(crate) key: u64,
+    /// Whether it was granted only after a wait for targets at the limits that they name.
+    pub(crate) has_met_limit: bool,
     pub(crate) report: RunReport,
 }
 
@@ -128,7 +130,7 @@
             Err(refused) => refused,
         };
         let try_other_shard = match refused.reason {
-            Refusal::Rate | Refusal::Busy | Refusal::NoTarget => true,
+            Refusal::Rate | Refusal::Busy | Refusal::NoTarget | Refusal::TargetLimit => true,
             Refusal::RetryBudget | Refusal::Poison | Refusal::PoisonPart => false,
         };
         let is_wait_over = clock::now().saturating_sub(started_at) >= request.max_wait;
@@ -202,9 +204,13 @@
                     owner,
                 });
             }
-            Reply::Granted { from, target } => {
+            Reply::Granted {
+                from,
+                target,
+                has_met_limit,
+            } => {
                 pending.current_owner = None;
-                let Some(permit) = accept_grant(node, from, run, &target) else {
+                let Some(mut permit) = accept_grant(node, from, run, &target) else {
                     // The catalog of this member rules the target out; that of the owner may be out
                     // of date.
                     skipped.push(from);
@@ -217,6 +223,7 @@
                     }
                     continue;
                 };
+                permit.has_met_limit = has_met_limit;
                 return Ok(permit);
             }
         }
@@ -294,6 +301,7 @@
         run,
         target: target.clone(),
         key,
+        has_met_limit: false,
         report: RunReport::of(RunEnd::Cancelled),
     })
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -431,9 +431,7 @@
             acquired.ok()?
         };
         let permit_wait = clock::now().saturating_sub(asked_at);
-        stream
-            .log
-            .record_permit(permit.owner(), &permit.target.id, permit_wait);
+        stream.log.record_permit(&permit, permit_wait);
         let time_left = stream.deadline.saturating_sub(clock::now());
         stream.permit_request.sends += 1;
         stream.log.record_send();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -352,8 +352,7 @@
             return Err(refused);
         }
         let waited = clock::now().saturating_sub(asked_at);
-        self.log
-            .record_permit(permit.owner(), &permit.target.id, waited);
+        self.log.record_permit(&permit, waited);
         Ok(permit)
     }
 
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::model::{Name, RouteKind};
 use crate::node::Node;
+use crate::permit::Permit;
 
 /// Facts about one request, collected while it is served.
 #[derive(Debug)]
@@ -25,6 +26,8 @@
     target: Name,
     /// Total time spent waiting for permits.
     permit_wait: Duration,
+    /// Whether it waited for targets at the limits that they name.
+    has_met_limit: bool,
     first_byte: Option<Duration>,
     sends: u32,
 }
@@ -48,15 +51,17 @@
             owner: String::new(),
             target: "".into(),
             permit_wait: Duration::ZERO,
+            has_met_limit: false,
             first_byte: None,
             sends: 0,
         }
     }
 
     /// Records a permit.
-    pub(crate) fn record_permit(&mut self, owner: Ipv4Addr, target: &Name, permit_wait: Duration) {
-        self.owner = owner.to_string();
-        self.target = Name::clone(target);
+    pub(crate) fn record_permit(&mut self, permit: &Permit, permit_wait: Duration) {
+        self.owner = permit.owner().to_string();
+        self.target = Name::clone(&permit.target.id);
+        self.has_met_limit |= permit.has_met_limit;
         self.permit_wait += permit_wait;
         histogram!("primrosechute_permit_wait_seconds").record(permit_wait.as_secs_f64());
     }
@@ -94,7 +99,8 @@
                 id = &*self.id, route = &*self.route, workspace = self.workspace(),
                 owner = &*self.owner, target = &*self.target, sends = self.sends,
                 waited_ms = millis(self.permit_wait), first_ms = millis(first),
-                took_ms = millis(took), events = events, config = self.config;
+                took_ms = millis(took), events = events, config = self.config,
+                met_limit = self.has_met_limit;
                 "entry: served"
             );
         } else {
@@ -103,6 +109,7 @@
                 owner = &*self.owner, target = &*self.target, sends = self.sends,
                 waited_ms = millis(self.permit_wait), first_ms = millis(first),
                 took_ms = millis(took), events = events, config = self.config,
+                met_limit = self.has_met_limit,
                 live = node.membership.borrow().live_count(clock::now()), outcome = outcome;
                 "entry: not served whole"
             );
--- /dev/null
+++ b/crates/gateway/src/target_notices.rs
@@ -0,0 +1,59 @@
+//! Acts on what targets state about themselves in their responses.
+
+use log::{info, warn};
+use metrics::counter;
+
+use crate::adapter::{Attestation, ResponseHead, StatedLimit};
+use crate::clock;
+use crate::model::Target;
+use crate::named_limits::LimitReport;
+use crate::node::Node;
+use crate::owner::target_key;
+
+/// Records what the response of a target says.
+pub(crate) fn record(node: &Node, target: &Target, head: &ResponseHead) {
+    // Another target responds at this address.
+    if head.attestation == Attestation::Misdirected {
+        return;
+    }
+    record_limit(node, target, head);
+}
+
+fn record_limit(node: &Node, target: &Target, head: &ResponseHead) {
+    let (now, key) = (clock::now(), target_key(target));
+    let per_s = match &head.limit {
+        StatedLimit::PerSecond(per_s) => Some(*per_s),
+        // Only the target itself can say that its limit has ended.
+        StatedLimit::None if head.attestation == Attestation::Signed => None,
+        StatedLimit::None => return,
+        StatedLimit::Malformed(value) => {
+            counter!("primrosechute_malformed_limits_total").increment(1);
+            if node.malformed_limits.borrow_mut().allow(now, key) {
+                warn!(
+                    "target: {} at {} names a limit that can't be used and is ignored: {value:?}",
+                    target.id, target.address
+                );
+            }
+            return;
+        }
+    };
+    if node.named_limits.borrow_mut().record(now, key, per_s) {
+        match per_s {
+            Some(per_s) => info!(
+                "target: {} names a limit of {per_s} requests a second",
+                target.id
+            ),
+            None => info!("target: {} no longer names a limit", target.id),
+        }
+        node.apply_named_limits();
+        node.heartbeat_requested.notify_one();
+    }
+}
+
+/// Merges the limits that another member knows.
+pub(crate) fn merge_limits(node: &Node, reports: &[LimitReport]) {
+    let changed = node.named_limits.borrow_mut().merge(clock::now(), reports);
+    if !changed.is_empty() {
+        node.apply_named_limits();
+    }
+}
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use gateway::{
-    Catalog, Change, Decision, Membership, Owner, RunEnd, RunId, RunReport, TokenCounts,
+    Catalog, Change, Decision, Membership, NamedLimits, Owner, RunEnd, RunId, RunReport,
+    TokenCounts,
 };
 use proptest::prelude::*;
 use support::{
@@ -27,6 +28,12 @@
 const SHARDED_TARGETS: usize = 120;
 /// Time for which a run occupies its target.
 const RUN_TIME: Duration = Duration::from_millis(100);
+/// Limits that the first targets name, in requests per second.
+const NAMED_LIMITS: [f64; 3] = [3.0, 0.4, 0.0];
+/// Window of a named limit, and the tolerance that the platform grants.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_TOLERANCE: f64 = 1.5;
+const LIMIT_TOLERANCE_REQUESTS: f64 = 5.0;
 /// A member decides itself after this many unresponsive owners.
 const MAX_SILENT_OWNERS: usize = 2;
 /// An owner that doesn't respond is skipped after this time.
@@ -91,6 +98,8 @@
     now: Duration,
     steps: u64,
     catalog: Catalog,
+    /// Limits that targets name, which all members know.
+    named_limits: NamedLimits,
     members: Vec<Member>,
     load: u8,
     failing: bool,
@@ -124,6 +133,7 @@
             now: Duration::from_secs(100),
             steps: 0,
             catalog,
+            named_limits: NamedLimits::default(),
             members: Vec::new(),
             load: 2,
             failing: false,
@@ -158,6 +168,7 @@
         });
         let mut owner = Owner::new(self.now, settings(ip));
         owner.apply_catalog(self.now, &self.catalog);
+        owner.apply_named_limits(self.now, &self.named_limits);
         Member {
             ip,
             incarnation,
@@ -172,6 +183,24 @@
         }
     }
 
+    /// Lets the first targets name limits.
+    fn name_limits(&mut self) {
+        for (at, limit) in NAMED_LIMITS.into_iter().enumerate() {
+            let key = self.target_key(at);
+            self.named_limits.record(self.now, key, Some(limit));
+        }
+        for member in &mut self.members {
+            member
+                .owner
+                .apply_named_limits(self.now, &self.named_limits);
+        }
+    }
+
+    fn target_key(&self, at: usize) -> u64 {
+        let target = self.catalog.target(&format!("t-{at}"));
+        gateway::target_key(target.expect("a known target"))
+    }
+
     fn restart(&mut self, at: usize) {
         let mut fresh = self.member(self.members[at].ip);
         fresh.group = self.members[at].group;
@@ -344,7 +373,7 @@
         self.refresh_limit_shares(at);
         for decision in self.members[at].owner.poll(self.now) {
             match decision {
-                Decision::Grant { id, target } => self.sent(at, id, &target),
+                Decision::Grant { id, target, .. } => self.sent(at, id, &target),
                 Decision::Refuse { id, .. } => {
                     if let Some(from) = self.entry(id) {
                         self.members[from].waiting.remove(&id.run);
@@ -425,6 +454,20 @@
                 "a cold target got {largest} of {cold} in a second"
             );
         }
+        for (at, limit) in NAMED_LIMITS.into_iter().enumerate() {
+            let key = self.target_key(at);
+            if self.named_limits.get(key).is_none() {
+                continue;
+            }
+            let sends = self.sends.get(&key).into_iter().flatten();
+            let largest = max_window_sum(sends.map(|&at| (at, 1.0)), LIMIT_WINDOW);
+            let allowed =
+                limit * LIMIT_WINDOW.as_secs_f64() * LIMIT_TOLERANCE + LIMIT_TOLERANCE_REQUESTS;
+            prop_assert!(
+                largest <= allowed,
+                "a target with a limit of {limit} got {largest} of {allowed}"
+            );
+        }
         let window = Duration::from_secs(8);
         let allowed = (RATE * 8.0 + RATE) * 1.25 + RATE_SLACK;
         let largest = max_window_sum(self.tokens.iter().copied(), window);
@@ -489,6 +532,18 @@
         cluster.check()?;
     }
 
+    /// Guards against owners that follow each other, or decide at the same time, and together send
+    /// a target more than the limit that it names.
+    #[test]
+    fn named_limits_hold_under_failures(size in 2usize..12, ops in ops()) {
+        let mut cluster = Cluster::new(size, TARGETS);
+        cluster.name_limits();
+        for op in &ops {
+            cluster.apply(op);
+        }
+        cluster.check()?;
+    }
+
     /// The same with a separate owner for each shard. Guards against a member that uses the share
     /// of a first owner for shards of which it is not the first owner.
     #[test]
