gateway: send nothing to targets that say that they are leaving

A target that leaves says so in all its responses, but members went by its entry in the store alone, which may say ready for seconds, or for as long as the store is away.

A response that says so closes the target at this member; other members are told with heartbeats for two seconds. Entries that are written again don't open it. Responses of another target at the address (421) are ignored.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -91,6 +91,8 @@
     pub close: bool,
     /// Limit that the target names.
     pub limit: StatedLimit,
+    /// Whether the target is about to stop and wants no new requests.
+    pub is_leaving: bool,
 }
 
 /// HTTP headers and paths of a deployment.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -87,6 +87,9 @@
     /// Limits that targets have named.
     #[prost(message, repeated, tag = "6")]
     pub(crate) limits: Vec<LimitMsg>,
+    /// Keys of targets that said recently that they are leaving.
+    #[prost(fixed64, repeated, tag = "7")]
+    pub(crate) leaving: Vec<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -379,6 +382,7 @@
             sightings: heartbeat.sightings.iter().map(SightingMsg::from).collect(),
             poison_parts: Vec::new(),
             limits: Vec::new(),
+            leaving: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -85,10 +85,12 @@
     let reports = node.poison_parts.borrow().reports(now);
     let limits = node.named_limits.borrow_mut().reports(now);
     let limits: Vec<LimitMsg> = limits.iter().map(LimitMsg::from).collect();
+    let leaving = node.catalog.borrow().recently_leaving(now);
     let runs = node.runs.borrow();
     for (at, ip) in to.into_iter().enumerate() {
         let mut msg = HeartbeatMsg::new(&heartbeat);
         msg.limits.clone_from(&limits);
+        msg.leaving.clone_from(&leaving);
         if at >= gossip_recipients {
             // Sent only for the list of runs. All entries send to an owner, which gets gossip in
             // the regular rotation.
@@ -212,6 +214,7 @@
     crash_check::announce_refused(node, &refused);
     let limits: Vec<LimitReport> = msg.limits.iter().map(LimitReport::from).collect();
     target_notices::merge_limits(node, &limits);
+    target_notices::merge_leaving(node, &msg.leaving);
     let runs: Vec<(u64, u64)> = msg.runs.iter().map(|run| (run.run, run.target)).collect();
     node.owner.borrow_mut().sync_runs(now, sender, &runs);
     node.decide();
--- a/crates/gateway/src/target_notices.rs
+++ b/crates/gateway/src/target_notices.rs
@@ -1,4 +1,5 @@
-//! Acts on what targets state about themselves in their responses.
+//! Acts on what targets state about themselves in their responses: that they are leaving, and the
+//! limit that they name.
 
 use log::{info, warn};
 use metrics::counter;
@@ -16,6 +17,12 @@
     if head.attestation == Attestation::Misdirected {
         return;
     }
+    let (now, key) = (clock::now(), target_key(target));
+    if head.is_leaving && node.catalog.borrow_mut().record_leaving(now, key) {
+        info!("target: {} says that it is leaving", target.id);
+        node.apply_catalog_to_owner();
+        node.heartbeat_requested.notify_one();
+    }
     record_limit(node, target, head);
 }
 
@@ -57,3 +64,17 @@
         node.apply_named_limits();
     }
 }
+
+/// Closes targets of which another member heard that they are leaving.
+pub(crate) fn merge_leaving(node: &Node, targets: &[u64]) {
+    let now = clock::now();
+    let mut catalog = node.catalog.borrow_mut();
+    let mut has_changed = false;
+    for &target in targets {
+        has_changed |= catalog.record_leaving(now, target);
+    }
+    drop(catalog);
+    if has_changed {
+        node.apply_catalog_to_owner();
+    }
+}
