gateway: keep to the pause that a target asks for

A target that turns a request away with 503 may add Retry-After: it wants nothing from that member for so long. Members backed off for 60 ms, whatever it said, and went on.

A member remembers the pause of each target (target_pauses), excludes the target from its offers, and gives back a grant that crossed it. Other members are not bound: the target answers each of them by itself.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -93,6 +93,8 @@
     pub limit: StatedLimit,
     /// Whether the target is about to stop and wants no new requests.
     pub is_leaving: bool,
+    /// Time for which the target, which turned the request away, wants no request of this member.
+    pub pause: Option<Duration>,
 }
 
 /// HTTP headers and paths of a deployment.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! | `retry_schedule` | retry times of refused callers | none |
 //! | `target_notices` | acts on what targets state in their responses | through `node` |
 //! | `named_limits` | limits that targets name | none |
+//! | `target_pauses` | targets that asked for a pause | none |
 //! | `log_throttle` | bounds lines about repeated faults | none |
 //! | `poison_requests` | detection of poison requests | none |
 //! | `poison_parts` | detection of poison parts of prompts | none |
@@ -72,6 +73,7 @@
 mod sliding_extremum;
 mod store_follower;
 mod target_notices;
+mod target_pauses;
 mod token_bucket;
 mod transfer;
 mod upstream;
@@ -92,5 +94,6 @@
 pub use retry_budget::RetryBudget;
 pub use retry_decision::{AttemptOutcome, NextStep, next_step};
 pub use serve::{Outcome, run};
+pub use target_pauses::TargetPauses;
 pub use token_bucket::TokenBucket;
 pub use transfer::{Progress, until_stalled};
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,6 +24,7 @@
 use crate::owner::{Decision, Offer, Owner, Refusal, RunId, RunReport};
 use crate::poison_parts::PoisonParts;
 use crate::record_log::RecordLog;
+use crate::target_pauses::TargetPauses;
 use crate::upstream::UpstreamPool;
 
 /// Reply of an owner to an offer.
@@ -78,6 +79,7 @@
     pub(crate) named_limits: RefCell<NamedLimits>,
     /// Targets, by key, whose malformed limits were logged.
     pub(crate) malformed_limits: RefCell<LogThrottle<u64>>,
+    pub(crate) target_pauses: RefCell<TargetPauses>,
     pub(crate) upstreams: UpstreamPool,
     /// Wakes the task that polls the owner.
     pub(crate) owner_changed: Notify,
@@ -129,6 +131,7 @@
             poison_parts: RefCell::default(),
             named_limits: RefCell::default(),
             malformed_limits: RefCell::default(),
+            target_pauses: RefCell::default(),
             upstreams: UpstreamPool::default(),
             owner_changed: Notify::new(),
             record_log: RefCell::default(),
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -57,6 +57,7 @@
         node.set_limit_shares(now);
         node.upstreams.close_expired(now);
         node.poison_parts.borrow_mut().expire(now);
+        node.target_pauses.borrow_mut().expire(now);
         let mut limits = node.named_limits.borrow_mut();
         limits.remove_stale(now, |target| node.owner.borrow().has_target(target));
     }
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -211,8 +211,8 @@
             } => {
                 pending.current_owner = None;
                 let Some(mut permit) = accept_grant(node, from, run, &target) else {
-                    // The catalog of this member rules the target out; that of the owner may be out
-                    // of date.
+                    // The catalog of this member rules the target out, or the target has asked this
+                    // member for a pause; the owner may not know that.
                     skipped.push(from);
                     if skipped.len() > MAX_STALE_GRANTS {
                         return Err(PermitRefused {
@@ -238,6 +238,9 @@
 /// capacity.
 const MAX_SHARDS_ASKED: usize = 2;
 
+/// Maximum number of paused targets in an offer, of 8 bytes each.
+const MAX_AVOIDED_PAUSES: usize = 256;
+
 /// Sends an offer until the owner decides. Returns `None` if the owner doesn't respond.
 async fn ask_owner(
     node: &Rc<Node>,
@@ -281,11 +284,16 @@
     None
 }
 
-/// Checks a grant against the local catalog, right before the request is sent.
+/// Checks a grant against what this member knows of the target, right before the request is sent.
 fn accept_grant(node: &Rc<Node>, from: Ipv4Addr, run: u64, target: &str) -> Option<Permit> {
     let catalog = node.catalog.borrow();
-    let Some(target) = catalog.target(target).filter(|t| catalog.is_open(t)) else {
-        drop(catalog);
+    let pauses = node.target_pauses.borrow();
+    let now = clock::now();
+    let is_usable = |target: &&Target| {
+        catalog.is_open(target) && !pauses.is_paused(now, owner::target_key(target))
+    };
+    let Some(target) = catalog.target(target).filter(is_usable) else {
+        drop((catalog, pauses));
         node.release(from, run, &RunReport::of(RunEnd::Unused));
         return None;
     };
@@ -337,6 +345,9 @@
     waited: Duration,
 ) -> OfferMsg {
     let token_counts = request.token_counts.unwrap_or_default();
+    let mut avoid = request.avoid.clone();
+    let paused = node.target_pauses.borrow().targets(clock::now());
+    avoid.extend(paused.into_iter().take(MAX_AVOIDED_PAUSES));
     OfferMsg {
         run,
         pool: request.pool.to_string(),
@@ -351,7 +362,7 @@
         wait_ms: millis(max_wait),
         left_ms: millis(request.time_left.saturating_sub(waited)),
         sends: request.sends,
-        avoid: request.avoid.clone(),
+        avoid,
         fingerprint: request.fingerprint,
         zone: node.settings.zone.to_string(),
     }
--- a/crates/gateway/src/target_notices.rs
+++ b/crates/gateway/src/target_notices.rs
@@ -1,5 +1,5 @@
-//! Acts on what targets state about themselves in their responses: that they are leaving, and the
-//! limit that they name.
+//! Acts on what targets state about themselves in their responses: that they are leaving, the limit
+//! that they name, and a pause that they ask for.
 
 use log::{info, warn};
 use metrics::counter;
@@ -23,6 +23,11 @@
         node.apply_catalog_to_owner();
         node.heartbeat_requested.notify_one();
     }
+    if let Some(pause) = head.pause {
+        info!("target: {} asks for a pause of {pause:?}", target.id);
+        counter!("primrosechute_target_pauses_total").increment(1);
+        node.target_pauses.borrow_mut().record(now, key, pause);
+    }
     record_limit(node, target, head);
 }
 
--- a/crates/gateway/tests/named_limits.rs
+++ b/crates/gateway/tests/named_limits.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use gateway::{LimitReport, LogThrottle, NamedLimits};
+use gateway::{LimitReport, LogThrottle, NamedLimits, TargetPauses};
 use support::ms;
 
 const TARGET: u64 = 7;
@@ -98,3 +98,16 @@
     assert_eq!(actual, [true, false, false, true]);
     assert!(throttle.allow(ms(10), 8));
 }
+
+/// Guards against a shorter pause that ends a longer one.
+#[test]
+fn the_longest_pause_of_a_target_counts() {
+    let mut pauses = TargetPauses::default();
+    pauses.record(ms(0), TARGET, ms(5000));
+    pauses.record(ms(100), TARGET, ms(500));
+
+    assert!(pauses.is_paused(ms(4999), TARGET));
+    assert_eq!(pauses.targets(ms(4999)), [TARGET]);
+    assert!(!pauses.is_paused(ms(5000), TARGET));
+    assert!(!pauses.is_paused(ms(100), 8));
+}
