gateway: only a response makes the leaving of a target final

Now only what targets say in responses is kept against their entries. The module leaving_targets takes it out of the catalog.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::leaving_targets::LeavingTargets;
 use crate::model::{Config, HttpLimits, Name, Pool, Route, Target, Workspace};
 use crate::owner::{shard_count, target_key};
 use crate::sliding_extremum::SlidingExtremum;
@@ -92,29 +93,13 @@
     limits: HttpLimits,
 }
 
-/// Targets that are leaving are remembered for this long after they said so, also without an entry.
-const LEAVING_MEMORY: Duration = Duration::from_mins(2);
-/// Other members are told of a leaving target for this long.
-const LEAVING_REPORT_TIME: Duration = Duration::from_secs(2);
-/// Maximum number of leaving targets of which other members are told at once.
-const MAX_LEAVING_REPORTED: usize = 32;
-
-/// A target that will accept no further requests, whatever its entry says.
-#[derive(Clone, Copy, Debug)]
-struct LeavingTarget {
-    at: Duration,
-    /// Whether the target said so in a response. Other members read the store themselves.
-    is_reported: bool,
-}
-
 /// Everything that was read from the store.
 pub struct Catalog {
     lapse_grace: Duration,
     active_config: Option<ActiveConfig>,
     evacuated_zones: HashSet<Name>,
     targets: HashMap<Name, TargetEntry>,
-    /// Targets that are leaving, by key.
-    leaving: HashMap<u64, LeavingTarget>,
+    leaving: LeavingTargets,
     /// Largest number of targets of each pool over the last `PEAK_WINDOW`.
     peak_targets: HashMap<Name, SlidingExtremum>,
     has_listing: bool,
@@ -131,7 +116,7 @@
             active_config: None,
             evacuated_zones: HashSet::new(),
             targets: HashMap::new(),
-            leaving: HashMap::new(),
+            leaving: LeavingTargets::default(),
             peak_targets: HashMap::new(),
             has_listing: false,
             last_store_failure: None,
@@ -246,14 +231,7 @@
                 self.evacuated_zones.remove(&zone);
             }
             Change::Target(mut target) => {
-                let key = target_key(&target);
-                if target.draining {
-                    self.leaving.entry(key).or_insert(LeavingTarget {
-                        at: now,
-                        is_reported: false,
-                    });
-                }
-                target.draining |= self.leaving.contains_key(&key);
+                target.draining |= self.leaving.contains(target_key(&target));
                 let cold_until = now + target.cold;
                 let entry = TargetEntry {
                     cold_until,
@@ -269,16 +247,7 @@
     /// Records that a target, given by its key, said that it is leaving. Returns whether this was
     /// unknown.
     pub fn record_leaving(&mut self, now: Duration, key: u64) -> bool {
-        let known = self.leaving.insert(
-            key,
-            LeavingTarget {
-                at: now,
-                is_reported: true,
-            },
-        );
-        if let Some(known) = known {
-            // Repeated reports from other members must not keep each other alive.
-            self.leaving.insert(key, known);
+        if !self.leaving.record(now, key) {
             return false;
         }
         let mut entries = self.targets.values_mut();
@@ -291,17 +260,12 @@
     /// Keys of the targets of which other members are to be told that they are leaving.
     #[must_use]
     pub fn recently_leaving(&self, now: Duration) -> Vec<u64> {
-        let recent = self.leaving.iter().filter(|(_, leaving)| {
-            leaving.is_reported && now.saturating_sub(leaving.at) < LEAVING_REPORT_TIME
-        });
-        let keys = recent.map(|(&key, _)| key);
-        keys.take(MAX_LEAVING_REPORTED).collect()
+        self.leaving.reports(now)
     }
 
     /// Removes targets whose grace time is over. Returns whether any was removed.
     pub fn expire(&mut self, now: Duration) -> bool {
-        self.leaving
-            .retain(|_, leaving| now.saturating_sub(leaving.at) < LEAVING_MEMORY);
+        self.leaving.expire(now);
         let before = self.targets.len();
         self.targets
             .retain(|_, entry| entry.lapsed_until.is_none_or(|until| now < until));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! |---|---|---|
 //! | `model` | configuration, targets, settings | none |
 //! | `catalog` | active configuration and targets | none |
+//! | `leaving_targets` | targets that accept no further requests | none |
 //! | `membership`, `sliding_extremum` | members and their liveness | none |
 //! | `owner` | admission for the targets of shards | none |
 //! | `token_bucket`, `retry_budget` | limits on rates and retries | none |
@@ -51,6 +52,7 @@
 mod feed_client;
 mod feed_server;
 mod http_server;
+mod leaving_targets;
 mod log_throttle;
 mod membership;
 mod message;
