gateway: tell the eras of a restored store apart

Callers got 404 on routes that had been added, and were served by an old version long after a new one was confirmed, once the store had come back from an older copy.

Cause: revisions were compared across the restore, although the store gives them out again. A reader had nothing newer than what its followers knew, a rewritten item with a lower revision than before was dropped as older, and a watch from a revision that had been given out again missed what was before.

Each revision now carries the era that the store states (Position).

Known data that is newer than the copy counts for 6 s (restore_hold): entries of targets by their start and report number, evacuations, and entries that the copy lacks for the usual grace time. The version of the configuration never falls in one run of a process.

--- a/crates/daemon/tests/soak/fleet.rs
+++ b/crates/daemon/tests/soak/fleet.rs
@@ -208,6 +208,7 @@
             state: if worker.draining { "draining" } else { "ready" },
             cold_remaining: cold,
             start_time: worker.starts,
+            sequence: 1,
         };
         self.store.register(&worker.echo.id, entry);
     }
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -147,6 +147,8 @@
     Compacted,
     /// The response can't be parsed.
     Malformed(String),
+    /// The store was restored from a copy while it was listed.
+    Restored,
 }
 
 /// An item of the store as it was written, or the removal of one.
@@ -167,6 +169,9 @@
     pub records: Vec<Record>,
     /// Revision from which to watch next.
     pub watch_from: u64,
+    /// Era of the store, which rises each time it is restored from an older copy; `None` if the
+    /// response does not state one that can be used.
+    pub era: Option<u64>,
 }
 
 impl Batch {
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -7,6 +7,7 @@
 use crate::leaving_targets::LeavingTargets;
 use crate::model::{Config, HttpLimits, Name, Pool, Route, Target, Workspace};
 use crate::owner::{shard_count, target_key};
+use crate::restore_hold::{ReleasedData, RestoreHold};
 use crate::sliding_extremum::SlidingExtremum;
 
 /// One change in the store.
@@ -100,6 +101,7 @@
     evacuated_zones: HashSet<Name>,
     targets: HashMap<Name, TargetEntry>,
     leaving: LeavingTargets,
+    restore_hold: RestoreHold,
     /// Largest number of targets of each pool over the last `PEAK_WINDOW`.
     peak_targets: HashMap<Name, SlidingExtremum>,
     has_listing: bool,
@@ -117,6 +119,7 @@
             evacuated_zones: HashSet::new(),
             targets: HashMap::new(),
             leaving: LeavingTargets::default(),
+            restore_hold: RestoreHold::default(),
             peak_targets: HashMap::new(),
             has_listing: false,
             last_store_failure: None,
@@ -167,6 +170,24 @@
         self.update_peaks(now);
     }
 
+    /// Applies what changes with the first listing after the store was restored from an older copy.
+    ///
+    /// What the copy lacks or has in an older state is likely to be written again within seconds.
+    /// Until then the known state stays in force: entries that it lacks are kept for the grace time,
+    /// older entries and the return of removed ones are held back, and evacuations go on.
+    pub fn apply_restored_listing(&mut self, now: Duration, changes: Vec<Change>) {
+        self.record_store_failure(now);
+        self.restore_hold.begin(now);
+        let mut kept = Vec::with_capacity(changes.len());
+        for change in changes {
+            match change {
+                Change::RestoreZone(zone) => self.restore_hold.hold_zone(zone),
+                change => kept.push(change),
+            }
+        }
+        self.apply_listing(now, kept);
+    }
+
     /// Applies changes in order.
     ///
     /// If entries of many targets of a pool are removed at once, they are taken as lapsed together:
@@ -225,12 +246,19 @@
         match change {
             Change::Config(cfg) => self.apply_config(now, cfg),
             Change::EvacuateZone(zone) => {
+                self.restore_hold.drop_zone(&zone);
                 self.evacuated_zones.insert(zone);
             }
             Change::RestoreZone(zone) => {
+                self.restore_hold.drop_zone(&zone);
                 self.evacuated_zones.remove(&zone);
             }
             Change::Target(mut target) => {
+                let known = self.targets.get(&target.id).map(|entry| &entry.target);
+                if self.restore_hold.hold_target(known, &target) {
+                    return;
+                }
+                self.restore_hold.drop_target(&target.id);
                 target.draining |= self.leaving.contains(target_key(&target));
                 let cold_until = now + target.cold;
                 let entry = TargetEntry {
@@ -240,7 +268,23 @@
                 };
                 self.targets.insert(entry.target.id.clone(), entry);
             }
-            Change::TargetRemoved(id) => self.remove_or_lapse(now, &id, grace),
+            Change::TargetRemoved(id) => {
+                self.restore_hold.drop_target(&id);
+                self.remove_or_lapse(now, &id, grace);
+            }
+        }
+    }
+
+    /// Applies what was held back after a restore of the store and was not written again.
+    fn apply_released(&mut self, now: Duration, released: ReleasedData) {
+        for zone in released.zones {
+            self.evacuated_zones.remove(&zone);
+        }
+        for target in released.targets {
+            // A newer state of the same target goes on to hold.
+            if !self.targets.contains_key(&target.id) {
+                self.apply_change(now, Change::Target(target), None);
+            }
         }
     }
 
@@ -263,13 +307,23 @@
         self.leaving.reports(now)
     }
 
-    /// Removes targets whose grace time is over. Returns whether any was removed.
+    /// Removes targets whose grace time is over, and ends the hold after a restore of the store.
+    /// Returns whether this changes anything.
     pub fn expire(&mut self, now: Duration) -> bool {
         self.leaving.expire(now);
+        let released = self.restore_hold.expire(now);
+        let is_hold_over = released.is_some();
+        if let Some(released) = released {
+            self.apply_released(now, released);
+        }
+        let is_over = |_: &Name, entry: &mut TargetEntry| {
+            entry.lapsed_until.is_some_and(|until| now >= until)
+        };
         let before = self.targets.len();
-        self.targets
-            .retain(|_, entry| entry.lapsed_until.is_none_or(|until| now < until));
-        self.targets.len() != before
+        for (_, entry) in self.targets.extract_if(is_over) {
+            self.restore_hold.record_removal(now, &entry.target);
+        }
+        is_hold_over || self.targets.len() != before
     }
 
     /// Finds the route of a request and the workspace of its key.
@@ -353,7 +407,9 @@
                 entry.lapsed_until.get_or_insert(now + grace);
             }
             _ => {
-                self.targets.remove(id);
+                if let Some(entry) = self.targets.remove(id) {
+                    self.restore_hold.record_removal(now, &entry.target);
+                }
             }
         }
     }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -11,12 +11,13 @@
 use tokio_util::io::{InspectReader, InspectWriter};
 
 use crate::adapter::Record;
+use crate::position::Position;
 use crate::record_log::LogDelta;
 use crate::transfer::{Progress, until_stalled};
 
 /// Maximum size of a response. A snapshot of 12,000 targets has about 6 MB.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-/// Maximum size of a request, which has two numbers.
+/// Maximum size of a request, which has three numbers.
 const MAX_REQUEST_BYTES: usize = 64;
 
 type Inspect = Box<dyn FnMut(&[u8])>;
@@ -36,6 +37,9 @@
     pub(crate) after: u64,
     #[prost(uint32, tag = "2")]
     pub(crate) wait_ms: u32,
+    /// Era of `after`.
+    #[prost(uint64, tag = "3")]
+    pub(crate) era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -68,9 +72,31 @@
     /// Milliseconds since the sender's last failed call to the store, if any.
     #[prost(uint32, optional, tag = "6")]
     pub(crate) failure_age_ms: Option<u32>,
+    /// Era of `revision`.
+    #[prost(uint64, tag = "7")]
+    pub(crate) era: u64,
+    /// Era of `published_revision`.
+    #[prost(uint64, tag = "8")]
+    pub(crate) published_era: u64,
+}
+
+impl FeedRequest {
+    pub(crate) fn after(&self) -> Position {
+        Position::new(self.era, self.after)
+    }
 }
 
 impl FeedResponse {
+    /// Position up to which the sender has applied all changes.
+    pub(crate) fn position(&self) -> Position {
+        Position::new(self.era, self.revision)
+    }
+
+    /// Position that the sender publishes in its heartbeats.
+    pub(crate) fn published_position(&self) -> Position {
+        Position::new(self.published_era, self.published_revision)
+    }
+
     pub(crate) fn to_delta(&self) -> LogDelta {
         let records = self.records.iter().map(|msg| Record {
             key: msg.key.as_str().into(),
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -8,6 +8,7 @@
 
 use crate::feed::{Connection, FeedError, FeedRequest, FeedResponse};
 use crate::message::millis;
+use crate::position::Position;
 use crate::transfer::Progress;
 
 /// Client of one reader at a time.
@@ -30,7 +31,7 @@
     pub(crate) async fn watch(
         &mut self,
         reader: SocketAddr,
-        after: u64,
+        after: Position,
         wait: Duration,
         response_timeout: Duration,
     ) -> Result<FeedResponse, FeedError> {
@@ -39,8 +40,9 @@
             _ => self.connect(reader, response_timeout).await?,
         };
         let req = FeedRequest {
-            after,
+            after: after.revision,
             wait_ms: millis(wait),
+            era: after.era,
         };
         conn.send(&req, response_timeout).await?;
         let response = conn
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -89,7 +89,7 @@
     let wait = Duration::from_millis(req.wait_ms.into()).min(MAX_WAIT);
     let deadline = Instant::now() + wait;
     let delta = loop {
-        let delta = node.record_log.borrow().since(req.after);
+        let delta = node.record_log.borrow().since(req.after());
         if delta != LogDelta::None || !is_reader(node) || Instant::now() >= deadline {
             break delta;
         }
@@ -103,11 +103,15 @@
     };
     let now = clock::now();
     let failure_age = node.catalog.borrow().store_failure_age(now);
+    let position = node.record_log.borrow().position();
+    let published = node.membership.borrow().local().position;
     FeedResponse {
-        revision: node.record_log.borrow().revision(),
+        revision: position.revision,
+        era: position.era,
         is_snapshot,
         records: records.into_iter().map(RecordMsg::from).collect(),
-        published_revision: node.membership.borrow().local().revision,
+        published_revision: published.revision,
+        published_era: published.era,
         is_reader: is_reader(node),
         failure_age_ms: failure_age.map(millis),
     }
--- a/crates/gateway/src/http_server.rs
+++ b/crates/gateway/src/http_server.rs
@@ -173,6 +173,8 @@
     gauge!("primrosechute_config_version").set(version);
     let age = node.catalog.borrow().config_age(now);
     gauge!("primrosechute_config_age_seconds").set(age.as_secs_f64());
+    let era = node.record_log.borrow().position().era;
+    gauge!("primrosechute_store_era").set(u32::try_from(era).unwrap_or(u32::MAX));
     let refused = node.poison_parts.borrow().refused_parts(now);
     gauge!("primrosechute_poison_parts").set(u32::try_from(refused).unwrap_or(u32::MAX));
     let limits = node.named_limits.borrow().count();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `model` | configuration, targets, settings | none |
 //! | `catalog` | active configuration and targets | none |
 //! | `leaving_targets` | targets that accept no further requests | none |
+//! | `restore_hold` | older data after a restore of the store | none |
 //! | `membership`, `sliding_extremum` | members and their liveness | none |
 //! | `owner` | admission for the targets of shards | none |
 //! | `token_bucket`, `retry_budget` | limits on rates and retries | none |
@@ -30,6 +31,7 @@
 //! | `message` | datagrams between members | none |
 //! | `clock` | time since boot | system clock |
 //! | `node` | state shared by all tasks | UDP |
+//! | `position` | positions in the history of the store | none |
 //! | `record_log` | copy of the store's items and recent changes | none |
 //! | `store_follower` | follows the store, or a member that reads it | `Store` trait |
 //! | `transfer` | time limits for large responses | none |
@@ -64,10 +66,12 @@
 mod permit;
 mod poison_parts;
 mod poison_requests;
+mod position;
 mod record_log;
 mod relay;
 mod request;
 mod request_log;
+mod restore_hold;
 mod retry_budget;
 mod retry_decision;
 mod retry_schedule;
@@ -92,6 +96,7 @@
 pub use owner::{Decision, Offer, Owner, Refusal, RunEnd, RunId, RunReport, target_key};
 pub use poison_parts::{Blame, PartReport, PoisonParts};
 pub use poison_requests::PoisonRequests;
+pub use position::Position;
 pub use record_log::{LogDelta, RecordLog};
 pub use retry_budget::RetryBudget;
 pub use retry_decision::{AttemptOutcome, NextStep, next_step};
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::convert::count_to_f64;
+use crate::position::Position;
 use crate::sliding_extremum::SlidingExtremum;
 
 /// A member that was silent for this long owns no shards. Five heartbeats of 250 ms.
@@ -82,8 +83,8 @@
     pub store_failed: bool,
     /// Code of its availability zone; 0 if it is unknown.
     pub zone: u32,
-    /// Newest store revision that it has seen.
-    pub revision: u64,
+    /// Newest position of the store that it has seen.
+    pub position: Position,
     /// Largest number of live members that it saw recently.
     pub max_members: u32,
     /// Capacity class of its CPU and link. Members of a higher class are preferred as owners.
@@ -209,7 +210,7 @@
                 store_reachable: false,
                 store_failed: false,
                 zone: 0,
-                revision: 0,
+                position: Position::default(),
                 max_members: 1,
                 capacity_class: 0,
             },
@@ -562,13 +563,13 @@
         }
     }
 
-    /// Newest store revision that a live member has seen.
+    /// Newest position of the store that another live member has seen.
     #[must_use]
-    pub fn newest_revision(&self, now: Duration) -> u64 {
+    pub fn newest_position(&self, now: Duration) -> Position {
         self.live_others(now)
-            .map(|known| known.member.revision)
+            .map(|known| known.member.position)
             .max()
-            .unwrap_or(0)
+            .unwrap_or_default()
     }
 
     /// Longest time since a live member was heard.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -10,6 +10,7 @@
 use crate::named_limits::LimitReport;
 use crate::owner::{Offer, RunEnd, RunId, RunReport};
 use crate::poison_parts::PartReport;
+use crate::position::Position;
 
 /// Maximum size of a datagram that is received.
 pub(crate) const MAX_DATAGRAM: usize = 16 * 1024;
@@ -68,6 +69,9 @@
     pub(crate) zone: u32,
     #[prost(bool, tag = "11")]
     pub(crate) store_failed: bool,
+    /// Era of `revision`.
+    #[prost(uint64, tag = "12")]
+    pub(crate) era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -227,7 +231,8 @@
             ready: member.ready,
             stopping: member.stopping,
             store_reachable: member.store_reachable,
-            revision: member.revision,
+            revision: member.position.revision,
+            era: member.position.era,
             max_members: member.max_members,
             capacity_class: member.capacity_class,
             zone: member.zone,
@@ -245,7 +250,7 @@
             ready: msg.ready,
             stopping: msg.stopping,
             store_reachable: msg.store_reachable,
-            revision: msg.revision,
+            position: Position::new(msg.era, msg.revision),
             max_members: msg.max_members,
             capacity_class: msg.capacity_class,
             zone: msg.zone,
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -164,6 +164,8 @@
     pub cold: Duration,
     /// Start time as the target reports it. It distinguishes two starts under one id.
     pub start_time: u64,
+    /// Number of the report within one start. It tells which of two entries is older.
+    pub sequence: u64,
 }
 
 /// Size of a request as declared by its caller.
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -221,7 +221,7 @@
     node.decide();
     let (newest, own) = {
         let membership = node.membership.borrow();
-        (membership.newest_revision(now), membership.local().revision)
+        (membership.newest_position(now), membership.local().position)
     };
     if newest > own {
         node.relist_requested.notify_one();
--- a/crates/gateway/src/record_log.rs
+++ b/crates/gateway/src/record_log.rs
@@ -4,6 +4,7 @@
 
 use crate::adapter::Record;
 use crate::model::Name;
+use crate::position::Position;
 
 /// Maximum number of recent changes. A member that missed more gets a snapshot.
 const MAX_HISTORY: usize = 1024;
@@ -23,26 +24,35 @@
 #[derive(Debug, Default)]
 pub struct RecordLog {
     items: HashMap<Name, Record>,
-    /// Changes with the revision of the log at which each was added.
+    /// Changes of the current era, with the revision of the log at which each was added.
     history: VecDeque<(u64, Record)>,
-    /// The history holds all changes after this revision.
+    /// The history holds all changes of the current era after this revision.
     history_start: u64,
-    revision: u64,
+    position: Position,
 }
 
 impl RecordLog {
-    /// Revision up to which all changes are applied; 0 if nothing was read yet.
+    /// Position up to which all changes are applied; zero if nothing was read yet.
     #[must_use]
-    pub fn revision(&self) -> u64 {
-        self.revision
+    pub fn position(&self) -> Position {
+        self.position
     }
 
-    /// Applies a complete list of items as of `revision`. Returns what changed, or `None` if the
+    /// Whether anything was read yet.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.position == Position::default()
+    }
+
+    /// Applies a complete list of items as of a position. Returns what changed, or `None` if the
     /// list is older than the log and is not applied.
-    pub fn apply_listing(&mut self, records: &[Record], revision: u64) -> Option<Vec<Record>> {
-        if revision < self.revision {
+    ///
+    /// A list of a later era replaces all items, whatever their revisions.
+    pub fn apply_listing(&mut self, records: &[Record], position: Position) -> Option<Vec<Record>> {
+        if position < self.position {
             return None;
         }
+        let revision = position.revision;
         let listed: HashSet<&Name> = records.iter().map(|record| &record.key).collect();
         let gone = self.items.keys().filter(|key| !listed.contains(key));
         let removals: Vec<Record> = gone
@@ -58,19 +68,26 @@
         for record in &changed {
             self.set(record.clone(), revision);
         }
-        if self.revision == 0 {
+        if self.is_empty() || position.era > self.position.era {
             self.history.clear();
             self.history_start = revision;
         }
-        self.revision = revision;
+        self.position = position;
         self.trim_history();
         Some(changed)
     }
 
-    /// Applies changes, after which the log is as of `revision`. Returns those that were not known:
+    /// Applies changes, after which the log is as of a position. Returns those that were not known:
     /// a member that lags behind repeats changes that others have passed on.
-    pub fn apply_changes(&mut self, records: Vec<Record>, revision: u64) -> Vec<Record> {
-        let known_revision = self.revision;
+    ///
+    /// Changes of another era are ignored: those of an earlier one are out of date, and those of a
+    /// later one need a listing first.
+    pub fn apply_changes(&mut self, records: Vec<Record>, position: Position) -> Vec<Record> {
+        if position.era != self.position.era {
+            return Vec::new();
+        }
+        let Position { revision, .. } = position;
+        let known_revision = self.position.revision;
         let mut applied = Vec::with_capacity(records.len());
         for record in records {
             let known = self.items.get(&record.key);
@@ -86,22 +103,26 @@
             self.set(record.clone(), added);
             applied.push(record);
         }
-        self.revision = self.revision.max(revision);
+        self.position = self.position.max(position);
         self.trim_history();
         applied
     }
 
     /// What a member that has applied all changes up to `after` lacks. A member that has applied
-    /// nothing passes 0.
+    /// nothing passes the default.
     #[must_use]
-    pub fn since(&self, after: u64) -> LogDelta {
-        if self.revision <= after {
+    pub fn since(&self, after: Position) -> LogDelta {
+        if self.position <= after {
             return LogDelta::None;
         }
-        if after == 0 || after < self.history_start {
+        let is_in_history = after.era == self.position.era && after.revision >= self.history_start;
+        if after == Position::default() || !is_in_history {
             return LogDelta::Snapshot(self.items.values().cloned().collect());
         }
-        let newer = self.history.iter().filter(|&&(added, _)| added > after);
+        let newer = self
+            .history
+            .iter()
+            .filter(|&&(added, _)| added > after.revision);
         LogDelta::Changes(newer.map(|(_, record)| record.clone()).collect())
     }
 
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -18,7 +18,9 @@
 use crate::clock;
 use crate::feed::{FeedError, FeedResponse};
 use crate::feed_client::FeedClient;
+use crate::log_throttle::LogThrottle;
 use crate::node::Node;
+use crate::position::Position;
 use crate::record_log::LogDelta;
 use crate::transfer::Progress;
 
@@ -72,6 +74,7 @@
         avoided: Vec::new(),
         follow_failing_since: None,
         next_own_call: Duration::ZERO,
+        era_faults: LogThrottle::default(),
     };
     loop {
         match follower.choose_reader() {
@@ -97,6 +100,8 @@
     follow_failing_since: Option<Duration>,
     /// Time before which this member does not call the store unless it is a reader.
     next_own_call: Duration,
+    /// Eras, lower than that of an earlier response, that were logged.
+    era_faults: LogThrottle<u64>,
 }
 
 impl<S: Store> Follower<S> {
@@ -138,7 +143,7 @@
     async fn follow_reader(&mut self, reader: Ipv4Addr) {
         // A watch that starts at a revision that was read elsewhere may miss changes.
         self.watch_from = None;
-        let after = self.node.record_log.borrow().revision();
+        let after = self.node.record_log.borrow().position();
         let address = SocketAddr::from((reader, self.node.settings.peer_port));
         let progress = self.feed.progress();
         let received = tokio::select! {
@@ -183,15 +188,15 @@
             self.node.catalog.borrow_mut().record_store_failure(at);
         }
         match response.to_delta() {
-            LogDelta::None => self.apply_changes(Vec::new(), response.revision),
-            LogDelta::Changes(records) => self.apply_changes(records, response.revision),
+            LogDelta::None => self.apply_changes(Vec::new(), response.position()),
+            LogDelta::Changes(records) => self.apply_changes(records, response.position()),
             LogDelta::Snapshot(records) => {
-                if !self.apply_listing(&records, response.revision) {
+                if !self.apply_listing(&records, response.position()) {
                     return Err(FeedError::Malformed);
                 }
             }
         }
-        self.publish_revision(response.published_revision);
+        self.publish_position(response.published_position());
         if !response.is_reader {
             return Err(FeedError::NotReader);
         }
@@ -222,20 +227,48 @@
     }
 
     async fn list(&mut self) -> Result<Option<u64>, StoreError> {
-        let known_revision = self.node.membership.borrow().newest_revision(clock::now());
+        let known_before = self.known_position();
         let batch = self.store.list(RESPONSE_TIMEOUT).await?;
-        let newest = batch.newest_revision();
+        let Some(era) = self.usable_era(&batch, known_before.era) else {
+            return Ok(None);
+        };
         // A listing of the store is as new as the store, so it replaces whatever other members
         // passed on.
-        let log_revision = self.node.record_log.borrow().revision();
-        self.apply_listing(&batch.records, batch.watch_from.max(log_revision));
-        // The listing is newer than the revisions that other members had reported before it.
-        self.publish_revision(newest.max(known_revision));
+        let listed = Position::new(era, batch.watch_from);
+        let log_position = self.node.record_log.borrow().position();
+        self.apply_listing(&batch.records, listed.max(log_position));
+        // The listing is newer than the positions that other members had reported before it.
+        let newest = Position::new(era, batch.newest_revision());
+        self.publish_position(newest.max(known_before));
         Ok(Some(batch.watch_from))
     }
 
+    /// Newest position that this member or another live one knows.
+    fn known_position(&self) -> Position {
+        let membership = self.node.membership.borrow();
+        let newest = membership.newest_position(clock::now());
+        newest.max(membership.local().position)
+    }
+
+    /// Era to which a response belongs, given the era that was known when it was requested; `None`
+    /// if a later era has become known since, so that the response is out of date.
+    fn usable_era(&mut self, batch: &Batch, known_before: u64) -> Option<u64> {
+        let stated = batch.era.unwrap_or(known_before);
+        if stated < known_before {
+            counter!("primrosechute_store_era_faults_total", "reason" => "fell").increment(1);
+            if self.era_faults.allow(clock::now(), stated) {
+                warn!(
+                    "store: a response states era {stated} after {known_before}, which is ignored"
+                );
+            }
+        }
+        let era = stated.max(known_before);
+        (era >= self.known_position().era).then_some(era)
+    }
+
     /// Watches once. Returns `None` if the store has to be listed again.
     async fn watch(&mut self, watch_from: u64) -> Result<Option<u64>, StoreError> {
+        let log_position = self.node.record_log.borrow().position();
         let progress = self.store.progress();
         let batch = tokio::select! {
             batch = self.store.watch(watch_from, WATCH_WAIT, RESPONSE_TIMEOUT) => batch?,
@@ -244,14 +277,19 @@
                 return Ok(None);
             }
         };
-        let newest = batch.newest_revision();
+        if self.usable_era(&batch, log_position.era) != Some(log_position.era) {
+            info!("store: it was restored from a copy, listing again");
+            return Ok(None);
+        }
+        let newest = Position::new(log_position.era, batch.newest_revision());
         let Batch {
             records,
             watch_from,
+            ..
         } = batch;
         if !records.is_empty() {
-            self.apply_changes(records, watch_from);
-            self.publish_revision(newest);
+            self.apply_changes(records, Position::new(log_position.era, watch_from));
+            self.publish_position(newest);
             sleep(BATCH_PAUSE).await;
         }
         Ok(Some(watch_from))
@@ -271,9 +309,16 @@
 
     async fn handle_failure(&mut self, err: &StoreError) {
         counter!("primrosechute_store_errors_total", "reason" => label(err)).increment(1);
-        if *err == StoreError::Compacted {
-            info!("store: the watched revision is no longer kept, listing again");
-            return;
+        match err {
+            StoreError::Compacted => {
+                info!("store: the watched revision is no longer kept, listing again");
+                return;
+            }
+            StoreError::Restored => {
+                info!("store: it was restored from a copy, listing again");
+                return;
+            }
+            _ => {}
         }
         if self.failures == 0 {
             warn!("store: no answer: {err:?}");
@@ -291,23 +336,36 @@
     }
 
     /// Applies a complete list of items. Returns false if it is older than what is known.
-    fn apply_listing(&self, records: &[Record], revision: u64) -> bool {
+    fn apply_listing(&self, records: &[Record], position: Position) -> bool {
         let mut log = self.node.record_log.borrow_mut();
-        let Some(new_records) = log.apply_listing(records, revision) else {
+        let before = log.position();
+        let is_restored = !log.is_empty() && position.era > before.era;
+        let Some(new_records) = log.apply_listing(records, position) else {
             return false;
         };
         drop(log);
+        if is_restored {
+            counter!("primrosechute_store_restores_total").increment(1);
+            warn!(
+                "store: restored from a copy, era {} at revision {} after era {} at revision {}",
+                position.era, position.revision, before.era, before.revision
+            );
+        }
         let changes = self.decode(&new_records);
         let mut catalog = self.node.catalog.borrow_mut();
-        catalog.apply_listing(clock::now(), changes);
+        if is_restored {
+            catalog.apply_restored_listing(clock::now(), changes);
+        } else {
+            catalog.apply_listing(clock::now(), changes);
+        }
         drop(catalog);
         self.announce_changes();
         true
     }
 
-    fn apply_changes(&self, records: Vec<Record>, revision: u64) {
+    fn apply_changes(&self, records: Vec<Record>, position: Position) {
         let mut log = self.node.record_log.borrow_mut();
-        let applied = log.apply_changes(records, revision);
+        let applied = log.apply_changes(records, position);
         drop(log);
         if applied.is_empty() {
             return;
@@ -328,7 +386,7 @@
             .iter()
             .filter_map(|record| self.store.decode(record))
             .collect();
-        log_changes(&changes);
+        log_changes(&changes, self.node.catalog.borrow().version());
         changes
     }
 
@@ -347,9 +405,9 @@
         membership.update_local(|me| me.store_reachable = reachable);
     }
 
-    fn publish_revision(&self, revision: u64) {
+    fn publish_position(&self, position: Position) {
         let mut membership = self.node.membership.borrow_mut();
-        membership.update_local(|me| me.revision = me.revision.max(revision));
+        membership.update_local(|me| me.position = me.position.max(position));
     }
 
     fn set_store_failed(&self, failed: bool) {
@@ -369,7 +427,7 @@
 async fn wait_until_behind(node: &Rc<Node>, max_lag: Duration, progress: &Progress) {
     let is_behind = || {
         let membership = node.membership.borrow();
-        membership.newest_revision(clock::now()) > membership.local().revision
+        membership.newest_position(clock::now()) > membership.local().position
     };
     loop {
         node.relist_requested.notified().await;
@@ -390,9 +448,14 @@
     }
 }
 
-fn log_changes(changes: &[Change]) {
+/// Logs changes, given the version of the configuration that was in force before.
+fn log_changes(changes: &[Change], version: u64) {
     for change in changes {
         match change {
+            Change::Config(cfg) if cfg.version < version => info!(
+                "config: version {} is older than {version}, which stays in force",
+                cfg.version
+            ),
             Change::Config(cfg) => info!("config: version {}", cfg.version),
             Change::EvacuateZone(zone) => info!("config: zone {zone} is evacuated"),
             Change::RestoreZone(zone) => info!("config: zone {zone} is no longer evacuated"),
@@ -412,5 +475,6 @@
         StoreError::Refused(_) => "refused",
         StoreError::Compacted => "forgotten",
         StoreError::Malformed(_) => "malformed",
+        StoreError::Restored => "restored",
     }
 }
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/gateway/tests/catalog.rs
@@ -180,3 +180,158 @@
     assert_ne!(ranks[0], ranks[1]);
     assert_ne!(ranks[3], ranks[4]);
 }
+
+fn restored_catalog(changes: Vec<Change>) -> Catalog {
+    let mut catalog = catalog(4);
+    // Targets that are removed at once would count as lapsed.
+    for change in changes {
+        catalog.apply_changes(ms(10), vec![change]);
+    }
+    catalog
+}
+
+fn entry(id: &str, sequence: u64) -> gateway::Target {
+    gateway::Target {
+        sequence,
+        ..target(id, 4)
+    }
+}
+
+/// Time after which what was not written again counts as the store has it.
+const RESTORE_HOLD: Duration = Duration::from_secs(6);
+
+/// Guards against a restored store that brings back the configuration of its copy.
+#[test]
+fn a_restored_store_does_not_bring_back_an_older_version() {
+    let mut catalog = restored_catalog(vec![Change::Config(config(9))]);
+
+    catalog.apply_restored_listing(ms(1000), vec![Change::Config(config(7))]);
+    let restored = catalog.version();
+    catalog.apply_changes(ms(1500), vec![Change::Config(config(9))]);
+    catalog.apply_changes(ms(2000), vec![Change::Config(config(10))]);
+
+    assert_eq!((restored, catalog.version()), (9, 10));
+}
+
+/// Guards against a target that left before the restore and is used again, as the copy has its
+/// entry from before.
+#[test]
+fn a_target_that_left_does_not_return_with_the_copy() {
+    let mut draining = entry("t-1", 5);
+    draining.draining = true;
+    let mut catalog = restored_catalog(vec![
+        Change::Target(draining),
+        Change::TargetRemoved("t-0".into()),
+    ]);
+
+    let copy = vec![
+        Change::Target(entry("t-0", 1)),
+        Change::Target(entry("t-1", 4)),
+    ];
+    catalog.apply_restored_listing(ms(1000), copy);
+    catalog.expire(ms(2000));
+
+    assert!(catalog.target("t-0").is_none());
+    assert!(catalog.target("t-1").is_some_and(|target| target.draining));
+}
+
+/// Guards against a sound target that is lost for good, because its entry in the copy looks old.
+#[test]
+fn a_held_entry_returns_when_it_is_written_again_or_the_hold_ends() {
+    let removed = |id: &str| Change::TargetRemoved(id.into());
+    let mut catalog = restored_catalog(vec![removed("t-0"), removed("t-1")]);
+    let copy = ["t-0", "t-1"].map(|id| Change::Target(entry(id, 1)));
+    catalog.apply_restored_listing(ms(1000), copy.into());
+
+    catalog.apply_changes(ms(1500), vec![Change::Target(entry("t-1", 2))]);
+    let rewritten = catalog.target("t-1").is_some();
+    let held = catalog.target("t-0").is_none();
+    catalog.expire(ms(1000) + RESTORE_HOLD);
+
+    assert!(rewritten && held);
+    assert!(catalog.target("t-0").is_some());
+}
+
+/// Guards against a target that is cold and gets the load of a warm one, as the copy has its entry
+/// from before.
+#[test]
+fn an_older_entry_does_not_end_a_cold_start() {
+    let mut cold = entry("t-0", 7);
+    cold.cold = Duration::from_secs(20);
+    let mut catalog = restored_catalog(vec![Change::Target(cold)]);
+
+    catalog.apply_restored_listing(ms(1000), vec![Change::Target(entry("t-0", 6))]);
+
+    let cold_until = catalog
+        .targets()
+        .find(|(target, _)| &*target.id == "t-0")
+        .map(|(_, cold_until)| cold_until);
+    assert_eq!(cold_until, Some(ms(20_010)));
+}
+
+/// Guards against sound targets that are dropped because the copy was made before they started.
+#[test]
+fn targets_that_the_copy_lacks_are_kept_for_the_grace_time() {
+    let mut catalog = catalog(4);
+
+    catalog.apply_restored_listing(ms(1000), without(&["t-1", "t-2"]));
+    catalog.apply_changes(ms(2000), vec![Change::Target(entry("t-1", 2))]);
+    let kept = catalog.target("t-2").is_some();
+    catalog.expire(ms(1000) + LAPSE_GRACE);
+
+    assert!(kept);
+    assert!(catalog.target("t-1").is_some());
+    assert!(catalog.target("t-2").is_none());
+}
+
+/// Guards against requests to a zone whose evacuation the copy lacks, and against one that is never
+/// taken back. Each row: what is written after the restore, and whether the zone is open after the
+/// hold.
+#[test]
+fn an_evacuation_outlives_a_restore() {
+    let zone = || "zone-a".into();
+    let rows = [
+        (vec![], true),
+        (vec![Change::EvacuateZone(zone())], false),
+        (
+            vec![Change::EvacuateZone(zone()), Change::RestoreZone(zone())],
+            true,
+        ),
+    ];
+    for (written, expected) in rows {
+        let mut catalog = restored_catalog(vec![Change::EvacuateZone(zone())]);
+        let is_open = |catalog: &Catalog| {
+            let target = catalog.target("t-0").expect("a listed target");
+            catalog.is_open(target)
+        };
+        catalog.apply_restored_listing(ms(1000), vec![Change::RestoreZone(zone())]);
+        let open_at_once = is_open(&catalog);
+        catalog.apply_changes(ms(2000), written.clone());
+        catalog.expire(ms(1000) + RESTORE_HOLD);
+
+        assert!(!open_at_once, "{written:?}");
+        assert_eq!(is_open(&catalog), expected, "{written:?}");
+    }
+}
+
+/// Guards against a target that said that it is leaving and is used again after its entry is
+/// written once more.
+#[test]
+fn a_leaving_target_stays_closed() {
+    let mut catalog = catalog(1);
+    let key = gateway::target_key(catalog.target("t-0").expect("a listed target"));
+
+    let is_new = [
+        catalog.record_leaving(ms(10), key),
+        catalog.record_leaving(ms(20), key),
+    ];
+    catalog.apply_changes(ms(30), vec![Change::Target(entry("t-0", 2))]);
+    let mut restarted = entry("t-0", 1);
+    restarted.start_time += 1;
+
+    assert_eq!(is_new, [true, false]);
+    assert_eq!(catalog.recently_leaving(ms(100)), [key]);
+    assert!(catalog.target("t-0").is_some_and(|target| target.draining));
+    catalog.apply_changes(ms(40), vec![Change::Target(restarted)]);
+    assert!(catalog.target("t-0").is_some_and(|target| !target.draining));
+}
--- a/crates/gateway/tests/record_log.rs
+++ b/crates/gateway/tests/record_log.rs
@@ -1,7 +1,7 @@
 //! The copy of the store's items that members pass on.
 
 use gateway::adapter::Record;
-use gateway::{LogDelta, RecordLog};
+use gateway::{LogDelta, Position, RecordLog};
 
 fn written(key: &str, revision: u64) -> Record {
     Record {
@@ -18,15 +18,20 @@
     }
 }
 
+/// Position in the first era.
+fn at(revision: u64) -> Position {
+    Position::new(1, revision)
+}
+
 fn listed_log() -> RecordLog {
     let mut log = RecordLog::default();
-    log.apply_listing(&[written("a", 3), written("b", 7)], 10);
+    log.apply_listing(&[written("a", 3), written("b", 7)], at(10));
     log
 }
 
 /// Items of a snapshot in order of their keys.
 fn snapshot(log: &RecordLog) -> Vec<Record> {
-    match log.since(0) {
+    match log.since(Position::default()) {
         LogDelta::Snapshot(mut records) => {
             records.sort_by(|a, b| a.key.cmp(&b.key));
             records
@@ -40,8 +45,8 @@
 #[test]
 fn a_member_gets_what_it_lacks() {
     let mut log = listed_log();
-    log.apply_changes(vec![written("c", 12)], 13);
-    log.apply_changes(vec![removed("a", 15)], 20);
+    log.apply_changes(vec![written("c", 12)], at(13));
+    log.apply_changes(vec![removed("a", 15)], at(20));
     let rows = [
         (
             10,
@@ -58,7 +63,7 @@
     ];
 
     for (after, expected) in rows {
-        assert_eq!(log.since(after), expected, "after revision {after}");
+        assert_eq!(log.since(at(after)), expected, "after revision {after}");
     }
     assert_eq!(snapshot(&log), [written("b", 7), written("c", 12)]);
 }
@@ -67,13 +72,13 @@
 #[test]
 fn a_member_that_missed_too_much_gets_a_snapshot() {
     let mut log = listed_log();
-    assert!(matches!(log.since(9), LogDelta::Snapshot(_)));
+    assert!(matches!(log.since(at(9)), LogDelta::Snapshot(_)));
     for revision in 11..3000 {
-        log.apply_changes(vec![written("c", revision)], revision);
+        log.apply_changes(vec![written("c", revision)], at(revision));
     }
 
-    assert!(matches!(log.since(10), LogDelta::Snapshot(_)));
-    assert!(matches!(log.since(2990), LogDelta::Changes(records) if records.len() == 9));
+    assert!(matches!(log.since(at(10)), LogDelta::Snapshot(_)));
+    assert!(matches!(log.since(at(2990)), LogDelta::Changes(records) if records.len() == 9));
 }
 
 /// Guards against a reader that lags behind and brings back items that were replaced since.
@@ -81,7 +86,7 @@
 fn older_records_of_a_key_are_ignored() {
     let mut log = listed_log();
 
-    let applied = log.apply_changes(vec![written("b", 6), written("a", 11)], 11);
+    let applied = log.apply_changes(vec![written("b", 6), written("a", 11)], at(11));
 
     assert_eq!(applied, [written("a", 11)]);
     assert_eq!(snapshot(&log), [written("a", 11), written("b", 7)]);
@@ -92,9 +97,9 @@
 fn an_older_listing_is_rejected() {
     let mut log = listed_log();
 
-    assert_eq!(log.apply_listing(&[written("a", 3)], 9), None);
+    assert_eq!(log.apply_listing(&[written("a", 3)], at(9)), None);
 
-    assert_eq!(log.revision(), 10);
+    assert_eq!(log.position(), at(10));
     assert_eq!(snapshot(&log), [written("a", 3), written("b", 7)]);
 }
 
@@ -106,22 +111,22 @@
     let mut follower = listed_log();
     let mut second = listed_log();
 
-    let found_by_reader = reader.apply_listing(&[written("b", 11), written("c", 8)], 14);
+    let found_by_reader = reader.apply_listing(&[written("b", 11), written("c", 8)], at(14));
     let found = vec![removed("a", 14), written("b", 11), written("c", 8)];
     assert_eq!(found_by_reader, Some(found));
-    let LogDelta::Changes(changes) = reader.since(follower.revision()) else {
-        panic!("{:?}", reader.since(10));
+    let LogDelta::Changes(changes) = reader.since(follower.position()) else {
+        panic!("{:?}", reader.since(at(10)));
     };
-    follower.apply_changes(changes, reader.revision());
-    let LogDelta::Changes(changes) = follower.since(second.revision()) else {
-        panic!("{:?}", follower.since(10));
+    follower.apply_changes(changes, reader.position());
+    let LogDelta::Changes(changes) = follower.since(second.position()) else {
+        panic!("{:?}", follower.since(at(10)));
     };
-    second.apply_changes(changes, follower.revision());
+    second.apply_changes(changes, follower.position());
 
     let expected = [written("b", 11), written("c", 8)];
     for log in [&reader, &follower, &second] {
         assert_eq!(snapshot(log), expected);
-        assert_eq!(log.revision(), 14);
+        assert_eq!(log.position(), at(14));
     }
 }
 
@@ -131,8 +136,53 @@
 fn a_listing_without_changes_adds_no_history() {
     let mut log = listed_log();
 
-    let changed = log.apply_listing(&[written("a", 3), written("b", 7)], 12);
+    let changed = log.apply_listing(&[written("a", 3), written("b", 7)], at(12));
 
     assert_eq!(changed, Some(Vec::new()));
-    assert_eq!(log.since(10), LogDelta::Changes(Vec::new()));
+    assert_eq!(log.since(at(10)), LogDelta::Changes(Vec::new()));
+}
+
+/// Guards against items and followers that stay in the time before a restore of the store, because
+/// its revisions have gone back.
+#[test]
+fn a_listing_of_a_later_era_replaces_all_items() {
+    let mut log = listed_log();
+    log.apply_changes(vec![written("a", 15), written("c", 18)], at(20));
+    let restored = Position::new(2, 12);
+
+    let changed = log.apply_listing(&[written("a", 3), written("b", 11)], restored);
+    let rewritten = log.apply_changes(vec![written("a", 14)], Position::new(2, 14));
+
+    let expected = vec![removed("c", 12), written("a", 3), written("b", 11)];
+    assert_eq!(changed, Some(expected));
+    assert_eq!(rewritten, [written("a", 14)]);
+    assert_eq!(log.position(), Position::new(2, 14));
+    assert!(matches!(log.since(at(20)), LogDelta::Snapshot(_)));
+    let newer = LogDelta::Changes(vec![written("a", 14)]);
+    assert_eq!(log.since(restored), newer);
+}
+
+/// Guards against a late response, or a reader that has not heard of the restore, which bring back
+/// the time before.
+#[test]
+fn data_of_an_earlier_era_is_ignored() {
+    let mut log = listed_log();
+    log.apply_listing(&[written("a", 3)], Position::new(2, 5));
+
+    let listing = log.apply_listing(&[written("a", 9), written("b", 30)], at(30));
+    let changes = log.apply_changes(vec![written("b", 31)], at(31));
+
+    assert_eq!((listing, changes), (None, vec![]));
+    assert_eq!(log.position(), Position::new(2, 5));
+    assert_eq!(log.since(Position::new(3, 1)), LogDelta::None);
+}
+
+/// Guards against changes of a later era that are applied to items of an earlier one.
+#[test]
+fn changes_of_a_later_era_wait_for_a_listing() {
+    let mut log = listed_log();
+
+    let changes = log.apply_changes(vec![written("b", 31)], Position::new(2, 31));
+
+    assert_eq!((changes, log.position()), (vec![], at(10)));
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -101,6 +101,7 @@
         draining: false,
         cold: Duration::ZERO,
         start_time: 1,
+        sequence: 1,
     }
 }
 
