gateway: accept any time that an entry states

A cold start of almost 2^64 s is a valid number, but no time of the clock can be added to it: the addition panics, and each member that reads the entry ends, again after each restart.

Weights of a split route are added as 64-bit numbers: two of 2^32-1 would have wrapped.

Seen failing before: gateway an_endless_cold_start_is_accepted, 'overflow when adding durations'.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -260,7 +260,7 @@
                 }
                 self.restore_hold.drop_target(&target.id);
                 target.draining |= self.leaving.contains(target_key(&target));
-                let cold_until = now + target.cold;
+                let cold_until = now.saturating_add(target.cold);
                 let entry = TargetEntry {
                     cold_until,
                     target,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -214,10 +214,11 @@
 
 /// Chooses one of the pools of a route at random, by weight.
 fn choose_pool(pools: &[(Name, u32)]) -> Name {
-    let total: u32 = pools.iter().map(|&(_, weight)| weight).sum();
+    let total: u64 = pools.iter().map(|&(_, weight)| u64::from(weight)).sum();
     let mut at = rand::rng().random_range(0..total.max(1));
     for (name, weight) in pools {
-        if at < *weight {
+        let weight = u64::from(*weight);
+        if at < weight {
             return name.clone();
         }
         at -= weight;
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/gateway/tests/catalog.rs
@@ -335,3 +335,17 @@
     catalog.apply_changes(ms(40), vec![Change::Target(restarted)]);
     assert!(catalog.target("t-0").is_some_and(|target| !target.draining));
 }
+
+/// Guards against a process that ends because of one entry: no time of the clock can be added to
+/// such a cold start.
+#[test]
+fn an_endless_cold_start_is_accepted() {
+    let mut catalog = catalog(1);
+    let mut cold = entry("t-0", 2);
+    cold.cold = Duration::MAX;
+
+    catalog.apply_changes(ms(10), vec![Change::Target(cold)]);
+
+    let cold_until = catalog.targets().map(|(_, cold_until)| cold_until).next();
+    assert_eq!(cold_until, Some(Duration::MAX));
+}
