gateway: resume a stream only with the events that follow

An error status was never relayed, but three other things were:

- a signed 200 whose body is no series of events; its text followed the events of the first target, and the response ended as complete;
- events that begin again with the first one;
- a stream that broke inside an event of more than 256 KiB, the beginning of which had been relayed.

Another target is asked only if the caller has whole events with ids, and taken only if its response is a series of events whose first id is higher.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -92,6 +92,8 @@
     at_line_start: bool,
     /// Whether an event has begun that no blank line has ended.
     is_inside_event: bool,
+    /// Whether the beginning of that event was given out.
+    is_event_cut: bool,
 }
 
 impl EventSplitter {
@@ -102,6 +104,7 @@
             count: 0,
             at_line_start: true,
             is_inside_event: false,
+            is_event_cut: false,
         }
     }
 
@@ -118,10 +121,12 @@
                 self.last_id = Some(id);
             }
             self.count += 1;
+            self.is_event_cut = false;
             end = at + 1;
         }
         if end == 0 && self.partial.len() > MAX_EVENT_BYTES {
             end = self.partial.len();
+            self.is_event_cut = true;
         }
         (end > 0).then(|| self.partial.split_to(end).freeze())
     }
@@ -142,6 +147,11 @@
         }
     }
 
+    /// Whether another target can go on after what was given out.
+    fn can_be_resumed(&self) -> bool {
+        !self.is_event_cut && (self.count == 0 || self.last_id.is_some())
+    }
+
     /// Discards what was received of an incomplete event.
     fn restart(&mut self) {
         self.partial.clear();
@@ -177,6 +187,9 @@
     head: ResponseHead,
     /// Whether the body is a series of events. Another body may end anywhere.
     has_events: bool,
+    /// Last event that the caller had when this target took over, until its first event shows that
+    /// it goes on from there.
+    resumes_after: Option<String>,
 }
 
 impl TargetStream {
@@ -190,8 +203,18 @@
             body: received.response.into_body(),
             head: received.head,
             has_events,
+            resumes_after: None,
         }
     }
+
+    /// Whether these first events of the target are those that the caller lacks. Ids of events rise;
+    /// ids that are no numbers can't be checked.
+    fn goes_on_with(&mut self, events: &[u8]) -> bool {
+        let number = |id: String| id.parse::<u64>().ok();
+        let last = self.resumes_after.take().and_then(number);
+        let next = event_id(events).and_then(number);
+        last.is_none_or(|last| next.is_none_or(|next| next > last))
+    }
 }
 
 /// Why the stream of one target ended.
@@ -231,7 +254,8 @@
     let mut events = EventSplitter::new();
     loop {
         let can_resume = stream.route.kind.is_retryable()
-            && stream.permit_request.sends < stream.route.max_attempts;
+            && stream.permit_request.sends < stream.route.max_attempts
+            && events.can_be_resumed();
         let resume_request = can_resume.then(|| resume_request(&stream, &source));
         let end = relay_events(
             &stream,
@@ -293,7 +317,7 @@
         // Closing the connection stops the target before another one gets the request.
         drop(upstream);
         drop(source.body);
-        let resumed = if can_resume {
+        let resumed = if can_resume && events.can_be_resumed() {
             resume(&mut stream, next_permit, events.last_id.as_deref(), &tx).await
         } else {
             None
@@ -342,6 +366,7 @@
                 let Ok(data) = frame.into_data() else {
                     continue;
                 };
+                let resumes_after = source.resumes_after.clone();
                 let complete = if stream.route.kind.is_retryable() {
                     events.push(&data)
                 } else {
@@ -360,6 +385,12 @@
                     source.permit.report.time_per_unit =
                         Some(now.saturating_sub(first_at) / new_events);
                 }
+                if let Some(complete) = &complete
+                    && !source.goes_on_with(complete)
+                {
+                    events.last_id = resumes_after;
+                    return StreamEnd::Broken;
+                }
                 if let Some(complete) = complete
                     && tx.send(Ok(complete)).await.is_err()
                 {
@@ -452,7 +483,13 @@
                     None if received.head.attestation == Attestation::Signed
                         && received.response.status() == 200 =>
                     {
-                        return Some(TargetStream::new(permit, *received));
+                        let mut source = TargetStream::new(permit, *received);
+                        if source.has_events {
+                            source.resumes_after = last_event.map(ToOwned::to_owned);
+                            return Some(source);
+                        }
+                        source.permit.end(RunEnd::Error);
+                        return None;
                     }
                     None => RunEnd::Error,
                 }
