--- a/crates/daemon/tests/member_soak.rs
+++ b/crates/daemon/tests/member_soak.rs
@@ -3,7 +3,8 @@
 //! checked against the guarantees of the system.
 //!
 //! To run it by hand: `SOAK_SEEDS=1-50 cargo test --release -p daemon --test member_soak --
-//! --ignored --nocapture`. `SOAK_SECONDS` sets the length of a run. A seed fixes the sequence of
+//! --ignored --nocapture`. `SOAK_SECONDS` sets the length of a run, and `SOAK_DRILLS=1` adds restores of
+//! the store and limits of workers. A seed fixes the sequence of
 //! faults and calls, but not their timing, which depends on the machine.
 
 #[path = "../../../platform/tests/support/mod.rs"]
@@ -18,6 +19,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use soak::checks::{Observations, to_f64};
+use soak::drills::Drills;
 use soak::faults::FaultInjector;
 use soak::fleet::{Fleet, MEMBERS};
 use soak::load::{CallLog, CallResult, run_caller};
@@ -53,7 +55,7 @@
 #[test]
 fn failed_seeds_stay_fixed() {
     let runs = REGRESSIONS.map(|(seed, cause)| {
-        let run = std::thread::spawn(move || run_seed(seed, DEFAULT_LENGTH));
+        let run = std::thread::spawn(move || run_seed(seed, DEFAULT_LENGTH, false));
         (seed, cause, run)
     });
     for (seed, cause, run) in runs {
@@ -62,6 +64,17 @@
     }
 }
 
+/// Guards against violated guarantees while the store is restored and workers name limits, beside the
+/// other faults.
+#[test]
+fn restores_and_limits_violate_no_guarantee() {
+    const SEED: u64 = 1;
+
+    let findings = run_seed(SEED, DEFAULT_LENGTH, true);
+
+    assert!(findings.is_empty(), "{findings:#?}");
+}
+
 #[test]
 #[ignore = "takes minutes; run by hand"]
 fn seeds_by_hand() {
@@ -77,26 +90,27 @@
     let length = std::env::var("SOAK_SECONDS").map_or(DEFAULT_LENGTH, |text| {
         Duration::from_secs(text.parse().expect("seconds"))
     });
+    let with_drills = std::env::var("SOAK_DRILLS").is_ok_and(|value| value == "1");
     let mut failed = Vec::new();
     for seed in first..=last {
-        if !run_seed(seed, length).is_empty() {
+        if !run_seed(seed, length, with_drills).is_empty() {
             failed.push(seed);
         }
     }
     assert!(failed.is_empty(), "seeds with findings: {failed:?}");
 }
 
-fn run_seed(seed: u64, length: Duration) -> Vec<String> {
+fn run_seed(seed: u64, length: Duration, with_drills: bool) -> Vec<String> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
         .build()
         .expect("runtime");
-    runtime.block_on(run_seed_async(seed, length))
+    runtime.block_on(run_seed_async(seed, length, with_drills))
 }
 
 /// Runs one fleet under load and faults, and returns the findings.
-async fn run_seed_async(seed: u64, length: Duration) -> Vec<String> {
+async fn run_seed_async(seed: u64, length: Duration, with_drills: bool) -> Vec<String> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut fleet = Fleet::start().await;
     let mut faults = FaultInjector::new(SmallRng::seed_from_u64(rng.random()));
@@ -120,10 +134,19 @@
             tokio::spawn(caller)
         })
         .collect();
+    let drill_rng = SmallRng::seed_from_u64(rng.random());
+    let mut drills = with_drills.then(|| Drills::new(drill_rng, &fleet));
     while started.elapsed() < length {
         let pause = faults.step(&mut fleet).await;
+        if let Some(drills) = &mut drills {
+            drills.step(&fleet, &mut faults.timeline);
+            faults.trace_all(&mut drills.trace);
+        }
         sleep(pause).await;
     }
+    if let Some(drills) = &mut drills {
+        drills.end_all(&fleet, &mut faults.timeline);
+    }
     faults.end_all(&mut fleet).await;
     findings.extend(wait_ready(&fleet, "after the faults").await);
     findings.extend(wait_directory(&fleet).await);
--- a/crates/daemon/tests/soak/checks.rs
+++ b/crates/daemon/tests/soak/checks.rs
@@ -27,6 +27,13 @@
 const CANCEL_LIMIT: Duration = Duration::from_millis(500);
 const LATE_CANCEL_SHARE: f64 = 0.25;
 
+/// Window of the limit that a worker names, what it may get beyond it, and the time after which it is
+/// counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_TOLERANCE: f64 = 1.5;
+const LIMIT_TOLERANCE_RUNS: f64 = 5.0;
+const LIMIT_STABLE: Duration = Duration::from_secs(3);
+
 /// What was observed in one run of the soak test.
 pub struct Observations<'a> {
     pub calls: &'a [Call],
@@ -68,6 +75,7 @@
         }
         findings.extend(self.check_rate(&runs_by_id));
         findings.extend(self.check_cold_sends());
+        findings.extend(self.check_named_limits());
         findings.extend(self.check_repeats(&runs_by_id));
         findings.extend(self.check_abandoned_runs(&runs_by_id));
         findings
@@ -230,6 +238,45 @@
         findings
     }
 
+    /// A worker gets no more runs in any window than the limit that it names allows. Runs of members
+    /// that were down or cut from the others shortly before don't count.
+    fn check_named_limits(&self) -> Vec<String> {
+        let members: HashMap<&str, _> = self
+            .calls
+            .iter()
+            .map(|call| (call.id.as_str(), call.member))
+            .collect();
+        let is_counted = |run: &Run| {
+            let before = run.arrived.checked_sub(LIMIT_WINDOW).unwrap_or(run.arrived);
+            let member = members.get(run.id.as_str());
+            !self
+                .timeline
+                .overlaps(before, run.arrived, LIMIT_STABLE, |condition| {
+                    condition == Condition::PeerLinksImpaired
+                        || member.is_some_and(|&ip| condition == Condition::MemberDown(ip))
+                })
+        };
+        let mut findings = Vec::new();
+        for span in self.timeline.spans() {
+            let Condition::WorkerLimited(worker, per_s) = span.condition else {
+                continue;
+            };
+            let bound = per_s * LIMIT_WINDOW.as_secs_f64() * LIMIT_TOLERANCE + LIMIT_TOLERANCE_RUNS;
+            let from = span.from + LIMIT_STABLE;
+            let runs = self.runs[worker].iter().filter(|run| {
+                let is_limited = run.arrived >= from && span.to.is_none_or(|to| run.arrived < to);
+                is_limited && is_counted(run)
+            });
+            let (max_sum, at) = self.max_window_sum(runs.map(|r| (r.arrived, 1.0)), LIMIT_WINDOW);
+            if max_sum > bound {
+                findings.push(format!(
+                    "{at:.3} LIMIT {max_sum} runs of {bound} at worker {worker}, limit {per_s}"
+                ));
+            }
+        }
+        findings
+    }
+
     /// The number of repeated runs in any window is at most a share of the requests sent in that
     /// window, the one before it or the one that begins half a window earlier, whichever has the
     /// most, plus slack.
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -65,6 +65,13 @@
         self.trace.push(format!("{seconds:.3} {event}"));
     }
 
+    /// Moves events of the drills to the trace.
+    pub fn trace_all(&mut self, events: &mut Vec<String>) {
+        for event in events.drain(..) {
+            self.log(&event);
+        }
+    }
+
     fn report(&mut self, finding: &str) {
         let seconds = self.started.elapsed().as_secs_f64();
         self.findings.push(format!("{seconds:.3} {finding}"));
--- a/crates/daemon/tests/soak/timeline.rs
+++ b/crates/daemon/tests/soak/timeline.rs
@@ -17,6 +17,8 @@
     WorkerImpaired,
     WorkerDraining(usize),
     WorkerCold(usize),
+    /// The responses of a worker named a limit, in requests per second.
+    WorkerLimited(usize, f64),
     ZoneEvacuated(&'static str),
     /// The second key was withdrawn.
     KeyWithdrawn,
@@ -60,6 +62,10 @@
         self.end(condition);
     }
 
+    pub fn spans(&self) -> impl Iterator<Item = &Span> {
+        self.0.iter()
+    }
+
     pub fn spans_of(&self, condition: Condition) -> impl Iterator<Item = &Span> {
         self.0
             .iter()
@@ -105,6 +111,7 @@
             | Condition::WorkerImpaired
             | Condition::WorkerDraining(_)
             | Condition::WorkerCold(_)
+            | Condition::WorkerLimited(..)
             | Condition::ZoneEvacuated(_)
             | Condition::KeyWithdrawn => false,
         })
