gateway: an entry of the copy counts only if it is newer than the known one

After a restore, an entry of the copy with the same start and report number as the known one replaced it, although what is known was read later.

Seen failing before: gateway an_entry_of_the_same_report_in_the_copy_does_not_count.

--- a/crates/daemon/tests/soak/fleet.rs
+++ b/crates/daemon/tests/soak/fleet.rs
@@ -57,11 +57,12 @@
     pub echo: EchoWorker,
     pub proxy: Proxy,
     pub zone: &'static str,
-    /// Number of starts. It is passed as `WorkerEntry::start_time`, which the store keeps as `born`
-    /// and `sequence`.
+    /// Number of starts. It is passed as `WorkerEntry::start_time`, which the store keeps as `born`.
     pub starts: u64,
     pub draining: bool,
     pub registered: bool,
+    /// Number of entries that it wrote.
+    reports: u64,
 }
 
 pub struct Fleet {
@@ -146,6 +147,7 @@
                 starts: 1,
                 draining: false,
                 registered: true,
+                reports: 0,
             });
         }
         let mut fleet = Fleet {
@@ -202,13 +204,14 @@
     pub fn register(&mut self, index: usize, cold: Duration) {
         let worker = &mut self.workers[index];
         worker.registered = true;
+        worker.reports += 1;
         let entry = WorkerEntry {
             address: worker.proxy.addr(),
             zone: worker.zone,
             state: if worker.draining { "draining" } else { "ready" },
             cold_remaining: cold,
             start_time: worker.starts,
-            sequence: 1,
+            sequence: worker.reports,
         };
         self.store.register(&worker.echo.id, entry);
     }
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -182,6 +182,12 @@
         for change in changes {
             match change {
                 Change::RestoreZone(zone) => self.restore_hold.hold_zone(zone),
+                Change::Target(target) => {
+                    let known = self.targets.get(&target.id).map(|entry| &entry.target);
+                    if !self.restore_hold.hold_copied(known, &target) {
+                        kept.push(Change::Target(target));
+                    }
+                }
                 change => kept.push(change),
             }
         }
@@ -255,7 +261,7 @@
             }
             Change::Target(mut target) => {
                 let known = self.targets.get(&target.id).map(|entry| &entry.target);
-                if self.restore_hold.hold_target(known, &target) {
+                if self.restore_hold.hold_written(known, &target) {
                     return;
                 }
                 self.restore_hold.drop_target(&target.id);
--- a/crates/gateway/src/restore_hold.rs
+++ b/crates/gateway/src/restore_hold.rs
@@ -52,15 +52,32 @@
         self.removed.insert(target.id.clone(), removal);
     }
 
-    /// Holds an entry back if a newer one, or its removal, is known. Returns whether it is held.
-    pub(crate) fn hold_target(&mut self, known: Option<&Target>, target: &Target) -> bool {
-        let order = entry_order(target);
-        let is_superseded = if let Some(known) = known {
-            order < entry_order(known)
-        } else {
-            let removed = self.removed.get(&target.id);
-            removed.is_some_and(|&(removed, _)| order <= removed)
-        };
+    /// Holds an entry that was written after the restore back if a newer one, or its removal, is
+    /// known. Returns whether it is held.
+    pub(crate) fn hold_written(&mut self, known: Option<&Target>, target: &Target) -> bool {
+        let is_older = known.is_some_and(|known| entry_order(target) < entry_order(known));
+        self.hold_if(
+            is_older || (known.is_none() && self.is_removed(target)),
+            target,
+        )
+    }
+
+    /// Holds an entry of the copy back unless it is newer than what is known. Returns whether it is
+    /// held.
+    pub(crate) fn hold_copied(&mut self, known: Option<&Target>, target: &Target) -> bool {
+        let is_not_newer = known.is_some_and(|known| entry_order(target) <= entry_order(known));
+        self.hold_if(
+            is_not_newer || (known.is_none() && self.is_removed(target)),
+            target,
+        )
+    }
+
+    fn is_removed(&self, target: &Target) -> bool {
+        let removed = self.removed.get(&target.id);
+        removed.is_some_and(|&(removed, _)| entry_order(target) <= removed)
+    }
+
+    fn hold_if(&mut self, is_superseded: bool, target: &Target) -> bool {
         let is_held = self.until.is_some() && is_superseded;
         if is_held {
             self.targets.insert(target.id.clone(), target.clone());
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/gateway/tests/catalog.rs
@@ -235,6 +235,22 @@
     assert!(catalog.target("t-1").is_some_and(|target| target.draining));
 }
 
+/// Guards against a target that drains and is used again, if the copy has an entry of the same report:
+/// what is known was read later.
+#[test]
+fn an_entry_of_the_same_report_in_the_copy_does_not_count() {
+    let mut draining = entry("t-1", 5);
+    draining.draining = true;
+    let mut catalog = restored_catalog(vec![Change::Target(draining)]);
+    let is_draining = |catalog: &Catalog| catalog.target("t-1").map(|target| target.draining);
+
+    catalog.apply_restored_listing(ms(1000), vec![Change::Target(entry("t-1", 5))]);
+    let restored = is_draining(&catalog);
+    catalog.apply_changes(ms(2000), vec![Change::Target(entry("t-1", 5))]);
+
+    assert_eq!((restored, is_draining(&catalog)), (Some(true), Some(false)));
+}
+
 /// Guards against a sound target that is lost for good, because its entry in the copy looks old.
 #[test]
 fn a_held_entry_returns_when_it_is_written_again_or_the_hold_ends() {
