--- a/crates/daemon/tests/member_soak.rs
+++ b/crates/daemon/tests/member_soak.rs
@@ -144,10 +144,9 @@
         }
         sleep(pause).await;
     }
-    if let Some(drills) = &mut drills {
-        drills.end_all(&fleet, &mut faults.timeline);
-    }
+    let limited = drills.map(|mut drills| drills.end_all(&fleet, &mut faults.timeline));
     faults.end_all(&mut fleet).await;
+    findings.extend(wait_unlimited(&fleet, &limited.unwrap_or_default()).await);
     findings.extend(wait_ready(&fleet, "after the faults").await);
     findings.extend(wait_directory(&fleet).await);
     sleep(FINAL_LOAD).await;
@@ -229,6 +228,28 @@
     Vec::new()
 }
 
+/// Waits until workers whose limits have ended have responded again, by which members learn of the end.
+/// Returns a finding on timeout.
+async fn wait_unlimited(fleet: &Fleet, workers: &[usize]) -> Vec<String> {
+    let started = Instant::now();
+    for &worker in workers {
+        let has_run = || {
+            let runs = fleet.workers[worker].echo.runs();
+            runs.iter()
+                .any(|run| run.ended.is_some() && run.arrived > started)
+        };
+        while !has_run() {
+            if started.elapsed() > RECOVERY {
+                return vec![format!(
+                    "RECOVER worker {worker} is not used after its limit"
+                )];
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+    Vec::new()
+}
+
 /// Waits until the directory of each member lists all members. Returns a finding on timeout.
 async fn wait_directory(fleet: &Fleet) -> Vec<String> {
     let started = Instant::now();
--- a/crates/daemon/tests/soak/drills.rs
+++ b/crates/daemon/tests/soak/drills.rs
@@ -62,15 +62,20 @@
         }
     }
 
-    /// Ends all drills.
-    pub fn end_all(&mut self, fleet: &Fleet, timeline: &mut Timeline) {
+    /// Ends all drills. Returns the workers that named a limit until now.
+    pub fn end_all(&mut self, fleet: &Fleet, timeline: &mut Timeline) -> Vec<usize> {
         while let Some(restore) = self.restore.take() {
             self.advance(fleet, timeline, restore);
         }
-        for (until, _) in &mut self.limited {
+        let mut limited = Vec::new();
+        for (until, condition) in &mut self.limited {
             *until = Instant::now();
+            if let Condition::WorkerLimited(worker, _) = condition {
+                limited.push(*worker);
+            }
         }
         self.end_limits(fleet, timeline, Instant::now());
+        limited
     }
 
     fn begin_restore(&mut self, fleet: &Fleet, timeline: &mut Timeline) {
