Review: a request whose crash is silent is never contained

Cause: an owner counts a broken channel as a crash, but no time-out and no restart that the store reports.

--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -172,6 +172,25 @@
         self.record.line(&format!("member {} is ready again", member.index));
     }
 
+    /// Resident memory of a member's process, as the system reports it.
+    pub fn memory(&self, member: usize) -> String {
+        let child = self.members[member].child.lock().expect("child");
+        let pid = child.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        line.unwrap_or_default().trim().to_owned()
+    }
+
+    /// Fetches the metrics of a member, as the platform does while it examines an incident.
+    pub fn fetch_metrics(&self, member: usize) {
+        let address = SocketAddr::from((self.members[member].ip, 9464));
+        let mut stream = TcpStream::connect(address).expect("the metrics");
+        let sent = stream.write_all(b"GET /metrics HTTP/1.1\r\nHost: platform\r\nConnection: close\r\n\r\n");
+        sent.expect("the metrics");
+        let answer = http::read(&mut BufReader::new(stream)).expect("the metrics");
+        assert_eq!(answer.status(), 200, "the metrics");
+    }
+
     pub fn stop_members(&self) {
         for member in &self.members {
             if let Some(mut child) = member.child.lock().expect("child").take() {
--- a/review/standins/leaving.rs
+++ b/review/standins/leaving.rs
@@ -19,6 +19,7 @@
         zone: ZONE,
         slots: 6,
         work: Duration::from_millis(work_ms),
+        goes_dark: false,
     }
 }
 
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod http;
 mod leaving;
+mod memory;
 mod poison;
 mod record;
 mod silent;
@@ -35,6 +36,8 @@
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "poison" => poison::play(&record, &temp, trouble),
         "poison-large" => poison::play_large(&record, &temp, trouble),
+        "poison-dark" => poison::play_dark(&record, &temp, trouble),
+        "memory" => memory::play(&record, &temp),
         "silent" => silent::play(&record, &temp, trouble),
         "cut" => leaving::play(&record, &temp, trouble),
         _ => panic!("no such case"),
--- a/review/standins/poison.rs
+++ b/review/standins/poison.rs
@@ -26,14 +26,30 @@
 
 /// With as many workers that their pool has several shards, and without restarts.
 pub fn play_large(record: &Arc<Record>, temp: &Path, _trouble: bool) -> Verdict {
-    play_with(record, temp, false, LARGE_WORKERS)
+    play_with(record, temp, Trouble::None, LARGE_WORKERS)
 }
 
 pub fn play(record: &Arc<Record>, temp: &Path, trouble: bool) -> Verdict {
+    let trouble = if trouble { Trouble::Restarts } else { Trouble::None };
     play_with(record, temp, trouble, WORKERS)
 }
 
-fn play_with(record: &Arc<Record>, temp: &Path, trouble: bool, workers: usize) -> Verdict {
+/// The machines of crashed workers go dark; no member is restarted.
+pub fn play_dark(record: &Arc<Record>, temp: &Path, trouble: bool) -> Verdict {
+    let trouble = if trouble { Trouble::DarkWorkers } else { Trouble::None };
+    play_with(record, temp, trouble, WORKERS)
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Trouble {
+    None,
+    /// The members are restarted in turn.
+    Restarts,
+    /// The machine of a crashed worker goes dark: its channels hang until it is back.
+    DarkWorkers,
+}
+
+fn play_with(record: &Arc<Record>, temp: &Path, trouble: Trouble, workers: usize) -> Verdict {
     let zones = ["costa-atl-a", "costa-atl-a", "costa-atl-b", "costa-atl-b"];
     let fleet = Arc::new(Fleet::new(Arc::clone(record), temp, &zones, 500));
     fleet.store.put("op/config", &config(1, "app", &["key-1"]));
@@ -43,6 +59,7 @@
             zone: zones[at % zones.len()],
             slots: 6,
             work: Duration::from_millis(60),
+            goes_dark: trouble == Trouble::DarkWorkers,
         });
     }
     fleet.start_members();
@@ -50,7 +67,7 @@
     let sound = Clients::start(&fleet, "sound", 12, Duration::from_millis(40), "key-1", |member| member.is_ready());
 
     // Both rounds of restarts begin after the request has crashed its third worker and a while more.
-    let restarts = trouble.then(|| {
+    let restarts = (trouble == Trouble::Restarts).then(|| {
         let fleet = Arc::clone(&fleet);
         thread::spawn(move || {
             thread::sleep(Duration::from_secs(8));
--- a/review/standins/silent.rs
+++ b/review/standins/silent.rs
@@ -24,6 +24,7 @@
             zone: zones[at],
             slots: 6,
             work: Duration::from_millis(60),
+            goes_dark: false,
         });
     }
     fleet.start_members();
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -2,14 +2,19 @@
 
 use std::io::BufReader;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Message};
 use crate::record::Record;
 use crate::store::Store;
 
+unsafe extern "C" {
+    safe fn listen(socket: i32, backlog: i32) -> i32;
+}
+
 /// A request with this body crashes each worker that begins to run it.
 pub const CRASHING_BODY: &[u8] = b"this request crashes its worker";
 /// A worker is back this long after a crash.
@@ -30,8 +35,9 @@
     id: String,
     starts: usize,
     born: u128,
-    /// Incremented when all channels end.
     is_up: bool,
+    /// Whether a machine that went dark is about to start again.
+    is_back: bool,
     open: Vec<TcpStream>,
     running: usize,
 }
@@ -45,6 +51,8 @@
     work: Duration,
     state: Mutex<State>,
     freed: Condvar,
+    /// Whether a crash takes the machine: its channels hang until it is back.
+    goes_dark: bool,
     record: Arc<Record>,
     store: Arc<Store>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
@@ -55,6 +63,7 @@
     pub zone: &'a str,
     pub slots: usize,
     pub work: Duration,
+    pub goes_dark: bool,
 }
 
 impl Worker {
@@ -79,10 +88,12 @@
                 starts: 0,
                 born: 0,
                 is_up: false,
+                is_back: false,
                 open: Vec::new(),
                 running: 0,
             }),
             freed: Condvar::new(),
+            goes_dark: plan.goes_dark,
             record: Arc::clone(record),
             store: Arc::clone(store),
             arrivals: Arc::clone(arrivals),
@@ -112,11 +123,40 @@
         self.store.remove(&format!("servers/{}", self.id()));
     }
 
-    /// Ends the process of the worker: all channels end, and no new ones are accepted.
+    /// Leaves the opening packets of new channels unanswered while the machine is dark: one channel
+    /// that nobody accepts fills the queue of the listener.
+    fn ignore_new_channels(&self, listener: &TcpListener) {
+        if !self.goes_dark {
+            return;
+        }
+        listen(listener.as_raw_fd(), 0);
+        let longest = Duration::from_millis(20);
+        let mut queued = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&self.address, longest) {
+            queued.push(stream);
+        }
+        while !self.state.lock().expect("state").is_back {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Keeps a channel of a machine that went dark silent until the machine is back.
+    fn hang(&self, start: usize) {
+        while self.goes_dark && self.state.lock().expect("state").starts == start {
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Ends the process of the worker: no new channels are accepted, and all channels end, at once or,
+    /// if its machine goes dark, when it is back.
     pub fn exit(&self) {
         let mut state = self.state.lock().expect("state");
         state.is_up = false;
         state.running = 0;
+        if self.goes_dark {
+            self.freed.notify_all();
+            return;
+        }
         for stream in state.open.drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -125,14 +165,27 @@
 
     /// Starts the process of the worker under a new id.
     pub fn come_up(self: &Arc<Self>) {
-        let listener = TcpListener::bind(self.address).expect("a free address for a worker");
+        self.state.lock().expect("state").is_back = true;
+        let deadline = Instant::now() + Duration::from_secs(1);
+        let listener = loop {
+            match TcpListener::bind(self.address) {
+                Ok(listener) => break listener,
+                // The listener of the start before is closed in a moment.
+                Err(_) if Instant::now() < deadline => thread::sleep(Duration::from_millis(2)),
+                Err(err) => panic!("no free address for a worker: {err}"),
+            }
+        };
         listener.set_nonblocking(true).expect("a listener");
         let mut state = self.state.lock().expect("state");
+        for stream in state.open.drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
         state.starts += 1;
         state.id = format!("i-{:03}-{}", self.index, state.starts);
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock");
         state.born = born.as_millis();
         state.is_up = true;
+        state.is_back = false;
         let start = state.starts;
         drop(state);
         self.register("ready", 1);
@@ -140,8 +193,12 @@
         thread::spawn(move || {
             loop {
                 {
-                    let state = worker.state.lock().expect("state");
-                    if !state.is_up || state.starts != start {
+                    let is_up = {
+                        let state = worker.state.lock().expect("state");
+                        state.is_up && state.starts == start
+                    };
+                    if !is_up {
+                        worker.ignore_new_channels(&listener);
                         return;
                     }
                 }
@@ -188,6 +245,8 @@
         let mut state = self.state.lock().expect("state");
         let is_over = |state: &State| !state.is_up || state.starts != start;
         if is_over(&state) {
+            drop(state);
+            self.hang(start);
             return None;
         }
         let expected = request.header("x-expect-instance");
@@ -208,11 +267,14 @@
         if crashed {
             drop(state);
             self.crash();
+            self.hang(start);
             return None;
         }
         while state.running >= self.slots {
             state = self.freed.wait(state).expect("state");
             if is_over(&state) {
+                drop(state);
+                self.hang(start);
                 return None;
             }
         }
@@ -221,6 +283,8 @@
         thread::sleep(self.work);
         let mut state = self.state.lock().expect("state");
         if is_over(&state) {
+            drop(state);
+            self.hang(start);
             return None;
         }
         state.running -= 1;
