--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -15,6 +15,7 @@
 use crate::worker::{Arrival, Plan, Worker};
 
 pub const TERM: i32 = 15;
+pub const KILL: i32 = 9;
 
 unsafe extern "C" {
     safe fn kill(pid: i32, signal: i32) -> i32;
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,7 @@
 //! in the environment, the disruption is left out.
 
 mod calls;
+mod cold;
 mod fleet;
 mod http;
 mod leaving;
@@ -38,6 +39,7 @@
         "poison-large" => poison::play_large(&record, &temp, trouble),
         "poison-dark" => poison::play_dark(&record, &temp, trouble),
         "memory" => memory::play(&record, &temp),
+        "cold" => cold::play(&record, &temp, trouble),
         "silent" => silent::play(&record, &temp, trouble),
         "cut" => leaving::play(&record, &temp, trouble),
         _ => panic!("no such case"),
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -108,10 +108,19 @@
 
     /// Writes the worker's entry.
     pub fn register(&self, stage: &str, sequence: u64) {
+        self.write_entry(stage, sequence, Duration::ZERO);
+    }
+
+    /// Writes an entry that says how long the worker stays cold.
+    pub fn register_cold(&self, sequence: u64, cold: Duration) {
+        self.write_entry("ready", sequence, cold);
+    }
+
+    fn write_entry(&self, stage: &str, sequence: u64, cold: Duration) {
         let state = self.state.lock().expect("state");
         let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"{stage}","cold_remaining_ms":0,"sequence":{sequence},"born":{}}}"#,
-            self.service, self.address, self.zone, self.slots, state.born
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"{stage}","cold_remaining_ms":{},"sequence":{sequence},"born":{}}}"#,
+            self.service, self.address, self.zone, self.slots, cold.as_millis(), state.born
         );
         let key = format!("servers/{}", state.id);
         drop(state);
