--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -42,9 +42,9 @@
 /// If at least this many entries of one pool, and at least half of the pool, are removed at once,
 /// they count as lapsed by mistake.
 const MASS_LAPSE_MIN: usize = 2;
-/// The grace time of such entries is shorter by this much if the store had no failure. If the
-/// targets really left, the bound on how long requests still go to them counts from the removal.
-const MASS_LAPSE_DEDUCTION: Duration = Duration::from_millis(400);
+/// The grace time of such entries is shorter by this much. If the targets really left, the bound on
+/// how long requests still go to them counts from the removal, which is read up to 0.4 s later.
+const MASS_LAPSE_DEDUCTION: Duration = Duration::from_millis(500);
 
 struct TargetEntry {
     target: Target,
@@ -105,12 +105,14 @@
     /// Largest number of targets of each pool over the last `PEAK_WINDOW`.
     peak_targets: HashMap<Name, SlidingExtremum>,
     has_listing: bool,
-    last_store_failure: Option<Duration>,
+    /// Latest time at which the store may have been away: that of a failed call, or of the first one
+    /// after it that succeeded.
+    store_away_until: Option<Duration>,
 }
 
 impl Catalog {
-    /// Creates an empty catalog. An entry that lapses during a store failure is kept for
-    /// `lapse_grace`.
+    /// Creates an empty catalog. An entry that lapses because the store is away is kept until
+    /// `lapse_grace` after its return.
     #[must_use]
     pub fn new(lapse_grace: Duration) -> Self {
         Catalog {
@@ -122,7 +124,7 @@
             restore_hold: RestoreHold::default(),
             peak_targets: HashMap::new(),
             has_listing: false,
-            last_store_failure: None,
+            store_away_until: None,
         }
     }
 
@@ -150,22 +152,33 @@
 
     /// Records that a call to the store failed at the given time.
     pub fn record_store_failure(&mut self, at: Duration) {
-        self.last_store_failure = self.last_store_failure.max(Some(at));
+        self.store_away_until = self.store_away_until.max(Some(at));
     }
 
-    /// Time since the last failed call to the store, if any.
+    /// Records that a call to the store succeeded after failed ones. Entries that lapsed meanwhile
+    /// are published again within the grace time from now on.
+    pub fn record_store_return(&mut self, now: Duration) {
+        self.record_store_failure(now);
+    }
+
+    /// Forgets failed calls that were failures of connections, not of the store.
+    pub fn dismiss_store_failure(&mut self) {
+        self.store_away_until = None;
+    }
+
+    /// Time since the store may have been away for the last time, if ever.
     #[must_use]
     pub fn store_failure_age(&self, now: Duration) -> Option<Duration> {
-        self.last_store_failure.map(|at| now.saturating_sub(at))
+        self.store_away_until.map(|at| now.saturating_sub(at))
     }
 
     /// Applies what a full listing changes. Targets that it lacks are removed, or kept for the grace
     /// time after a store failure.
     pub fn apply_listing(&mut self, now: Duration, changes: Vec<Change>) {
         self.has_listing = true;
-        let grace = self.store_failure_grace(now);
+        let keep_until = self.lapse_deadline(now);
         for change in changes {
-            self.apply_change(now, change, grace);
+            self.apply_change(now, change, keep_until);
         }
         self.update_peaks(now);
     }
@@ -212,12 +225,11 @@
             let all = self.targets.values().filter(of_pool).count();
             removed >= MASS_LAPSE_MIN && removed * 2 >= all
         });
-        let grace = match self.store_failure_grace(now) {
-            None if mass_lapse => Some(self.lapse_grace.saturating_sub(MASS_LAPSE_DEDUCTION)),
-            grace => grace,
-        };
+        let mass_grace = self.lapse_grace.saturating_sub(MASS_LAPSE_DEDUCTION);
+        let mass_deadline = mass_lapse.then(|| now + mass_grace);
+        let keep_until = self.lapse_deadline(now).max(mass_deadline);
         for change in changes {
-            self.apply_change(now, change, grace);
+            self.apply_change(now, change, keep_until);
         }
         self.update_peaks(now);
     }
@@ -247,8 +259,8 @@
         shard_count(peak.and_then(SlidingExtremum::get).unwrap_or(0))
     }
 
-    /// Applies one change. Removed entries are kept for `grace` if it is given.
-    fn apply_change(&mut self, now: Duration, change: Change, grace: Option<Duration>) {
+    /// Applies one change. Removed entries are kept until `keep_until` if it is given.
+    fn apply_change(&mut self, now: Duration, change: Change, keep_until: Option<Duration>) {
         match change {
             Change::Config(cfg) => self.apply_config(now, cfg),
             Change::EvacuateZone(zone) => {
@@ -276,7 +288,7 @@
             }
             Change::TargetRemoved(id) => {
                 self.restore_hold.drop_target(&id);
-                self.remove_or_lapse(now, &id, grace);
+                self.remove_or_lapse(now, &id, keep_until);
             }
         }
     }
@@ -313,6 +325,13 @@
         self.leaving.reports(now)
     }
 
+    /// Time at which the next grace time of a target ends.
+    #[must_use]
+    pub fn next_lapse(&self) -> Option<Duration> {
+        let entries = self.targets.values();
+        entries.filter_map(|entry| entry.lapsed_until).min()
+    }
+
     /// Removes targets whose grace time is over, and ends the hold after a restore of the store.
     /// Returns whether this changes anything.
     pub fn expire(&mut self, now: Duration) -> bool {
@@ -399,18 +418,20 @@
             .map(|entry| (&entry.target, entry.cold_until))
     }
 
-    /// How long entries that are removed now are kept, if the store failed recently.
-    fn store_failure_grace(&self, now: Duration) -> Option<Duration> {
-        let recent = |&at: &Duration| now.saturating_sub(at) < self.lapse_grace;
-        self.last_store_failure
-            .filter(recent)
-            .map(|_| self.lapse_grace)
+    /// Time until which entries that are removed now are kept, if the store was away recently.
+    ///
+    /// It counts from the return of the store, at which live targets begin to publish their entries
+    /// again. Counted from the removal, an entry that was removed on purpose would be used for too
+    /// long.
+    fn lapse_deadline(&self, now: Duration) -> Option<Duration> {
+        let deadline = self.store_away_until.map(|at| at + self.lapse_grace);
+        deadline.filter(|&deadline| now < deadline)
     }
 
-    fn remove_or_lapse(&mut self, now: Duration, id: &str, grace: Option<Duration>) {
-        match (grace, self.targets.get_mut(id)) {
-            (Some(grace), Some(entry)) => {
-                entry.lapsed_until.get_or_insert(now + grace);
+    fn remove_or_lapse(&mut self, now: Duration, id: &str, keep_until: Option<Duration>) {
+        match (keep_until, self.targets.get_mut(id)) {
+            (Some(keep_until), Some(entry)) => {
+                entry.lapsed_until.get_or_insert(keep_until);
             }
             _ => {
                 if let Some(entry) = self.targets.remove(id) {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -69,7 +69,8 @@
     /// Whether the sender reads the store itself, with success.
     #[prost(bool, tag = "5")]
     pub(crate) is_reader: bool,
-    /// Milliseconds since the sender's last failed call to the store, if any.
+    /// Milliseconds since the store may have been away for the last time, as far as the sender can
+    /// tell, if ever.
     #[prost(uint32, optional, tag = "6")]
     pub(crate) failure_age_ms: Option<u32>,
     /// Era of `revision`.
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -102,6 +102,7 @@
         LogDelta::Snapshot(records) => (true, records),
     };
     let now = clock::now();
+    node.dismiss_connection_failures(now);
     let failure_age = node.catalog.borrow().store_failure_age(now);
     let position = node.record_log.borrow().position();
     let published = node.membership.borrow().local().position;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! |---|---|---|
 //! | `model` | configuration, targets, settings | none |
 //! | `catalog` | active configuration and targets | none |
+//! | `catalog_expiry` | ends grace times of the catalog on time | none |
 //! | `leaving_targets` | targets that accept no further requests | none |
 //! | `restore_hold` | older data after a restore of the store | none |
 //! | `membership`, `sliding_extremum` | members and their liveness | none |
@@ -47,6 +48,7 @@
 pub mod adapter;
 mod attempt;
 mod catalog;
+mod catalog_expiry;
 mod clock;
 mod convert;
 mod crash_check;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -81,6 +81,9 @@
     pub store_reachable: bool,
     /// Whether its last call to the store failed, a few seconds ago at most.
     pub store_failed: bool,
+    /// Whether it reads the store and no call has failed for long enough that no entry has lapsed
+    /// because the store was away.
+    pub store_steady: bool,
     /// Code of its availability zone; 0 if it is unknown.
     pub zone: u32,
     /// Newest position of the store that it has seen.
@@ -209,6 +212,7 @@
                 stopping: false,
                 store_reachable: false,
                 store_failed: false,
+                store_steady: false,
                 zone: 0,
                 position: Position::default(),
                 max_members: 1,
@@ -572,6 +576,22 @@
             .unwrap_or_default()
     }
 
+    /// Whether any live member has read the store for a while without a failed call. Failed calls of
+    /// other members are then failures of their connections, not of the store.
+    #[must_use]
+    pub fn is_store_steady(&self, now: Duration) -> bool {
+        let mut others = self.live_others(now);
+        self.local.store_steady || others.any(|known| known.member.store_steady)
+    }
+
+    /// Whether the store may have been away: calls of some live member failed, and none was served all
+    /// the while.
+    #[must_use]
+    pub fn may_store_have_been_away(&self, now: Duration) -> bool {
+        let mut others = self.live_others(now);
+        !self.is_store_steady(now) && others.any(|known| known.member.store_failed)
+    }
+
     /// Longest time since a live member was heard.
     #[must_use]
     pub fn longest_silence(&self, now: Duration) -> Duration {
@@ -658,12 +678,13 @@
 
 /// The part of a member's state whose changes other members pass on. The rest is used only from the
 /// member's own heartbeats, or as the largest value of many members.
-fn gossiped_state(member: &Member) -> (bool, bool, bool, bool, u32, u32) {
+fn gossiped_state(member: &Member) -> (bool, bool, bool, bool, bool, u32, u32) {
     (
         member.ready,
         member.stopping,
         member.store_reachable,
         member.store_failed,
+        member.store_steady,
         member.capacity_class,
         member.zone,
     )
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -72,6 +72,8 @@
     /// Era of `revision`.
     #[prost(uint64, tag = "12")]
     pub(crate) era: u64,
+    #[prost(bool, tag = "13")]
+    pub(crate) store_steady: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -237,6 +239,7 @@
             capacity_class: member.capacity_class,
             zone: member.zone,
             store_failed: member.store_failed,
+            store_steady: member.store_steady,
         }
     }
 }
@@ -255,6 +258,7 @@
             capacity_class: msg.capacity_class,
             zone: msg.zone,
             store_failed: msg.store_failed,
+            store_steady: msg.store_steady,
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -50,6 +50,13 @@
     pub(crate) target: u64,
 }
 
+/// Calls to the store that succeeded one after the other.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StoreContact {
+    pub(crate) first: Duration,
+    pub(crate) last: Duration,
+}
+
 /// Counts as one in a shared counter until it is dropped.
 pub(crate) struct CountGuard(Rc<Cell<usize>>);
 
@@ -100,6 +107,8 @@
     pub(crate) connections: Rc<Cell<usize>>,
     /// Time of the last successful call to the store.
     pub(crate) last_store_success: Cell<Duration>,
+    /// Successful calls of this member to the store, since one failed.
+    pub(crate) store_contact: Cell<Option<StoreContact>>,
     pub(crate) runs: RefCell<HashMap<u64, InFlight>>,
     /// Owners that were asked recently, with the time of the last offer.
     pub(crate) recent_owners: RefCell<HashMap<Ipv4Addr, Duration>>,
@@ -143,6 +152,7 @@
             serving: Rc::default(),
             connections: Rc::default(),
             last_store_success: Cell::new(Duration::ZERO),
+            store_contact: Cell::new(None),
             runs: RefCell::default(),
             recent_owners: RefCell::default(),
             pending: RefCell::default(),
@@ -240,6 +250,27 @@
         self.limit_shares_discoveries.set(membership.discoveries());
     }
 
+    /// Whether the store has served this member for the grace time of lapsed entries, so that none
+    /// lapsed because it was away.
+    pub(crate) fn is_served_steadily(&self, now: Duration) -> bool {
+        let grace = self.settings.lapse_grace;
+        let is_recent = |contact: &StoreContact| {
+            self.reads_store.get() || now.saturating_sub(contact.last) < grace
+        };
+        self.store_contact
+            .get()
+            .filter(is_recent)
+            .is_some_and(|contact| now.saturating_sub(contact.first) >= grace)
+    }
+
+    /// Forgets failed calls to the store if it served another member all the while: this member, or
+    /// the one that it follows, was cut off, and entries that are removed did not lapse.
+    pub(crate) fn dismiss_connection_failures(&self, now: Duration) {
+        if self.membership.borrow().is_store_steady(now) {
+            self.catalog.borrow_mut().dismiss_store_failure();
+        }
+    }
+
     /// Updates the owner's limit shares if they are out of date. A member that has just met its
     /// fleet would otherwise start the buckets of workspaces with the share of an unknown fleet,
     /// which covers no request.
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -72,6 +72,7 @@
         membership.update_local(|me| {
             me.ready = ready;
             me.stopping = stopping;
+            me.store_steady = node.is_served_steadily(now);
         });
         membership.next_heartbeat(now)
     };
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,7 +13,7 @@
 use crate::adapter::{HttpDialect, SettingsSource, Store};
 use crate::http_server::{self, Service};
 use crate::node::Node;
-use crate::{clock, feed_server, peer_link, store_follower};
+use crate::{catalog_expiry, clock, feed_server, peer_link, store_follower};
 
 /// How the process ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -96,6 +96,7 @@
     let task = feed_server::serve(Rc::clone(&node), listener, close_rx);
     tokio::task::spawn_local(task);
     tokio::task::spawn_local(store_follower::follow(Rc::clone(&node), store));
+    tokio::task::spawn_local(catalog_expiry::run(Rc::clone(&node)));
     tokio::task::spawn_local(peer_link::receive_datagrams(Rc::clone(&node)));
     tokio::task::spawn_local(peer_link::run_heartbeats(Rc::clone(&node)));
     tokio::task::spawn_local(peer_link::poll_owner(Rc::clone(&node)));
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -19,7 +19,7 @@
 use crate::feed::{FeedError, FeedResponse};
 use crate::feed_client::FeedClient;
 use crate::log_throttle::LogThrottle;
-use crate::node::Node;
+use crate::node::{Node, StoreContact};
 use crate::position::Position;
 use crate::record_log::LogDelta;
 use crate::transfer::Progress;
@@ -118,6 +118,9 @@
         }
         let reader = self.reader_to_follow(now);
         self.node.reads_store.set(reader.is_none());
+        if reader.is_some() && !self.node.is_served_steadily(now) {
+            self.lose_contact();
+        }
         reader
     }
 
@@ -183,9 +186,10 @@
 
     fn apply_response(&self, response: &FeedResponse) -> Result<(), FeedError> {
         let now = clock::now();
-        if let Some(age) = response.failure_age_ms {
-            let at = now.saturating_sub(Duration::from_millis(age.into()));
-            self.node.catalog.borrow_mut().record_store_failure(at);
+        // A member that fails to read the store can't tell whether the store is away or the member
+        // itself is cut off.
+        if response.is_reader {
+            self.take_over_store_failure(now, response.failure_age_ms);
         }
         match response.to_delta() {
             LogDelta::None => self.apply_changes(Vec::new(), response.position()),
@@ -204,6 +208,17 @@
         Ok(())
     }
 
+    /// Takes over what a reader knows of the last absence of the store. It knows more than this member
+    /// does from others that it followed before.
+    fn take_over_store_failure(&self, now: Duration, age_ms: Option<u32>) {
+        let mut catalog = self.node.catalog.borrow_mut();
+        catalog.dismiss_store_failure();
+        if let Some(age) = age_ms {
+            let at = now.saturating_sub(Duration::from_millis(age.into()));
+            catalog.record_store_failure(at);
+        }
+    }
+
     /// Lists or watches the store once.
     async fn read_store(&mut self) {
         let read = match self.watch_from {
@@ -236,6 +251,10 @@
         // passed on.
         let listed = Position::new(era, batch.watch_from);
         let log_position = self.node.record_log.borrow().position();
+        if era > log_position.era {
+            self.lose_contact();
+        }
+        self.record_contact();
         self.apply_listing(&batch.records, listed.max(log_position));
         // The listing is newer than the positions that other members had reported before it.
         let newest = Position::new(era, batch.newest_revision());
@@ -281,6 +300,7 @@
             info!("store: it was restored from a copy, listing again");
             return Ok(None);
         }
+        self.record_contact();
         let newest = Position::new(log_position.era, batch.newest_revision());
         let Batch {
             records,
@@ -295,6 +315,29 @@
         Ok(Some(watch_from))
     }
 
+    /// Records a call that the store answered, before its changes are applied.
+    fn record_contact(&self) {
+        let now = clock::now();
+        let before = self.node.store_contact.get();
+        let has_others_failed = || {
+            let membership = self.node.membership.borrow();
+            membership.may_store_have_been_away(now)
+        };
+        if before.is_none() && (self.failures > 0 || has_others_failed()) {
+            self.node.catalog.borrow_mut().record_store_return(now);
+        }
+        let first = before.map_or(now, |contact| contact.first);
+        let contact = StoreContact { first, last: now };
+        self.node.store_contact.set(Some(contact));
+    }
+
+    /// Records that this member can't tell whether the store has been away.
+    fn lose_contact(&self) {
+        self.node.store_contact.set(None);
+        let mut membership = self.node.membership.borrow_mut();
+        membership.update_local(|me| me.store_steady = false);
+    }
+
     fn end_failure(&mut self) {
         if std::mem::take(&mut self.failures) > 0 {
             info!("store: reachable again");
@@ -316,6 +359,7 @@
             }
             StoreError::Restored => {
                 info!("store: it was restored from a copy, listing again");
+                self.lose_contact();
                 return;
             }
             _ => {}
@@ -327,6 +371,7 @@
         self.set_refused_by_store(self.failures >= REFUSED_AFTER_FAILURES);
         let now = clock::now();
         self.last_failure = Some(now);
+        self.lose_contact();
         self.next_own_call = now + NON_READER_RETRY_PAUSE;
         self.node.catalog.borrow_mut().record_store_failure(now);
         self.set_store_failed(true);
@@ -352,11 +397,15 @@
             );
         }
         let changes = self.decode(&new_records);
+        let now = clock::now();
+        if !is_restored {
+            self.node.dismiss_connection_failures(now);
+        }
         let mut catalog = self.node.catalog.borrow_mut();
         if is_restored {
-            catalog.apply_restored_listing(clock::now(), changes);
+            catalog.apply_restored_listing(now, changes);
         } else {
-            catalog.apply_listing(clock::now(), changes);
+            catalog.apply_listing(now, changes);
         }
         drop(catalog);
         self.announce_changes();
@@ -372,6 +421,7 @@
         }
         let changes = self.decode(&applied);
         let now = clock::now();
+        self.node.dismiss_connection_failures(now);
         self.node.catalog.borrow_mut().apply_changes(now, changes);
         self.announce_changes();
     }
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/gateway/tests/catalog.rs
@@ -95,6 +95,7 @@
     let mut catalog = catalog(4);
     catalog.record_store_failure(ms(1000));
     let listed_at = ms(1500);
+    catalog.record_store_return(listed_at);
     catalog.apply_listing(listed_at, without(&["t-2", "t-3"]));
 
     assert!(catalog.target("t-3").is_some());
@@ -104,6 +105,36 @@
     assert!(catalog.target("t-1").is_some());
 }
 
+/// Guards against a target that left after the store had returned and is used for too long: the
+/// grace time counts from the return.
+#[test]
+fn the_grace_time_does_not_begin_again_with_each_removal() {
+    let mut catalog = catalog(4);
+    catalog.record_store_failure(ms(1000));
+    catalog.record_store_return(ms(1500));
+    catalog.apply_listing(ms(1500), without(&["t-2"]));
+
+    catalog.apply_changes(ms(3300), vec![Change::TargetRemoved("t-1".into())]);
+
+    assert_eq!(catalog.next_lapse(), Some(ms(3500)));
+    assert!(catalog.expire(ms(3500)));
+    assert!(catalog.target("t-1").is_none());
+    catalog.apply_changes(ms(3500), vec![Change::TargetRemoved("t-0".into())]);
+    assert!(catalog.target("t-0").is_none());
+}
+
+/// Guards against an entry that is kept although only the connection of one member had failed.
+#[test]
+fn a_failure_that_was_dismissed_keeps_no_entry() {
+    let mut catalog = catalog(4);
+    catalog.record_store_failure(ms(1000));
+    catalog.dismiss_store_failure();
+
+    catalog.apply_changes(ms(1500), vec![Change::TargetRemoved("t-1".into())]);
+
+    assert!(catalog.target("t-1").is_none());
+}
+
 #[test]
 fn an_entry_that_is_published_again_is_kept() {
     let mut catalog = catalog(4);
