A member that the store refused reads it again

Cause: after two failed calls a member follows another one. Five seconds later the others take it for a reader again, but it went on following, as only a successful call ended that state. Followers that chose it were turned away, and the zone had one reader.

Change: when the memory of its failures ends, the member tries the store again, as docs/decisions/0006 says.

--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -115,6 +115,8 @@
         {
             self.last_failure = None;
             self.set_store_failed(false);
+            // Others take this member for a reader again, so it tries the store.
+            self.set_refused_by_store(false);
         }
         let reader = self.reader_to_follow(now);
         self.node.reads_store.set(reader.is_none());
