--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -26,8 +26,9 @@
     pub(crate) body: Bytes,
     pub(crate) id: String,
     pub(crate) workspace: Option<Name>,
-    /// Parts of the prompt but the last one, which belongs to this request alone.
-    pub(crate) shared_parts: Rc<[u64]>,
+    /// Parts of the prompt, by which poison is recognized. In place of the last one, which belongs to
+    /// this request alone, stands the fingerprint of the request.
+    pub(crate) parts: Rc<[u64]>,
 }
 
 /// The response head, and the connection on which the response body follows.
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -14,12 +14,9 @@
 use crate::owner::target_key;
 use crate::upstream;
 
-/// Checks the target of a run that broke before its answer began, and blames the parts of the prompt
-/// if it has crashed. Does not delay the caller.
+/// Checks the target of a run that broke before its answer began, and blames the request and the
+/// parts of its prompt if it has crashed. Does not delay the caller.
 pub(crate) fn check_target(node: &Rc<Node>, parts: &Rc<[u64]>, target: &Target) {
-    if parts.is_empty() {
-        return;
-    }
     let (node, parts, target) = (Rc::clone(node), Rc::clone(parts), target.clone());
     tokio::task::spawn_local(async move {
         match upstream::connect(target.address).await {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,8 +24,7 @@
 //! | `named_limits` | limits that targets name | none |
 //! | `target_pauses` | targets that asked for a pause | none |
 //! | `log_throttle` | bounds lines about repeated faults | none |
-//! | `poison_requests` | detection of poison requests | none |
-//! | `poison_parts` | detection of poison parts of prompts | none |
+//! | `poison_parts` | detection of poison requests and poison parts of prompts | none |
 //! | `crash_check` | checks whether the target of a broken run has crashed | TCP |
 //! | `convert` | conversion of counts | none |
 //! | `retry_decision` | response to the caller or retry after an attempt | none |
@@ -67,7 +66,6 @@
 mod peer_link;
 mod permit;
 mod poison_parts;
-mod poison_requests;
 mod position;
 mod record_log;
 mod relay;
@@ -97,7 +95,6 @@
 pub use named_limits::{LimitReport, NamedLimits};
 pub use owner::{Decision, Offer, Owner, Refusal, RunEnd, RunId, RunReport, target_key};
 pub use poison_parts::{Blame, PartReport, PoisonParts};
-pub use poison_requests::PoisonRequests;
 pub use position::Position;
 pub use record_log::{LogDelta, RecordLog};
 pub use retry_budget::RetryBudget;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -303,6 +303,20 @@
     /// Submits an offer to the local owner, and decides.
     pub(crate) fn offer(&self, offer: Offer) {
         let now = clock::now();
+        let refusal = self
+            .poison_parts
+            .borrow()
+            .refusal(now, &[offer.fingerprint]);
+        if let Some(retry_after) = refusal {
+            // The entry may not know it yet.
+            self.owner.borrow_mut().withdraw(now, offer.id);
+            self.send_decision(Decision::Refuse {
+                id: offer.id,
+                reason: Refusal::Poison,
+                retry_after,
+            });
+            return;
+        }
         self.refresh_limit_shares(now);
         self.owner
             .borrow_mut()
--- a/crates/gateway/src/owner/grant.rs
+++ b/crates/gateway/src/owner/grant.rs
@@ -189,7 +189,6 @@
             Run {
                 target: key,
                 pool: offer.pool,
-                fingerprint: offer.fingerprint,
                 granted_at: now,
                 deadline: now + offer.time_left,
             },
--- a/crates/gateway/src/owner/mod.rs
+++ b/crates/gateway/src/owner/mod.rs
@@ -20,7 +20,6 @@
 use crate::membership::LimitShare;
 use crate::model::{Name, Settings, Unit};
 use crate::named_limits::NamedLimits;
-use crate::poison_requests::PoisonRequests;
 use crate::retry_budget::RetryBudget;
 use crate::retry_schedule::RetrySchedule;
 use crate::token_bucket::TokenBucket;
@@ -59,7 +58,6 @@
 struct Run {
     target: u64,
     pool: Name,
-    fingerprint: u64,
     granted_at: Duration,
     /// Time by which it must be over.
     deadline: Duration,
@@ -101,7 +99,6 @@
     buckets: HashMap<Name, (TokenBucket, Unit)>,
     runs: HashMap<RunId, Run>,
     session_targets: HashMap<u64, u64>,
-    poison: PoisonRequests,
     /// Share of the fleet-wide limits that this owner may use, by shard.
     limit_shares: Vec<LimitShare>,
     /// Time at which the limit shares were set.
@@ -131,7 +128,6 @@
             buckets: HashMap::new(),
             runs: HashMap::new(),
             session_targets: HashMap::new(),
-            poison: PoisonRequests::default(),
             limit_shares: vec![SOLE_MEMBER_SHARE],
             limit_shares_set_at: now,
             started_at: now,
@@ -246,9 +242,6 @@
         if self.is_queued(offer.id) {
             return;
         }
-        if self.poison.is_refused(now, offer.fingerprint) {
-            return self.refuse(offer.id, Refusal::Poison, RETRY_MAX);
-        }
         let charged = match self.charge(now, catalog, &offer) {
             Ok(charged) => charged,
             Err(wait) => return self.refuse(offer.id, Refusal::Rate, wait),
@@ -305,13 +298,6 @@
         let Some(run) = self.runs.remove(&id) else {
             return;
         };
-        match report.end {
-            RunEnd::Broken => self
-                .poison
-                .record_broken_run(now, run.fingerprint, run.target),
-            RunEnd::Served => self.poison.clear(run.fingerprint),
-            _ => {}
-        }
         if let Some(state) = self.targets.get_mut(&run.target) {
             state.record_end(now, report);
         }
@@ -347,7 +333,6 @@
                 Run {
                     target,
                     pool,
-                    fingerprint: 0,
                     granted_at: now,
                     deadline: now + ADOPTED_RUN_LIMIT,
                 },
--- a/crates/gateway/src/poison_parts.rs
+++ b/crates/gateway/src/poison_parts.rs
@@ -1,5 +1,6 @@
-//! Detects parts of prompts that crash the targets that begin to answer them, whatever else the
-//! request holds.
+//! Detects requests that crash the targets that run them, and parts of prompts that do so whatever
+//! else the request holds. The fingerprint of a request, by which its repetitions are recognized,
+//! counts as the last part of its prompt.
 //!
 //! Each member observes the runs of its own callers and learns from heartbeats what the others
 //! observed. A crash is blamed on the parts of the runs that it cut off before their answer began.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -303,7 +303,7 @@
             StreamEnd::Broken => {
                 stream.log.log_failed_attempt("broken stream");
                 if events.count == 0 {
-                    let parts = &stream.req.shared_parts;
+                    let parts = &stream.req.parts;
                     crash_check::check_target(&stream.node, parts, &permit.target);
                 }
                 permit.end(RunEnd::Broken);
@@ -377,7 +377,7 @@
                 let now = clock::now();
                 if events.count > 0 && !std::mem::replace(&mut has_answered, true) {
                     let mut poison_parts = stream.node.poison_parts.borrow_mut();
-                    poison_parts.record_answer(now, &stream.req.shared_parts);
+                    poison_parts.record_answer(now, &stream.req.parts);
                 }
                 let (first_at, first_count) = *first.get_or_insert((now, events.count));
                 let new_events = events.count.saturating_sub(first_count);
@@ -446,7 +446,7 @@
         .node
         .poison_parts
         .borrow()
-        .refusal(now, &stream.req.shared_parts);
+        .refusal(now, &stream.req.parts);
     if refusal.is_some() {
         return None;
     }
@@ -495,7 +495,10 @@
                 }
             }
             SendOutcome::NotSent => RunEnd::Unreachable,
-            SendOutcome::Broken(_) => RunEnd::Broken,
+            SendOutcome::Broken(_) => {
+                crash_check::check_target(&stream.node, &stream.req.parts, &target);
+                RunEnd::Broken
+            }
             SendOutcome::TimedOut => RunEnd::TimedOut,
         };
         permit.end(end);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -167,7 +167,7 @@
             body,
             id: head.id,
             workspace: allowed.workspace.as_ref().map(|w| w.name.clone()),
-            shared_parts: shared_parts(&head.prompt_parts),
+            parts: prompt_parts(&head.prompt_parts, fingerprint),
         },
         route: allowed.route,
         permit_request,
@@ -177,11 +177,10 @@
     })
 }
 
-fn shared_parts(prompt_parts: &[(u64, u32)]) -> Rc<[u64]> {
-    let shared = prompt_parts
-        .split_last()
-        .map_or(&[][..], |(_, shared)| shared);
-    shared.iter().map(|&(part, _)| part).collect()
+fn prompt_parts(declared: &[(u64, u32)], fingerprint: u64) -> Rc<[u64]> {
+    let shared = declared.split_last().map_or(&[][..], |(_, shared)| shared);
+    let shared = shared.iter().map(|&(part, _)| part);
+    shared.chain([fingerprint]).collect()
 }
 
 /// Waits briefly for the first configuration: a process that has just started reads it within
@@ -295,7 +294,7 @@
             };
             match outcome.0 {
                 AttemptOutcome::Broken => {
-                    crash_check::check_target(&self.node, &self.req.shared_parts, &target);
+                    crash_check::check_target(&self.node, &self.req.parts, &target);
                 }
                 AttemptOutcome::Answered {
                     status: 200..=299,
@@ -334,7 +333,7 @@
         if time_left < MIN_ATTEMPT_TIME && (self.fallback.is_some() || time_left.is_zero()) {
             return Err(OUT_OF_TIME);
         }
-        self.check_parts()?;
+        self.check_poison()?;
         self.permit_request.time_left = time_left;
         self.permit_request.max_wait = self.permit_request.max_wait.min(time_left);
         let asked_at = clock::now();
@@ -347,8 +346,8 @@
             }
             Err(_) => return Err(OUT_OF_TIME),
         };
-        // A part may have become known while the request waited.
-        if let Err(refused) = self.check_parts() {
+        // It may have become known while the request waited.
+        if let Err(refused) = self.check_poison() {
             permit.end(RunEnd::Unused);
             return Err(refused);
         }
@@ -357,11 +356,16 @@
         Ok(permit)
     }
 
-    /// Checks that no part of the prompt is refused.
-    fn check_parts(&self) -> Result<(), (Refusal, Duration)> {
+    /// Checks that neither the request nor a part of its prompt is refused.
+    fn check_poison(&self) -> Result<(), (Refusal, Duration)> {
+        let now = clock::now();
         let poison_parts = self.node.poison_parts.borrow();
-        let refusal = poison_parts.refusal(clock::now(), &self.req.shared_parts);
-        refusal.map_or(Ok(()), |left| Err((Refusal::PoisonPart, left)))
+        let Some(left) = poison_parts.refusal(now, &self.req.parts) else {
+            return Ok(());
+        };
+        let itself = poison_parts.refusal(now, &[self.permit_request.fingerprint]);
+        let reason = itself.map_or(Refusal::PoisonPart, |_| Refusal::Poison);
+        Err((reason, left))
     }
 
     /// Records what the caller gets if this was the last attempt. If this attempt did not run, an
@@ -374,7 +378,7 @@
 
     fn record_answer(&self) {
         let mut poison_parts = self.node.poison_parts.borrow_mut();
-        poison_parts.record_answer(clock::now(), &self.req.shared_parts);
+        poison_parts.record_answer(clock::now(), &self.req.parts);
     }
 
     fn time_left(&self) -> Duration {
--- a/crates/gateway/tests/owner.rs
+++ b/crates/gateway/tests/owner.rs
@@ -261,31 +261,6 @@
     gateway::target_key(&support::target(id, 1))
 }
 
-#[test]
-fn a_request_that_breaks_three_targets_is_refused() {
-    let (mut owner, catalog) = owner(5, 1);
-    for run in 0..3 {
-        let mut breaking = offer(1, run);
-        breaking.fingerprint = 99;
-        breaking.avoid = (0..run).map(|at| key(&format!("t-{at}"))).collect();
-        owner.offer(ms(run), &catalog, breaking);
-        assert_eq!(granted(&owner.poll(ms(run))), [run]);
-        owner.release(
-            ms(run),
-            RunId { entry: 1, run },
-            &RunReport::of(RunEnd::Broken),
-        );
-    }
-    let mut again = offer(1, 9);
-    again.fingerprint = 99;
-    owner.offer(ms(10), &catalog, again);
-    owner.offer(ms(10), &catalog, offer(1, 10));
-
-    let decisions = owner.poll(ms(10));
-    assert_eq!(refused(&decisions), [(9, Refusal::Poison)]);
-    assert_eq!(granted(&decisions), [10]);
-}
-
 /// A target that can't be reached gets no runs during a backoff, then one run as a probe, and is
 /// used normally after it serves.
 #[test]
--- a/crates/gateway/tests/poison_parts.rs
+++ b/crates/gateway/tests/poison_parts.rs
@@ -1,4 +1,4 @@
-//! Parts of prompts that crash targets are told from sound ones.
+//! Requests and parts of prompts that crash targets are told from sound ones.
 
 mod support;
 
@@ -215,6 +215,54 @@
     assert!(is_refused(&parts, later, POISON));
 }
 
+/// Guards against a request that crashes three targets of each shard, or again three after a restart
+/// of the member that counted them, and against the refusal of sound requests with the same prompt.
+#[test]
+fn a_request_is_refused_by_its_fingerprint_at_all_members() {
+    const FINGERPRINT: u64 = 77;
+    let mut fleet = Fleet::new(9);
+    for target in 0..3 {
+        let member = usize::try_from(target).expect("small");
+        let now = fleet.now;
+        fleet.members[member].record_crash(now, &[COMMON, RARE, FINGERPRINT], target);
+        fleet.members[member] = PoisonParts::default();
+        fleet.members[member].record_crash(now, &[COMMON, RARE, FINGERPRINT], target);
+        fleet.now += ms(400);
+        fleet.gossip();
+    }
+    for at in 0..9 {
+        fleet.members[at] = PoisonParts::default();
+        fleet.gossip();
+    }
+
+    assert_eq!(fleet.refusing(FINGERPRINT), 9);
+    assert_eq!(fleet.refusing(RARE), 0);
+}
+
+/// Guards against the refusal of a sound request that is repeated and whose runs are cut off beside
+/// those of a poison request: an answer anywhere clears it, and the poison request explains the rest.
+#[test]
+fn a_sound_request_that_is_repeated_is_not_refused() {
+    const ANSWERED: u64 = 78;
+    const UNANSWERED: u64 = 79;
+    let mut fleet = Fleet::new(9);
+    for target in 0..5 {
+        let now = fleet.now;
+        fleet.members[0].record_crash(now, &[POISON], target);
+        fleet.members[1].record_crash(now, &[ANSWERED], target);
+        if target < 4 {
+            fleet.members[1].record_crash(now, &[UNANSWERED], target);
+        }
+        fleet.members[2].record_answer(now, &[ANSWERED]);
+        fleet.now += ms(400);
+        fleet.gossip();
+    }
+
+    assert_eq!(fleet.refusing(POISON), 9);
+    assert_eq!(fleet.refusing(ANSWERED), 0);
+    assert_eq!(fleet.refusing(UNANSWERED), 0);
+}
+
 /// Guards against memory and heartbeats that grow with the number of parts.
 #[test]
 fn the_state_is_bounded() {
