--- a/crates/daemon/src/fleet_member.rs
+++ b/crates/daemon/src/fleet_member.rs
@@ -65,6 +65,7 @@
         ip: settings.ip,
         zone: settings.zone,
         cores: settings.cores,
+        memory: settings.memory,
         link_mbps: settings.link_mbps,
         seeds: settings.seeds,
         shutdown_grace: settings.grace,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use crate::adapter::{Attestation, ForwardContext, ResponseHead};
+use crate::buffer_budget::Reservation;
 use crate::clock;
 use crate::model::{Name, Target};
 use crate::node::Node;
@@ -18,7 +19,7 @@
 use crate::upstream::{self, Upstream};
 
 /// A request in the form in which it is sent to targets.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct OutboundRequest {
     pub(crate) method: Method,
     pub(crate) uri: Uri,
@@ -29,6 +30,8 @@
     /// Parts of the prompt, by which poison is recognized. In place of the last one, which belongs to
     /// this request alone, stands the fingerprint of the request.
     pub(crate) parts: Rc<[u64]>,
+    /// Covers the body.
+    pub(crate) _reserved: Reservation,
 }
 
 /// The response head, and the connection on which the response body follows.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -137,6 +137,8 @@
     Stale,
     /// No heartbeats of the other member arrive.
     Silent,
+    /// The buffers of the process are full.
+    NoMemory,
 }
 
 impl FeedError {
@@ -158,6 +160,7 @@
             FeedError::NotReader => "not_reader",
             FeedError::Stale => "stale",
             FeedError::Silent => "silent",
+            FeedError::NoMemory => "no_memory",
         }
     }
 }
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -6,10 +6,12 @@
 
 use log::{info, warn};
 use metrics::counter;
+use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use crate::body::count_full;
 use crate::clock;
 use crate::feed::{Connection, FeedError, FeedRequest, FeedResponse, RecordMsg};
 use crate::message::millis;
@@ -67,6 +69,12 @@
             .await?
         {
             let response = respond(&node, &req).await;
+            // Snapshots for many followers at once are as large as all items of the store each.
+            let mut reserved = node.buffers.reserve();
+            if !reserved.grow(response.encoded_len()) {
+                count_full("feed");
+                return Err(FeedError::NoMemory);
+            }
             conn.send(&response, MAX_SEND_STALL).await?;
             counter!("primrosechute_feed_responses_total").increment(1);
         }
--- a/crates/gateway/src/http_server.rs
+++ b/crates/gateway/src/http_server.rs
@@ -18,9 +18,9 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::body::Body;
 use crate::clock;
 use crate::node::{CountGuard, Node};
-use crate::relay::Body;
 use crate::request;
 
 /// Smallest read buffer that the HTTP library accepts.
@@ -137,7 +137,7 @@
             }
         }
     };
-    Ok(response.map(|body| Body::Full(Some(body))))
+    Ok(response.map(Body::from))
 }
 
 /// Lists live entries in random order, to spread callers.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,8 @@
 //! | `convert` | conversion of counts | none |
 //! | `retry_decision` | response to the caller or retry after an attempt | none |
 //! | `message` | datagrams between members | none |
+//! | `buffer_budget` | bounds the memory of all buffers together | none |
+//! | `body` | bodies of requests and responses | through `upstream` |
 //! | `clock` | time since boot | system clock |
 //! | `node` | state shared by all tasks | UDP |
 //! | `position` | positions in the history of the store | none |
@@ -46,6 +48,8 @@
 
 pub mod adapter;
 mod attempt;
+mod body;
+mod buffer_budget;
 mod catalog;
 mod catalog_expiry;
 mod clock;
@@ -84,6 +88,7 @@
 mod transfer;
 mod upstream;
 
+pub use buffer_budget::{BufferBudget, Buffered, Reservation};
 pub use catalog::{Access, AccessError, Catalog, Change};
 pub use clock::now as boot_time;
 pub use log_throttle::LogThrottle;
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -201,6 +201,8 @@
     pub peer_reach: u16,
     /// CPU cores that the process may use.
     pub cores: f64,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
     /// Bandwidth of the VM's network link in Mbit/s.
     pub link_mbps: f64,
     /// Members to contact first; any of them may be down.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::adapter::HttpDialect;
+use crate::buffer_budget::BufferBudget;
 use crate::catalog::Catalog;
 use crate::clock;
 use crate::log_throttle::LogThrottle;
@@ -88,6 +89,8 @@
     pub(crate) malformed_limits: RefCell<LogThrottle<u64>>,
     pub(crate) target_pauses: RefCell<TargetPauses>,
     pub(crate) upstreams: UpstreamPool,
+    /// Bounds what is buffered for all requests together.
+    pub(crate) buffers: BufferBudget,
     /// Wakes the task that polls the owner.
     pub(crate) owner_changed: Notify,
     /// Copy of the store's items, from which other members are served.
@@ -142,6 +145,7 @@
             malformed_limits: RefCell::default(),
             target_pauses: RefCell::default(),
             upstreams: UpstreamPool::default(),
+            buffers: BufferBudget::for_memory(settings.memory),
             owner_changed: Notify::new(),
             record_log: RefCell::default(),
             log_changed: watch::Sender::new(()),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,13 +1,10 @@
 //! Relays event streams, and resumes them at another target when they break.
 
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::Response;
-use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use metrics::counter;
@@ -16,6 +13,8 @@
 
 use crate::adapter::{Attestation, ResponseHead};
 use crate::attempt::{self, OutboundRequest, ReceivedHead, SendOutcome};
+use crate::body::{Aborted, Body, count_full};
+use crate::buffer_budget::{Buffered, Reservation};
 use crate::clock;
 use crate::crash_check;
 use crate::model::Route;
@@ -38,51 +37,6 @@
 
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// Ends the connection to the caller before the end of the response.
-#[derive(Debug)]
-pub(crate) struct Aborted;
-
-impl std::fmt::Display for Aborted {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the answer ended early")
-    }
-}
-
-impl std::error::Error for Aborted {}
-
-/// Body of a response to a caller.
-pub(crate) enum Body {
-    Full(Option<Bytes>),
-    Streamed(mpsc::Receiver<Result<Bytes, Aborted>>),
-}
-
-impl http_body::Body for Body {
-    type Data = Bytes;
-    type Error = Aborted;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
-        match self.get_mut() {
-            Body::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Body::Streamed(rx) => rx
-                .poll_recv(cx)
-                .map(|next| next.map(|next| next.map(Frame::data))),
-        }
-    }
-
-    fn size_hint(&self) -> http_body::SizeHint {
-        match self {
-            Body::Full(bytes) => {
-                let len = bytes.as_ref().map_or(0, Bytes::len);
-                http_body::SizeHint::with_exact(u64::try_from(len).unwrap_or(u64::MAX))
-            }
-            Body::Streamed(_) => http_body::SizeHint::default(),
-        }
-    }
-}
-
 /// Splits a stream into complete events and remembers the id of the last one.
 struct EventSplitter {
     partial: BytesMut,
@@ -224,6 +178,8 @@
     /// It is silent, and another target has room for it.
     Stalled(Permit),
     DeadlinePassed,
+    /// The buffers of the process are full.
+    NoMemory,
     CallerLeft,
 }
 
@@ -234,7 +190,7 @@
     received: ReceivedHead,
 ) -> Response<Body> {
     let (tx, rx) = mpsc::channel(QUEUED_FRAMES);
-    let mut head = Response::new(Body::Streamed(rx));
+    let mut head = Response::new(Body::streamed(rx));
     *head.status_mut() = received.response.status();
     *head.headers_mut() = stream
         .node
@@ -249,9 +205,11 @@
 async fn run(
     mut stream: StreamContext,
     mut source: TargetStream,
-    tx: mpsc::Sender<Result<Bytes, Aborted>>,
+    tx: mpsc::Sender<Result<Buffered, Aborted>>,
 ) {
     let mut events = EventSplitter::new();
+    // Covers what the splitter holds.
+    let mut reserved = stream.node.buffers.reserve();
     loop {
         let can_resume = stream.route.kind.is_retryable()
             && stream.permit_request.sends < stream.route.max_attempts
@@ -261,6 +219,7 @@
             &stream,
             &mut source,
             &mut events,
+            &mut reserved,
             &tx,
             resume_request.as_ref(),
         )
@@ -275,7 +234,7 @@
                 let remainder = events.partial.split().freeze();
                 if !remainder.is_empty() {
                     // Fails only if the caller has left.
-                    let _ = tx.send(Ok(remainder)).await;
+                    let _ = tx.send(Ok(Buffered::new(remainder, reserved))).await;
                 }
                 permit.end(RunEnd::Served);
                 stream
@@ -300,6 +259,14 @@
                 let _ = tx.send(Err(Aborted)).await;
                 return;
             }
+            StreamEnd::NoMemory => {
+                permit.end(RunEnd::Broken);
+                stream
+                    .log
+                    .log_answered(&stream.node, "no_memory", events.count);
+                let _ = tx.send(Err(Aborted)).await;
+                return;
+            }
             StreamEnd::Broken => {
                 stream.log.log_failed_attempt("broken stream");
                 if events.count == 0 {
@@ -332,6 +299,7 @@
         };
         counter!("primrosechute_streams_resumed_total").increment(1);
         events.restart();
+        reserved = stream.node.buffers.reserve();
         source = next;
     }
 }
@@ -340,7 +308,8 @@
     stream: &StreamContext,
     source: &mut TargetStream,
     events: &mut EventSplitter,
-    tx: &mpsc::Sender<Result<Bytes, Aborted>>,
+    reserved: &mut Reservation,
+    tx: &mpsc::Sender<Result<Buffered, Aborted>>,
     resume_request: Option<&PermitRequest>,
 ) -> StreamEnd {
     let mut first: Option<(Duration, u32)> = None;
@@ -366,6 +335,10 @@
                 let Ok(data) = frame.into_data() else {
                     continue;
                 };
+                if !reserved.grow(data.len()) {
+                    count_full("stream");
+                    return StreamEnd::NoMemory;
+                }
                 let resumes_after = source.resumes_after.clone();
                 let complete = if stream.route.kind.is_retryable() {
                     events.push(&data)
@@ -391,10 +364,12 @@
                     events.last_id = resumes_after;
                     return StreamEnd::Broken;
                 }
-                if let Some(complete) = complete
-                    && tx.send(Ok(complete)).await.is_err()
-                {
-                    return StreamEnd::CallerLeft;
+                if let Some(complete) = complete {
+                    let reserved = reserved.split(complete.len());
+                    let buffered = Buffered::new(complete, reserved);
+                    if tx.send(Ok(buffered)).await.is_err() {
+                        return StreamEnd::CallerLeft;
+                    }
                 }
             }
         }
@@ -439,7 +414,7 @@
     stream: &mut StreamContext,
     permit: Option<Permit>,
     last_event: Option<&str>,
-    tx: &mpsc::Sender<Result<Bytes, Aborted>>,
+    tx: &mpsc::Sender<Result<Buffered, Aborted>>,
 ) -> Option<TargetStream> {
     let now = clock::now();
     let refusal = stream
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use log::info;
 use metrics::counter;
@@ -17,6 +16,8 @@
 
 use crate::adapter::{Attestation, HeadError, RequestHead};
 use crate::attempt::{self, OutboundRequest, ReceivedHead, SendOutcome};
+use crate::body::{self, Body, BodyError};
+use crate::buffer_budget::Buffered;
 use crate::catalog::{Access, AccessError};
 use crate::clock;
 use crate::crash_check;
@@ -24,7 +25,7 @@
 use crate::node::{CountGuard, Node};
 use crate::owner::{Refusal, RunEnd};
 use crate::permit::{self, Permit, PermitRequest};
-use crate::relay::{self, Body, StreamContext};
+use crate::relay::{self, StreamContext};
 use crate::request_log::RequestLog;
 use crate::retry_decision::{AttemptOutcome, NextStep, next_step};
 
@@ -45,6 +46,8 @@
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Retry time for callers while the process has no configuration yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry time for callers whose body found no room.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Shortest retry time given to callers.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// With less time than this left, no further attempt is made.
@@ -134,17 +137,11 @@
             .unwrap_or(Duration::MAX)
             .min(allowed.route.timeout);
     let time_left = deadline.saturating_sub(clock::now());
-    let body = timeout(
-        time_left,
-        Limited::new(body, limits.max_body_bytes).collect(),
-    )
-    .await;
-    let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(err)) if err.downcast_ref::<LengthLimitError>().is_some() => {
-            return Err(reject(node, 413, &head.id, "body too large", None));
-        }
-        Ok(Err(_)) => return Err(reject(node, 400, &head.id, "body incomplete", None)),
+    let mut reserved = node.buffers.reserve();
+    let read = body::read(body, limits.max_body_bytes, &mut reserved);
+    let body = match timeout(time_left, read).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(err)) => return Err(reject_body(node, &head.id, err)),
         Err(_) => return Err(reject(node, 408, &head.id, "body late", None)),
     };
     let log = RequestLog::new(
@@ -168,6 +165,7 @@
             id: head.id,
             workspace: allowed.workspace.as_ref().map(|w| w.name.clone()),
             parts: prompt_parts(&head.prompt_parts, fingerprint),
+            _reserved: reserved,
         },
         route: allowed.route,
         permit_request,
@@ -404,14 +402,12 @@
             upstream,
         } = received;
         let (parts, body) = response.into_parts();
-        let body = timeout(
-            self.time_left(),
-            Limited::new(body, MAX_RESPONSE_BYTES).collect(),
-        )
-        .await;
+        let mut reserved = self.node.buffers.reserve();
+        let read = body::read(body, MAX_RESPONSE_BYTES, &mut reserved);
+        let body = timeout(self.time_left(), read).await;
         permit.report.load = head.load;
         let body = match body {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(body)) => body,
             Ok(Err(_)) => {
                 permit.end(RunEnd::Broken);
                 return (AttemptOutcome::Broken, None);
@@ -436,7 +432,7 @@
             permit.report.time_per_unit = Some(clock::now().saturating_sub(started_at));
             permit.end(RunEnd::Served);
         }
-        let mut out = Response::new(Body::Full(Some(body)));
+        let mut out = Response::new(Body::Full(Buffered::new(body, reserved)));
         *out.status_mut() = parts.status;
         *out.headers_mut() = self.node.dialect.caller_headers(&parts.headers);
         let outcome = AttemptOutcome::Answered {
@@ -468,7 +464,16 @@
             .node
             .dialect
             .local_response(status, &self.req.id, reason, retry_after);
-        response.map(|body| Body::Full(Some(body)))
+        response.map(Body::from)
+    }
+}
+
+/// Responds to a request whose body could not be read.
+fn reject_body(node: &Node, id: &str, err: BodyError) -> Response<Body> {
+    match err {
+        BodyError::Broken => reject(node, 400, id, "body incomplete", None),
+        BodyError::TooLarge => reject(node, 413, id, "body too large", None),
+        BodyError::NoMemory => reject(node, 503, id, "memory", Some(NO_MEMORY_RETRY_AFTER)),
     }
 }
 
@@ -484,7 +489,7 @@
     let config = node.catalog.borrow().version();
     info!(id = id, status = status, reason = reason, config = config; "entry: not taken");
     let response = node.dialect.local_response(status, id, reason, retry_after);
-    response.map(|body| Body::Full(Some(body)))
+    response.map(Body::from)
 }
 
 /// Hash that identifies repeated sends of the same request.
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -176,7 +176,11 @@
                 self.follow_failing_since =
                     Some(failing_since.min(now.saturating_sub(MAX_FOLLOW_FAILURE)));
             }
-            FeedError::Broken | FeedError::Timeout | FeedError::Malformed | FeedError::Silent => {
+            FeedError::Broken
+            | FeedError::Timeout
+            | FeedError::Malformed
+            | FeedError::Silent
+            | FeedError::NoMemory => {
                 self.avoided.push((reader, now + AVOID_TIME));
                 // The other reader is tried at once, but not again and again.
                 if self.avoided.len() > 1 {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -26,6 +26,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Maximum idle connections per target.
 const MAX_IDLE_PER_TARGET: usize = 8;
+/// Maximum size of the read buffer of a connection, and so of a response head.
+const MAX_READ_BUFFER: usize = 16 * 1024;
 /// TCP keepalive settings that detect a dead peer.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_RETRIES: u32 = 2;
@@ -117,7 +119,9 @@
     // Best effort: these only reduce latency and detect dead peers sooner.
     let _ = stream.set_nodelay(true);
     let _ = socket.set_tcp_keepalive(&probes);
-    let (sender, conn) = http1::handshake(TokioIo::new(stream))
+    let (sender, conn) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|_| "handshake")?;
     tokio::task::spawn_local(async move {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -27,6 +27,7 @@
         peer_port: 2,
         peer_reach: 2,
         cores: 0.25,
+        memory: 110_000_000,
         link_mbps: 1000.0,
         seeds: Vec::new(),
         shutdown_grace: Duration::from_secs(8),
--- a/crates/sheet/src/member_settings.rs
+++ b/crates/sheet/src/member_settings.rs
@@ -5,8 +5,8 @@
 
 use serde::Deserialize;
 
-use crate::settings_check::{format_duration, require_nonzero};
-use crate::units::{duration, name};
+use crate::settings_check::{MIN_MEMORY, format_duration, require_nonzero};
+use crate::units::{duration, name, size};
 use crate::{CheckError, Name};
 
 /// Smallest `grace`. After SIGTERM a member still serves callers with an old directory response for
@@ -36,6 +36,9 @@
     /// Number of CPU cores that the process may use.
     #[serde(default = "default_cores")]
     pub cores: f64,
+    /// Memory that the process may use, in bytes.
+    #[serde(default = "default_memory", deserialize_with = "size")]
+    pub memory: usize,
     /// Bandwidth of the VM's link, in Mbit/s.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
@@ -137,6 +140,12 @@
                 return Err(CheckError::Zero(field));
             }
         }
+        if self.memory < MIN_MEMORY {
+            return Err(CheckError::BelowMinimum {
+                field: "memory",
+                values: [self.memory, MIN_MEMORY].map(|size| format!("{size} B").into()),
+            });
+        }
         let numbers = [
             ("repeats.ratio", self.repeats.ratio),
             ("repeats.slack", self.repeats.slack),
@@ -213,6 +222,10 @@
     1.0
 }
 
+fn default_memory() -> usize {
+    256 << 20
+}
+
 fn default_link_mbps() -> f64 {
     1000.0
 }
--- a/crates/sheet/src/settings.rs
+++ b/crates/sheet/src/settings.rs
@@ -75,6 +75,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
+    /// Memory that the process may use, in bytes.
+    #[serde(deserialize_with = "size")]
+    pub memory: usize,
     /// Largest number of open caller connections.
     pub max_connections: usize,
     /// Largest size of a request head in bytes.
@@ -98,6 +101,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            memory: 256 << 20,
             max_connections: 10_000,
             max_header: 16 << 10,
             max_waiting: 10_000,
--- a/crates/sheet/src/settings_check.rs
+++ b/crates/sheet/src/settings_check.rs
@@ -16,6 +16,9 @@
 
 type Checked = Result<(), CheckError>;
 
+/// Smallest memory of a process. One without requests takes half of it.
+pub(crate) const MIN_MEMORY: usize = 32 << 20;
+
 impl Settings {
     /// Checks the ranges of the values and their relations. [`Settings::parse`] calls this.
     ///
@@ -57,6 +60,12 @@
                 return Err(CheckError::AboveMaximum { field, values });
             }
         }
+        if limits.memory < MIN_MEMORY {
+            return Err(CheckError::BelowMinimum {
+                field: "limits.memory",
+                values: [limits.memory, MIN_MEMORY].map(|size| format!("{size} B").into()),
+            });
+        }
         let (field, size) = ("limits.max_header", limits.max_header);
         let format_kib = |bytes: usize| format!("{}KiB", bytes >> 10).into();
         if size == 0 {
--- a/crates/sheet/tests/member.rs
+++ b/crates/sheet/tests/member.rs
@@ -23,7 +23,7 @@
 
 #[test]
 fn all_fields_are_read() {
-    let rest = r#", "seeds": ["10.0.0.2"], "cores": 0.25, "link_mbps": 100, "grace": "8s",
+    let rest = r#", "seeds": ["10.0.0.2"], "cores": 0.25, "memory": "110MB", "link_mbps": 100, "grace": "8s",
         "ports": {"entry": 1, "ready": 2, "directory": null, "metrics": 4, "peer": 6, "peer_reach": 5},
         "directory_ttl": "5s", "lapse": "2s",
         "repeats": {"window": "20s", "ratio": 0.1, "slack": 5},
@@ -31,6 +31,7 @@
     let settings = parse(rest).unwrap();
 
     assert_eq!(settings.seeds, [Ipv4Addr::new(10, 0, 0, 2)]);
+    assert_eq!(settings.memory, 110_000_000);
     assert_eq!(settings.ports.directory, None);
     assert_eq!(settings.ports.peer_reach, Some(5));
     assert_eq!(settings.repeats.window, Duration::from_secs(20));
@@ -72,6 +73,11 @@
             r#", "grace": "1s""#,
             "m.jsonc:1:81: grace (1s) is below 3s; raise it",
         ),
+        (
+            r#", "memory": "1MiB""#,
+            "memory (1048576 B) is below 33554432 B; raise it",
+        ),
+        (r#", "memory": 5"#, "invalid type: integer `5`"),
         (r#", "lapse": "soon""#, r#"lapse: "soon" is not a duration"#),
         (
             r#", "repeats": {"window": "0s"}"#,
--- a/crates/sheet/tests/settings.rs
+++ b/crates/sheet/tests/settings.rs
@@ -43,7 +43,7 @@
     let text = format!(
         r#"{START} "sheet": {{"service": "127.0.0.1:9"}}, "peer": "127.0.0.1:3",
         "vm_list": "127.0.0.1:8", "log": {{"format": "json", "level": "warn"}},
-        "limits": {{"max_connections": 1, "max_header": "64KiB", "max_waiting": 2,
+        "limits": {{"memory": "64MiB", "max_connections": 1, "max_header": "64KiB", "max_waiting": 2,
                     "max_outcomes": 3, "max_outcome_age": "1h 30m", "idle_timeout": "1.5s",
                     "header_timeout": "2s"}},
         "timing": {{"redial_min": "1s", "redial_max": "1s"}}}}"#
@@ -54,6 +54,7 @@
         settings.sheet,
         SheetSource::Service("127.0.0.1:9".parse().unwrap())
     );
+    assert_eq!(settings.limits.memory, 64 << 20);
     assert_eq!(settings.limits.max_header, 64 << 10);
     assert_eq!(settings.limits.max_outcome_age, Duration::from_mins(90));
     assert_eq!(settings.limits.idle_timeout, Duration::from_millis(1500));
