--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,6 @@
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::time::timeout;
 
 use crate::adapter::{Attestation, ForwardContext, ResponseHead};
 use crate::buffer_budget::Reservation;
@@ -91,16 +90,17 @@
     *outbound.method_mut() = req.method.clone();
     *outbound.uri_mut() = req.uri.clone();
     *outbound.headers_mut() = node.dialect.target_headers(&req.headers, &forward);
-    let sent = timeout(head_timeout, upstream.sender.try_send_request(outbound)).await;
-    let response = match sent {
-        Err(_) => return SendOutcome::TimedOut,
-        Ok(Err(mut err)) => {
+    let head_deadline = clock::now() + head_timeout;
+    let sending = upstream.sender.try_send_request(outbound);
+    let response = match node.before(head_deadline, sending).await {
+        None => return SendOutcome::TimedOut,
+        Some(Err(mut err)) => {
             return match err.take_message() {
                 Some(_) => SendOutcome::NotSent,
                 None => SendOutcome::Broken("connection broke"),
             };
         }
-        Ok(Ok(response)) => response,
+        Some(Ok(response)) => response,
     };
     let (parts, body) = response.into_parts();
     let bodyless = Response::from_parts(parts, ());
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,6 +12,7 @@
 use rand::RngExt;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::{sleep, timeout};
 
 use crate::adapter::HttpDialect;
 use crate::buffer_budget::BufferBudget;
@@ -104,6 +105,8 @@
     /// Notifies the store follower that another member may have seen a newer revision.
     pub(crate) relist_requested: Notify,
     pub(crate) stopping: watch::Sender<bool>,
+    /// Time by which all requests have to be answered, once the process stops.
+    pub(crate) answer_by: watch::Sender<Option<Duration>>,
     /// Requests that are being served.
     pub(crate) serving: Rc<Cell<usize>>,
     /// Open connections of callers and of the auxiliary servers.
@@ -153,6 +156,7 @@
             heartbeat_requested: Notify::new(),
             relist_requested: Notify::new(),
             stopping: watch::Sender::new(false),
+            answer_by: watch::Sender::new(None),
             serving: Rc::default(),
             connections: Rc::default(),
             last_store_success: Cell::new(Duration::ZERO),
@@ -175,6 +179,33 @@
         *self.stopping.borrow()
     }
 
+    /// Time left until a deadline, or until the process has to have answered because it stops.
+    pub(crate) fn time_left(&self, deadline: Duration) -> Duration {
+        let answer_by = *self.answer_by.borrow();
+        let until = answer_by.map_or(deadline, |answer_by| answer_by.min(deadline));
+        until.saturating_sub(clock::now())
+    }
+
+    /// Waits for an operation, but not beyond a deadline or the time by which the process has to
+    /// have answered because it stops. Returns `None` if that comes first.
+    pub(crate) async fn before<F: Future>(&self, deadline: Duration, op: F) -> Option<F::Output> {
+        let mut answer_by = self.answer_by.subscribe();
+        let is_over = async {
+            // Fails only if the sender is dropped, but `self` holds it.
+            let _ = timeout(
+                self.time_left(deadline),
+                answer_by.wait_for(Option::is_some),
+            )
+            .await;
+            sleep(self.time_left(deadline)).await;
+        };
+        tokio::select! {
+            biased;
+            output = op => Some(output),
+            () = is_over => None,
+        }
+    }
+
     /// Whether callers are served.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping() && self.catalog.borrow().is_ready()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use metrics::counter;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::adapter::{Attestation, ResponseHead};
 use crate::attempt::{self, OutboundRequest, ReceivedHead, SendOutcome};
@@ -315,23 +315,23 @@
     let mut first: Option<(Duration, u32)> = None;
     let mut has_answered = false;
     loop {
-        let time_left = stream.deadline.saturating_sub(clock::now());
+        let time_left = stream.node.time_left(stream.deadline);
         if time_left.is_zero() {
             return StreamEnd::DeadlinePassed;
         }
         let frame = tokio::select! {
             biased;
             () = tx.closed() => return StreamEnd::CallerLeft,
-            frame = timeout(time_left, source.body.frame()) => frame,
+            frame = stream.node.before(stream.deadline, source.body.frame()) => frame,
             next = permit_after_stall(stream, resume_request) => return StreamEnd::Stalled(next),
         };
         match frame {
-            Err(_) => return StreamEnd::DeadlinePassed,
+            None => return StreamEnd::DeadlinePassed,
             // The end of a connection may be the end of the response.
-            Ok(None) if events.is_inside_event && source.has_events => return StreamEnd::Broken,
-            Ok(None) => return StreamEnd::Complete,
-            Ok(Some(Err(_))) => return StreamEnd::Broken,
-            Ok(Some(Ok(frame))) => {
+            Some(None) if events.is_inside_event && source.has_events => return StreamEnd::Broken,
+            Some(None) => return StreamEnd::Complete,
+            Some(Some(Err(_))) => return StreamEnd::Broken,
+            Some(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else {
                     continue;
                 };
@@ -392,7 +392,7 @@
     loop {
         sleep(STALL_TIMEOUT).await;
         let mut request = request.clone();
-        request.time_left = stream.deadline.saturating_sub(clock::now());
+        request.time_left = stream.node.time_left(stream.deadline);
         request.max_wait = request.max_wait.min(request.time_left);
         if let Ok(permit) = permit::acquire(&stream.node, &request).await {
             return permit;
@@ -425,7 +425,7 @@
     if refusal.is_some() {
         return None;
     }
-    let time_left = stream.deadline.saturating_sub(now);
+    let time_left = stream.node.time_left(stream.deadline);
     stream.permit_request.time_left = time_left;
     stream.permit_request.max_wait = stream.permit_request.max_wait.min(time_left);
     let resumed = async {
@@ -438,7 +438,7 @@
         };
         let permit_wait = clock::now().saturating_sub(asked_at);
         stream.log.record_permit(&permit, permit_wait);
-        let time_left = stream.deadline.saturating_sub(clock::now());
+        let time_left = stream.node.time_left(stream.deadline);
         stream.permit_request.sends += 1;
         stream.log.record_send();
         let target = permit.target.clone();
@@ -482,6 +482,6 @@
     tokio::select! {
         biased;
         () = tx.closed() => None,
-        resumed = timeout(time_left, resumed) => resumed.ok().flatten(),
+        resumed = stream.node.before(stream.deadline, resumed) => resumed.flatten(),
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -11,7 +11,7 @@
 use log::info;
 use metrics::counter;
 use rand::RngExt;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::adapter::{Attestation, HeadError, RequestHead};
@@ -136,13 +136,12 @@
             .deadline
             .unwrap_or(Duration::MAX)
             .min(allowed.route.timeout);
-    let time_left = deadline.saturating_sub(clock::now());
     let mut reserved = node.buffers.reserve();
     let read = body::read(body, limits.max_body_bytes, &mut reserved);
-    let body = match timeout(time_left, read).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(err)) => return Err(reject_body(node, &head.id, err)),
-        Err(_) => return Err(reject(node, 408, &head.id, "body late", None)),
+    let body = match node.before(deadline, read).await {
+        Some(Ok(body)) => body,
+        Some(Err(err)) => return Err(reject_body(node, &head.id, err)),
+        None => return Err(reject(node, 408, &head.id, "body late", None)),
     };
     let log = RequestLog::new(
         received_at,
@@ -336,13 +335,13 @@
         self.permit_request.max_wait = self.permit_request.max_wait.min(time_left);
         let asked_at = clock::now();
         let acquire = permit::acquire(&self.node, &self.permit_request);
-        let permit = match timeout(time_left, acquire).await {
-            Ok(Ok(permit)) => permit,
-            Ok(Err(refused)) => {
+        let permit = match self.node.before(self.deadline, acquire).await {
+            Some(Ok(permit)) => permit,
+            Some(Err(refused)) => {
                 self.log.record_refusing_owner(refused.owner);
                 return Err((refused.reason, refused.retry_after));
             }
-            Err(_) => return Err(OUT_OF_TIME),
+            None => return Err(OUT_OF_TIME),
         };
         // It may have become known while the request waited.
         if let Err(refused) = self.check_poison() {
@@ -380,7 +379,7 @@
     }
 
     fn time_left(&self) -> Duration {
-        self.deadline.saturating_sub(clock::now())
+        self.node.time_left(self.deadline)
     }
 
     fn can_retry(&self) -> bool {
@@ -404,15 +403,15 @@
         let (parts, body) = response.into_parts();
         let mut reserved = self.node.buffers.reserve();
         let read = body::read(body, MAX_RESPONSE_BYTES, &mut reserved);
-        let body = timeout(self.time_left(), read).await;
+        let body = self.node.before(self.deadline, read).await;
         permit.report.load = head.load;
         let body = match body {
-            Ok(Ok(body)) => body,
-            Ok(Err(_)) => {
+            Some(Ok(body)) => body,
+            Some(Err(_)) => {
                 permit.end(RunEnd::Broken);
                 return (AttemptOutcome::Broken, None);
             }
-            Err(_) => {
+            None => {
                 permit.end(RunEnd::TimedOut);
                 return (AttemptOutcome::TimedOut, None);
             }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -26,7 +26,7 @@
 
 /// Callers cache a response of the directory and connect here until it expires.
 const DIRECTORY_DRAIN_TIME: Duration = Duration::from_millis(2200);
-/// The process exits this long before it would be killed.
+/// Requests that are still running are answered this long before the process would be killed.
 const KILL_MARGIN: Duration = Duration::from_millis(800);
 /// Time for the last responses to be sent.
 const FLUSH_TIME: Duration = Duration::from_millis(150);
@@ -148,18 +148,21 @@
     }
 }
 
-/// Leaves the directory at once, serves requests that still arrive, and exits when none is left or
-/// the deadline has passed.
+/// Leaves the directory at once, serves requests that still arrive, and exits when none is left. At the
+/// deadline the rest are answered: a caller that gets no answer can't tell what became of its request.
 async fn stop(node: &Node, close: &watch::Sender<bool>) {
     let stop_started = Instant::now();
-    let deadline = stop_started + node.settings.shutdown_grace.saturating_sub(KILL_MARGIN);
+    let time = node.settings.shutdown_grace.saturating_sub(KILL_MARGIN);
+    let deadline = stop_started + time;
+    node.answer_by.send_replace(Some(clock::now() + time));
     node.stopping.send_replace(true);
     peer_link::send_heartbeat(node);
     info!("member: stopping with {} requests", node.serving.get());
     sleep(DIRECTORY_DRAIN_TIME.min(deadline - stop_started)).await;
     // A later request might not finish before the process is killed.
     close.send_replace(true);
-    while Instant::now() < deadline && (node.serving.get() > 0 || node.connections.get() > 0) {
+    let last_response = deadline + FLUSH_TIME;
+    while Instant::now() < last_response && (node.serving.get() > 0 || node.connections.get() > 0) {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     sleep(FLUSH_TIME).await;
