--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -24,6 +24,9 @@
 
 /// Interval between heartbeats. A member loses the ownership of shards after five lost heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which the samples of histograms are summed up. Until then each takes memory, whether
+/// the metrics are fetched or not.
+const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// Shortest time between two heartbeats if more are requested. It bounds their traffic while targets
 /// crash one after the other.
 const MIN_HEARTBEAT_GAP: Duration = Duration::from_millis(100);
@@ -38,6 +41,7 @@
     let mut tick = interval(HEARTBEAT_INTERVAL);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last_sent = Duration::ZERO;
+    let mut last_upkeep = clock::now();
     loop {
         tokio::select! {
             _ = tick.tick() => {}
@@ -56,6 +60,12 @@
         node.owner.borrow_mut().remove_stale(now);
         node.set_limit_shares(now);
         node.upstreams.close_expired(now);
+        if now.saturating_sub(last_upkeep) >= METRICS_UPKEEP_INTERVAL {
+            last_upkeep = now;
+            if let Some(metrics) = &node.metrics {
+                metrics.run_upkeep();
+            }
+        }
         node.poison_parts.borrow_mut().expire(now);
         node.target_pauses.borrow_mut().expire(now);
         let mut limits = node.named_limits.borrow_mut();
