Blame a request for a crash behind a silent connection

Cause: only a broken connection counted as a crash. One that stays silent ends as a time-out, which counted nowhere.

Change: a run that is given up for silence before its answer began has its target checked as well: a live target accepts a connection and nothing is blamed.

--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -14,7 +14,7 @@
 use crate::owner::target_key;
 use crate::upstream;
 
-/// Checks the target of a run that broke before its answer began, and blames the request and the
+/// Checks the target of a run that broke, or was given up, before its answer began, and blames the request and the
 /// parts of its prompt if it has crashed. Does not delay the caller.
 pub(crate) fn check_target(node: &Rc<Node>, parts: &Rc<[u64]>, target: &Target) {
     let (node, parts, target) = (Rc::clone(node), Rc::clone(parts), target.clone());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -277,6 +277,10 @@
             }
             StreamEnd::Stalled(next) => {
                 stream.log.log_failed_attempt("silent stream");
+                if events.count == 0 {
+                    let parts = &stream.req.parts;
+                    crash_check::check_target(&stream.node, parts, &permit.target);
+                }
                 permit.end(RunEnd::TimedOut);
                 next_permit = Some(next);
             }
@@ -474,7 +478,10 @@
                 crash_check::check_target(&stream.node, &stream.req.parts, &target);
                 RunEnd::Broken
             }
-            SendOutcome::TimedOut => RunEnd::TimedOut,
+            SendOutcome::TimedOut => {
+                crash_check::check_target(&stream.node, &stream.req.parts, &target);
+                RunEnd::TimedOut
+            }
         };
         permit.end(end);
         None
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -290,7 +290,7 @@
                 }
             };
             match outcome.0 {
-                AttemptOutcome::Broken => {
+                AttemptOutcome::Broken | AttemptOutcome::TimedOut => {
                     crash_check::check_target(&self.node, &self.req.parts, &target);
                 }
                 AttemptOutcome::Answered {
