--- a/crates/daemon/src/entry/admit.rs
+++ b/crates/daemon/src/entry/admit.rs
@@ -1,12 +1,14 @@
 //! Checks a call before it becomes a request: id, route, key, tier, deadline and body.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use ::http::request::Parts;
 use ::http::{HeaderMap, HeaderName, HeaderValue, header};
 use axum::body::{Body, HttpBody};
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use gateway::Reservation;
+use http_body_util::BodyExt;
 use serde::Deserialize;
 use sheet::{Access, Name, PoolKind, Route, Sheet, key_hash};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
@@ -59,6 +61,8 @@
     pub(super) fingerprint: u64,
     pub(super) deadline: Duration,
     pub(super) hard_deadline: Duration,
+    /// Covers the body.
+    pub(super) _reserved: Arc<Reservation>,
 }
 
 /// Key hash and workspace of a call to a keyed route.
@@ -136,7 +140,8 @@
         .pools
         .get(&route.pool)
         .map_or(PoolKind::Service, |pool| pool.kind);
-    let body = read_body(node, route, body).await?;
+    let mut reserved = node.buffers.reserve();
+    let body = read_body(node, route, body, &mut reserved).await?;
     let size = match kind {
         PoolKind::Engine => model_call_size(route, &body)?,
         PoolKind::Service => CallSize {
@@ -174,6 +179,7 @@
         prompt_tokens: size.prompt_tokens,
         deadline: arrival + deadline,
         hard_deadline: arrival + deadline + max_run,
+        _reserved: Arc::new(reserved),
     })
 }
 
@@ -257,18 +263,36 @@
         ))
 }
 
-async fn read_body(node: &Node, route: &Route, body: &mut Body) -> Result<Bytes, Refusal> {
+async fn read_body(
+    node: &Node,
+    route: &Route,
+    body: &mut Body,
+    reserved: &mut Reservation,
+) -> Result<Bytes, Refusal> {
     if body.size_hint().lower() > route.max_body {
         return Err(Refusal::TooLarge);
     }
     let limit = usize::try_from(route.max_body).unwrap_or(usize::MAX);
-    let read = Limited::new(body, limit).collect();
-    match tokio::time::timeout(node.settings.limits.idle_timeout, read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) => Err(Refusal::Malformed("the body ended early")),
-        Err(_) => Err(Refusal::Malformed("the body did not arrive in time")),
-    }
+    let read = async {
+        let mut received = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| Refusal::Malformed("the body ended early"))?;
+            let Some(data) = frame.data_ref() else {
+                continue;
+            };
+            if received.len() + data.len() > limit {
+                return Err(Refusal::TooLarge);
+            }
+            if !reserved.grow(data.len()) {
+                return Err(Refusal::Memory);
+            }
+            received.extend_from_slice(data);
+        }
+        Ok(received.freeze())
+    };
+    tokio::time::timeout(node.settings.limits.idle_timeout, read)
+        .await
+        .unwrap_or(Err(Refusal::Malformed("the body did not arrive in time")))
 }
 
 /// Estimated size of a model call.
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -1,7 +1,9 @@
 //! HTTP interface for callers.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 
 use ::http::request::Parts;
 use ::http::{HeaderMap, HeaderValue, StatusCode, header};
@@ -12,7 +14,9 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use bytes::{Bytes, BytesMut};
+use gateway::Buffered;
 use http_body_util::{BodyExt, Limited};
+use hyper::body::{Frame, SizeHint};
 use metrics::counter;
 use serde::Deserialize;
 
@@ -21,7 +25,7 @@
 use super::run;
 use super::table::{Lookup, RequestId, RequestRecord};
 use crate::node::Node;
-use crate::outcome::{ID_HEADER, OUTCOME_HEADER, Outcome, Refusal};
+use crate::outcome::{Failure, ID_HEADER, OUTCOME_HEADER, Outcome, Refusal};
 
 /// Router of the address for callers.
 pub(crate) fn router(node: Arc<Node>) -> Router {
@@ -210,7 +214,7 @@
             id: job.id.clone(),
             workspace: workspace.clone(),
             content_hash,
-            buffer: Arc::new(ResponseBuffer::new()),
+            buffer: Arc::new(ResponseBuffer::new(node.buffers.reserve())),
         }))
     });
     match found {
@@ -247,16 +251,45 @@
         return response_from_head(&head, id, None, body);
     }
     let mut body = BytesMut::new();
+    let mut reserved = node.buffers.reserve();
     loop {
         match reader.next_chunk().await {
+            Chunk::Bytes(bytes) if !reserved.grow(bytes.len()) => {
+                return Outcome::Failed(Failure::ResponseTooLarge).response(id.as_str());
+            }
             Chunk::Bytes(bytes) => body.extend_from_slice(&bytes),
             Chunk::End(outcome) => {
-                return response_from_head(&head, id, Some(&outcome), Body::from(body.freeze()));
+                let body = BufferedBody(Buffered::new(body.freeze(), reserved));
+                return response_from_head(&head, id, Some(&outcome), Body::new(body));
             }
         }
     }
 }
 
+/// A complete body that counts towards the buffers of the process until the connection has taken it.
+struct BufferedBody(Buffered);
+
+impl HttpBody for BufferedBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let piece = self.0.next_piece();
+        Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(u64::try_from(self.0.len()).unwrap_or(u64::MAX))
+    }
+}
+
 fn response_from_head(
     head: &Head,
     id: &RequestId,
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -5,6 +5,7 @@
 
 use ::http::{HeaderMap, HeaderValue, Method, Response, header};
 use bytes::{Bytes, BytesMut};
+use gateway::Reservation;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use metrics::counter;
@@ -124,7 +125,8 @@
         body
     } else {
         let silent = node.settings.timing.stream_silent;
-        match read_plain(body, silent).await {
+        let reserved = node.buffers.reserve();
+        match read_plain(body, silent, reserved).await {
             Ok(whole) => return finish_plain(head, &whole, buffer, stats),
             Err(Failure::Incomplete) if engine => resume_with_retries(node, job, target, 0)
                 .await
@@ -132,7 +134,7 @@
             Err(failure) => return Err(failure),
         }
     };
-    let event_buffer = ResponseBuffer::new();
+    let event_buffer = ResponseBuffer::new(node.buffers.reserve());
     read_events(node, job, target, body, &event_buffer, stats).await?;
     let whole = rebuild(&event_buffer.bytes()).ok_or(Failure::Incomplete)?;
     let mut head = Head {
@@ -146,13 +148,17 @@
 
 /// Reads a complete response before its head is published, so that an incomplete one is never
 /// taken for a complete one.
-async fn read_plain(mut body: Incoming, silent: Duration) -> Result<Bytes, Failure> {
+async fn read_plain(
+    mut body: Incoming,
+    silent: Duration,
+    mut reserved: Reservation,
+) -> Result<Bytes, Failure> {
     let mut whole = BytesMut::new();
     let incomplete = |_| Failure::Incomplete;
     while let Some(frame) = timeout(silent, body.frame()).await.map_err(incomplete)? {
         let frame = frame.map_err(|_| Failure::Incomplete)?;
         if let Some(data) = frame.data_ref() {
-            if whole.len() + data.len() > MAX_RESPONSE {
+            if whole.len() + data.len() > MAX_RESPONSE || !reserved.grow(data.len()) {
                 return Err(Failure::ResponseTooLarge);
             }
             whole.extend_from_slice(data);
@@ -169,7 +175,9 @@
 ) -> Result<(), Failure> {
     stats.usage = reported_usage(whole);
     let failed = head.status.is_server_error();
-    buffer.push(whole, 0);
+    if !buffer.push(whole, 0) {
+        return Err(Failure::ResponseTooLarge);
+    }
     buffer.start(head);
     if failed {
         return Err(Failure::TargetError);
@@ -252,6 +260,7 @@
     stats: &mut RunStats,
 ) -> ReadEnd {
     let mut received = BytesMut::new();
+    let mut reserved = node.buffers.reserve();
     loop {
         let frame = timeout(node.settings.timing.stream_silent, body.frame()).await;
         let frame = match frame {
@@ -262,8 +271,13 @@
         let Some(data) = frame.data_ref() else {
             continue;
         };
+        if !reserved.grow(data.len()) {
+            return ReadEnd::TooLarge;
+        }
         received.extend_from_slice(data);
         let whole = split_events(&mut received);
+        // The response buffer has a reservation of its own.
+        drop(reserved.split(whole.bytes.len()));
         if whole.count > 0 {
             let now = node.now();
             stats.first_event.get_or_insert(now);
--- a/crates/daemon/src/entry/response_buffer.rs
+++ b/crates/daemon/src/entry/response_buffer.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::{Bytes, BytesMut};
+use gateway::Reservation;
 use http::{HeaderMap, StatusCode};
 use tokio::sync::watch;
 
@@ -47,6 +48,8 @@
     events: u64,
     outcome: Option<Outcome>,
     readers: usize,
+    /// Covers the bytes until the response has ended; then the table counts them.
+    reserved: Option<Reservation>,
 }
 
 impl State {
@@ -122,9 +125,13 @@
 }
 
 impl ResponseBuffer {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(reserved: Reservation) -> Self {
+        let state = State {
+            reserved: Some(reserved),
+            ..State::default()
+        };
         ResponseBuffer {
-            state: Mutex::default(),
+            state: Mutex::new(state),
             changed: watch::Sender::new(0),
         }
     }
@@ -144,10 +151,12 @@
     }
 
     /// Appends bytes that hold `events` whole events. Returns false, without appending them, if the
-    /// response would be too large.
+    /// response would be too large or the buffers of the process are full.
     pub(crate) fn push(&self, bytes: &[u8], events: u64) -> bool {
         let fits = self.with_state(|state| {
-            let fits = state.len() + bytes.len() <= MAX_RESPONSE;
+            let reserved = state.reserved.as_mut();
+            let has_room = reserved.is_none_or(|reserved| reserved.grow(bytes.len()));
+            let fits = has_room && state.len() + bytes.len() <= MAX_RESPONSE;
             if fits {
                 state.push(bytes, events);
             }
@@ -161,6 +170,7 @@
     pub(crate) fn finish(&self, outcome: Outcome) {
         self.with_state(|state| {
             state.outcome.get_or_insert(outcome);
+            state.reserved = None;
             if !state.tail.is_empty() {
                 state.close_tail();
                 state.tail = BytesMut::new();
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use gateway::BufferBudget;
 use limit::Reservation;
 use member::{Incarnation, VmList, VmState};
 use metrics::counter;
@@ -45,6 +46,8 @@
     pub(crate) buckets: TokenBuckets,
     pub(crate) fleet: Fleet,
     pub(crate) rejected: LastRejectedSheet,
+    /// Bounds what is buffered for all requests together.
+    pub(crate) buffers: BufferBudget,
     clock: Box<dyn Clock>,
     sheet: watch::Sender<Arc<Sheet>>,
     /// Counts changes that are announced to peers at once instead of with the next heartbeat.
@@ -78,7 +81,9 @@
         let started = clock.now();
         let holder = ShareHolder::new(started, incarnation, &settings, standalone);
         let fleet = Fleet::new(&settings, incarnation, standalone);
+        let buffers = BufferBudget::for_memory(limits.memory);
         Node {
+            buffers,
             settings,
             incarnation,
             peers: Peers::default(),
--- a/crates/daemon/src/outcome.rs
+++ b/crates/daemon/src/outcome.rs
@@ -47,6 +47,8 @@
     Expired,
     /// The caller left before the request could be sent.
     Cancelled,
+    /// The buffers of the process are full.
+    Memory,
     /// The body is larger than the route allows.
     TooLarge,
     /// The request is malformed.
@@ -62,7 +64,7 @@
     TargetError,
     /// The response was not complete before the hard deadline.
     Timeout,
-    /// The response is larger than the daemon can buffer.
+    /// The response is larger than the daemon can buffer, also because its buffers are full.
     ResponseTooLarge,
     /// The caller left.
     Cancelled,
@@ -173,7 +175,8 @@
         }
         if matches!(
             self,
-            Outcome::Shed { .. } | Outcome::Refused(Refusal::Rate | Refusal::Draining)
+            Outcome::Shed { .. }
+                | Outcome::Refused(Refusal::Rate | Refusal::Draining | Refusal::Memory)
         ) {
             headers.insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
         }
@@ -192,6 +195,7 @@
             Refusal::Draining => "draining",
             Refusal::Expired => "expired",
             Refusal::Cancelled => "cancelled",
+            Refusal::Memory => "memory",
             Refusal::TooLarge => "too_large",
             Refusal::Malformed(_) => "malformed",
         }
@@ -204,7 +208,9 @@
             Refusal::Tier => StatusCode::FORBIDDEN,
             Refusal::Route => StatusCode::NOT_FOUND,
             Refusal::Poison => StatusCode::UNPROCESSABLE_ENTITY,
-            Refusal::Draining | Refusal::Cancelled => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::Draining | Refusal::Cancelled | Refusal::Memory => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Refusal::Expired => StatusCode::GATEWAY_TIMEOUT,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Malformed(_) => StatusCode::BAD_REQUEST,
@@ -221,6 +227,7 @@
             Refusal::Draining => "this daemon takes no new requests; ask for other entries",
             Refusal::Expired => "the deadline passed before the request could be sent",
             Refusal::Cancelled => "the caller left before the request could be sent",
+            Refusal::Memory => "the buffers of this daemon are full; send the request again later",
             Refusal::TooLarge => "the body is larger than the route allows",
             Refusal::Malformed(detail) => detail,
         }
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -16,6 +16,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+/// Maximum size of the read buffer of a connection, and so of a response head.
+const MAX_READ_BUFFER: usize = 16 << 10;
+
 /// Why a connect to a target failed. No byte of a request was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectError {
@@ -42,7 +45,10 @@
         };
         // Without this, small writes wait for delayed acknowledgements. Failure costs only time.
         let _ = stream.set_nodelay(true);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(|_| ConnectError::Unreachable)?;
         tokio::spawn(connection);
         Ok(Connection { sender })
