--- a/crates/daemon/src/entry/table.rs
+++ b/crates/daemon/src/entry/table.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::response_buffer::ResponseBuffer;
+use crate::outcome::Outcome;
 
 /// Request ids accepted under one id prefix before the daemon changes to the next prefix.
 const MAX_IDS_PER_PREFIX: usize = 1 << 20;
@@ -134,6 +135,14 @@
         }
     }
 
+    /// Ends the responses of all requests that are still running.
+    pub(crate) fn end_running(&self) {
+        for record in self.records.values() {
+            // Has no effect on a response that has ended.
+            record.buffer.finish(Outcome::Unknown);
+        }
+    }
+
     /// Prefix for new ids.
     pub(crate) fn prefix(&self) -> Incarnation {
         Incarnation(self.incarnation.0 | self.current.number)
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -14,7 +14,7 @@
 use sheet::{Settings, Sheet, SheetSource};
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, oneshot};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::BootClock;
@@ -178,25 +178,31 @@
         let _ = leaving.wait_for(|leaving| *leaving).await;
     }
 
-    /// Stops accepting calls, finishes running requests, and returns when all have ended or the
-    /// drain time is over.
+    /// Stops accepting calls, finishes running requests, and returns when all have ended. When the
+    /// drain time is over, callers of the others learn that these may have run.
     pub async fn drain(self) {
         self.node.drain();
         log::info!("entry: draining {} requests", self.node.running());
         let drain = self.node.settings.timing.drain;
+        let deadline = Instant::now() + drain;
         let node = Arc::clone(&self.node);
         let done = async {
             while node.running() > 0 {
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
             shares::give_parts_away(&node).await;
-            // Fails only if the server has ended already.
-            let _ = self.stop.send(());
-            let _ = self.stopped.await;
         };
         if tokio::time::timeout(drain, done).await.is_err() {
-            log::warn!("entry: the drain time is over with requests running");
+            log::warn!(
+                "entry: the drain time is over with {} requests running",
+                self.node.running()
+            );
+            self.node.with_table(|table| table.end_running());
         }
+        // Fails only if the server has ended already.
+        let _ = self.stop.send(());
+        let left = deadline.saturating_duration_since(Instant::now());
+        let _ = tokio::time::timeout(left.max(FLUSH_TIME), self.stopped).await;
     }
 }
 
@@ -310,6 +316,9 @@
     }
 }
 
+/// Shortest time for the last responses to be sent and the connections to be closed.
+const FLUSH_TIME: Duration = Duration::from_secs(1);
+
 /// Interval of clock checks. A gap between two of them shows that the process was paused.
 const PAUSE_TICK: Duration = Duration::from_millis(50);
 
--- a/crates/daemon/tests/faulty_targets.rs
+++ b/crates/daemon/tests/faulty_targets.rs
@@ -1,10 +1,11 @@
-//! Targets whose responses break off in the head or do not end.
+//! Targets whose responses break off in the head or do not end, and requests that outlast a shutdown.
 
 mod support;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use rustix::process::Signal;
 use serde_json::json;
 use support::single_daemon::{SingleDaemon, parse_responses, read_to_end, request};
 use testkit::TargetRow;
@@ -28,6 +29,8 @@
     Closes(&'static str),
     /// This text, and then the piece again and again.
     Endless(&'static str, &'static str),
+    /// Nothing.
+    Silent,
 }
 
 /// Starts a target that reads the head of each request and sends the reply.
@@ -61,6 +64,7 @@
                 sent = stream.write_all(pieces.as_bytes()).await;
             }
         }
+        Reply::Silent => sleep(Duration::from_mins(1)).await,
     }
 }
 
@@ -148,3 +152,21 @@
         }
     }
 }
+
+/// Guards against requests that are cut off with no answer when the time of a shutdown is over.
+#[tokio::test]
+async fn requests_that_outlast_the_shutdown_get_an_answer() {
+    let settings = json!({ "timing": { "load_poll": "50ms", "heartbeat": "50ms",
+                                       "silent": "500ms", "drain": "1s" } });
+    let daemon = start_daemon(start_target(Reply::Silent).await, &settings).await;
+    let mut stream = connect_and_send(&daemon).await;
+    sleep(Duration::from_millis(300)).await;
+
+    daemon.signal(Signal::TERM);
+    let responses = parse_responses(&read_to_end(&mut stream).await);
+
+    assert_eq!(responses.len(), 1);
+    let response = &responses[0];
+    assert_eq!(response.header("x-primrosechute-outcome"), "unknown");
+    assert_eq!(response.json()["not_run"], false);
+}
