--- a/crates/gateway/src/catalog.rs
+++ b/crates/admit/src/catalog.rs
@@ -6,8 +6,8 @@
 
 use crate::leaving_targets::LeavingTargets;
 use crate::model::{Config, HttpLimits, Name, Pool, Route, Target, Workspace};
-use crate::owner::{shard_count, target_key};
 use crate::restore_hold::{ReleasedData, RestoreHold};
+use crate::shard::{shard_count, target_key};
 use crate::sliding_extremum::SlidingExtremum;
 
 /// One change in the store.
@@ -254,7 +254,7 @@
     /// with each change of the number some targets have two owners for a while, each with limits of
     /// its own. Many targets that crash and return must not change it.
     #[must_use]
-    pub(crate) fn shards(&self, pool: &str) -> u32 {
+    pub fn shards(&self, pool: &str) -> u32 {
         let peak = self.peak_targets.get(pool);
         shard_count(peak.and_then(SlidingExtremum::get).unwrap_or(0))
     }
--- a/crates/gateway/src/convert.rs
+++ b/crates/admit/src/convert.rs
@@ -2,6 +2,7 @@
 
 /// Converts a count to a floating-point number.
 #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
-pub(crate) fn count_to_f64(count: usize) -> f64 {
+#[must_use]
+pub fn count_to_f64(count: usize) -> f64 {
     count as f64
 }
--- a/crates/gateway/src/owner/grant.rs
+++ b/crates/admit/src/grant.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use super::shard::HASH_MULTIPLIER;
-use super::target::{OwnerShares, Room, TargetState};
-use super::{Decision, Offer, Owner, QueuedOffer, Refusal, Run};
 use crate::convert::count_to_f64;
 use crate::model::Name;
+use crate::offer::{Decision, Offer, Refusal};
+use crate::owner::{Owner, QueuedOffer, Run};
+use crate::shard::HASH_MULTIPLIER;
+use crate::target::{OwnerShares, Room, TargetState};
 
 /// Penalty for a target in another zone, and bonus for the target that has the session's cache, in
 /// units of load.
@@ -74,7 +75,7 @@
     }
 
     /// Grants as many offers of a pool's queue as possible, and refuses those whose wait is over.
-    pub(super) fn serve_queue(&mut self, now: Duration, name: &Name) {
+    pub(crate) fn serve_queue(&mut self, now: Duration, name: &Name) {
         let mut queue = std::mem::take(&mut self.pool(name).queue);
         let mut candidates = CandidateCache::default();
         let mut kept = Vec::new();
@@ -120,7 +121,7 @@
     }
 
     /// Why an offer is refused for which no target has capacity.
-    pub(super) fn no_capacity_reason(&mut self, now: Duration, offer: &Offer) -> Refusal {
+    pub(crate) fn no_capacity_reason(&mut self, now: Duration, offer: &Offer) -> Refusal {
         let is_open = |state: &TargetState| state.open && state.pool == offer.pool;
         if !self.targets.values().any(is_open) {
             return Refusal::NoTarget;
--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,40 @@
+//! Admission of requests to targets: who waits, who is refused and until when, and which target gets
+//! a request.
+//!
+//! All decisions are made by an [`Owner`], which one member of the fleet runs for one or more shards
+//! of targets. The crate does no I/O, starts no tasks and reads no clock; each call takes the
+//! current time as `now`, a duration since an arbitrary start.
+
+#![forbid(unsafe_code)]
+
+mod catalog;
+mod convert;
+mod grant;
+mod leaving_targets;
+mod limit_bucket;
+mod limits;
+mod model;
+mod named_limits;
+mod offer;
+mod owner;
+mod restore_hold;
+mod retry_budget;
+mod retry_schedule;
+mod shard;
+mod sliding_extremum;
+mod target;
+mod token_bucket;
+
+pub use catalog::{Access, AccessError, Catalog, Change};
+pub use convert::count_to_f64;
+pub use model::{
+    Config, HttpLimits, LimitShare, Name, Pool, Rate, Route, RouteKind, Settings, Target,
+    TokenCounts, Unit, Workspace,
+};
+pub use named_limits::{LimitReport, NamedLimits};
+pub use offer::{Decision, Offer, Refusal, RunEnd, RunId, RunReport};
+pub use owner::Owner;
+pub use retry_budget::RetryBudget;
+pub use shard::{shard_of, target_key};
+pub use sliding_extremum::SlidingExtremum;
+pub use token_bucket::TokenBucket;
--- a/crates/gateway/src/owner/limit_bucket.rs
+++ b/crates/admit/src/limit_bucket.rs
@@ -10,7 +10,7 @@
 
 /// A bucket that refills at this owner's share of the limit.
 #[derive(Clone, Debug)]
-pub(super) struct LimitBucket {
+pub(crate) struct LimitBucket {
     per_s: f64,
     level: f64,
     updated_at: Duration,
@@ -18,7 +18,7 @@
 
 impl LimitBucket {
     /// Creates an empty bucket: other owners may have used the limit until now.
-    pub(super) fn new(now: Duration, per_s: f64) -> Self {
+    pub(crate) fn new(now: Duration, per_s: f64) -> Self {
         LimitBucket {
             per_s,
             level: 0.0,
@@ -26,12 +26,12 @@
         }
     }
 
-    pub(super) fn set_limit(&mut self, per_s: f64) {
+    pub(crate) fn set_limit(&mut self, per_s: f64) {
         self.per_s = per_s;
     }
 
     /// Whether one more request may be sent. `share` is this owner's share of the limit.
-    pub(super) fn has_room(&mut self, now: Duration, share: f64) -> bool {
+    pub(crate) fn has_room(&mut self, now: Duration, share: f64) -> bool {
         let per_s = self.per_s.max(MIN_PER_S) * share;
         let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
         self.updated_at = self.updated_at.max(now);
@@ -40,7 +40,7 @@
         self.level >= 1.0
     }
 
-    pub(super) fn record_send(&mut self) {
+    pub(crate) fn record_send(&mut self) {
         self.level -= 1.0;
     }
 }
--- a/crates/gateway/src/owner/limits.rs
+++ b/crates/admit/src/limits.rs
@@ -3,12 +3,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::target::{COLD_WINDOW, OwnerShares, RateCaps};
-use super::{Offer, Owner};
 use crate::catalog::Catalog;
 use crate::convert::count_to_f64;
-use crate::membership::LimitShare;
+use crate::model::LimitShare;
 use crate::model::{Name, Rate, Settings, Unit};
+use crate::offer::Offer;
+use crate::owner::Owner;
+use crate::target::{COLD_WINDOW, OwnerShares, RateCaps};
 use crate::token_bucket::TokenBucket;
 
 /// Share of a cold target's limit that its first owner uses, and that any other owner uses. Both
@@ -83,7 +84,7 @@
 
     /// Share of a workspace's rate and of the retry budget that this owner may grant. Each shard
     /// has an equal share. A shard for which no entry asks counts for its first owner only.
-    pub(super) fn rate_share(&self) -> f64 {
+    pub(crate) fn rate_share(&self) -> f64 {
         let shards = f64::from(self.max_shards);
         let first_owner_shares = self
             .limit_shares
@@ -104,7 +105,7 @@
     }
 
     /// Limit share for a shard.
-    pub(super) fn limit_share_of(&self, shard: u32) -> Option<LimitShare> {
+    pub(crate) fn limit_share_of(&self, shard: u32) -> Option<LimitShare> {
         let shard = usize::try_from(shard).unwrap_or(usize::MAX);
         // An entry that counts more shards than this member has a newer or older catalog.
         self.limit_shares
@@ -113,7 +114,7 @@
             .copied()
     }
 
-    pub(super) fn charge(
+    pub(crate) fn charge(
         &mut self,
         now: Duration,
         catalog: &Catalog,
@@ -147,12 +148,12 @@
         Ok(units)
     }
 
-    pub(super) fn refund(&mut self, offer: &Offer, charged: f64) {
+    pub(crate) fn refund(&mut self, offer: &Offer, charged: f64) {
         refund(&mut self.buckets, offer, charged);
     }
 
     /// Parts of the limits of a shard's targets that this owner may use.
-    pub(super) fn owner_shares(&self, now: Duration, pool: &str, shard: u32) -> OwnerShares {
+    pub(crate) fn owner_shares(&self, now: Duration, pool: &str, shard: u32) -> OwnerShares {
         OwnerShares {
             caps: self.caps(now, pool, shard),
             slots: self.slot_share(shard),
@@ -220,13 +221,13 @@
 }
 
 /// Rate and burst that owners grant for a workspace's rate.
-pub(super) fn effective_rate(settings: &Settings, rate: Rate) -> (f64, f64) {
+pub(crate) fn effective_rate(settings: &Settings, rate: Rate) -> (f64, f64) {
     let per_s = rate.per_s * (1.0 + settings.rate_overage * RATE_OVERAGE_SHARE);
     let burst = rate.burst * (1.0 + settings.rate_overage * BURST_OVERAGE_SHARE);
     (per_s, burst + settings.rate_slack * BURST_SLACK_SHARE)
 }
 
-pub(super) fn refund(
+pub(crate) fn refund(
     buckets: &mut HashMap<Name, (TokenBucket, Unit)>,
     offer: &Offer,
     charged: f64,
--- a/crates/gateway/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -228,3 +228,18 @@
     /// Time within which the lapsed entry of a live target is published again.
     pub lapse_grace: Duration,
 }
+
+/// Share of the fleet-wide limits that a member may use for one shard.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitShare {
+    /// Share of each limit, at most 1.
+    pub share: f64,
+    /// Share of the limits of cold targets. It grows only after the number of live members has
+    /// settled: until the window of the limit has passed, the owner on the other side of a
+    /// partition may have used it.
+    pub cold_share: f64,
+    /// Share of a single member of the fleet.
+    pub member_share: f64,
+    /// Whether the member is the first owner of the shard.
+    pub is_first_owner: bool,
+}
--- a/crates/gateway/src/owner/model.rs
+++ b/crates/admit/src/offer.rs
@@ -80,7 +80,9 @@
         }
     }
 
-    pub(crate) fn code(self) -> u32 {
+    /// Code on the wire.
+    #[must_use]
+    pub fn code(self) -> u32 {
         match self {
             Refusal::Rate => 1,
             Refusal::Busy => 2,
@@ -92,7 +94,9 @@
         }
     }
 
-    pub(crate) fn from_code(code: u32) -> Self {
+    /// Code on the wire.
+    #[must_use]
+    pub fn from_code(code: u32) -> Self {
         match code {
             1 => Refusal::Rate,
             3 => Refusal::NoTarget,
@@ -163,7 +167,9 @@
 }
 
 impl RunEnd {
-    pub(crate) fn code(self) -> u32 {
+    /// Code on the wire.
+    #[must_use]
+    pub fn code(self) -> u32 {
         match self {
             RunEnd::Unused => 1,
             RunEnd::Served => 2,
@@ -177,7 +183,9 @@
         }
     }
 
-    pub(crate) fn from_code(code: u32) -> Self {
+    /// Code on the wire.
+    #[must_use]
+    pub fn from_code(code: u32) -> Self {
         match code {
             2 => RunEnd::Served,
             3 => RunEnd::Error,
--- a/crates/gateway/src/owner/mod.rs
+++ b/crates/admit/src/owner.rs
@@ -3,13 +3,6 @@
 //! An owner keeps no state that can't be rebuilt: in each heartbeat, entries list the runs that
 //! they have in flight, so that another member can take over at any time.
 
-mod grant;
-mod limit_bucket;
-mod limits;
-mod model;
-mod shard;
-mod target;
-
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -17,18 +10,16 @@
 
 use crate::catalog::Catalog;
 use crate::convert::count_to_f64;
-use crate::membership::LimitShare;
+use crate::limits::{effective_rate, refund};
+use crate::model::LimitShare;
 use crate::model::{Name, Settings, Unit};
 use crate::named_limits::NamedLimits;
+use crate::offer::{Decision, Offer, Refusal, RunEnd, RunId, RunReport};
 use crate::retry_budget::RetryBudget;
 use crate::retry_schedule::RetrySchedule;
+use crate::shard::target_key;
+use crate::target::TargetState;
 use crate::token_bucket::TokenBucket;
-use limits::{effective_rate, refund};
-use target::TargetState;
-
-pub use model::{Decision, Offer, Refusal, RunEnd, RunId, RunReport};
-pub use shard::target_key;
-pub(crate) use shard::{shard_count, shard_of};
 
 /// An entry counts as asking for this long after its last offer.
 const ENTRY_MEMORY: Duration = Duration::from_millis(1200);
@@ -55,35 +46,35 @@
     is_first_owner: true,
 };
 
-struct Run {
-    target: u64,
-    pool: Name,
-    granted_at: Duration,
+pub(crate) struct Run {
+    pub(crate) target: u64,
+    pub(crate) pool: Name,
+    pub(crate) granted_at: Duration,
     /// Time by which it must be over.
-    deadline: Duration,
+    pub(crate) deadline: Duration,
 }
 
-struct QueuedOffer {
-    offer: Offer,
-    deadline: Duration,
+pub(crate) struct QueuedOffer {
+    pub(crate) offer: Offer,
+    pub(crate) deadline: Duration,
     /// Units charged to the workspace's token bucket.
-    charged: f64,
+    pub(crate) charged: f64,
     /// Whether a target with capacity was passed over because it had reached the limit that it names.
-    has_met_limit: bool,
+    pub(crate) has_met_limit: bool,
 }
 
-struct PoolState {
-    queue: Vec<QueuedOffer>,
-    budget: RetryBudget,
+pub(crate) struct PoolState {
+    pub(crate) queue: Vec<QueuedOffer>,
+    pub(crate) budget: RetryBudget,
     /// Mean seconds between ends of runs while there is work.
-    mean_end_interval: f64,
-    retry_schedule: RetrySchedule,
-    last_end: Duration,
+    pub(crate) mean_end_interval: f64,
+    pub(crate) retry_schedule: RetrySchedule,
+    pub(crate) last_end: Duration,
 }
 
 impl PoolState {
     /// Time after which one more refused request would be admitted.
-    fn retry_after(&mut self, now: Duration, ahead: usize) -> Duration {
+    pub(crate) fn retry_after(&mut self, now: Duration, ahead: usize) -> Duration {
         let per_s = 1.0 / self.mean_end_interval.max(MIN_END_INTERVAL);
         self.retry_schedule
             .schedule(now, count_to_f64(ahead), per_s)
@@ -92,29 +83,29 @@
 
 /// Decides on offers for the targets of the shards that a member owns.
 pub struct Owner {
-    settings: Settings,
-    targets: HashMap<u64, TargetState>,
-    pools: HashMap<Name, PoolState>,
-    cold_limits: HashMap<Name, f64>,
-    buckets: HashMap<Name, (TokenBucket, Unit)>,
-    runs: HashMap<RunId, Run>,
-    session_targets: HashMap<u64, u64>,
+    pub(crate) settings: Settings,
+    pub(crate) targets: HashMap<u64, TargetState>,
+    pub(crate) pools: HashMap<Name, PoolState>,
+    pub(crate) cold_limits: HashMap<Name, f64>,
+    pub(crate) buckets: HashMap<Name, (TokenBucket, Unit)>,
+    pub(crate) runs: HashMap<RunId, Run>,
+    pub(crate) session_targets: HashMap<u64, u64>,
     /// Share of the fleet-wide limits that this owner may use, by shard.
-    limit_shares: Vec<LimitShare>,
+    pub(crate) limit_shares: Vec<LimitShare>,
     /// Time at which the limit shares were set.
-    limit_shares_set_at: Duration,
-    started_at: Duration,
+    pub(crate) limit_shares_set_at: Duration,
+    pub(crate) started_at: Duration,
     /// Time since which this member has been the first owner, by shard.
-    first_since: Vec<Option<Duration>>,
+    pub(crate) first_since: Vec<Option<Duration>>,
     /// Time of the last offer, by entry and shard.
-    requesting_entries: HashMap<(u64, u32), Duration>,
+    pub(crate) requesting_entries: HashMap<(u64, u32), Duration>,
     /// Whether an entry has asked for the first time since the limit shares were set.
-    has_new_requester: bool,
+    pub(crate) has_new_requester: bool,
     /// Breaks ties between targets differently in each member, so that members that can't reach
     /// each other spread their runs.
-    tie_salt: u64,
-    max_shards: u32,
-    decisions: Vec<Decision>,
+    pub(crate) tie_salt: u64,
+    pub(crate) max_shards: u32,
+    pub(crate) decisions: Vec<Decision>,
 }
 
 impl Owner {
@@ -384,7 +375,7 @@
     }
 
     /// Removes runs that ended without a report, and frees their slots.
-    fn remove_runs(&mut self, is_over: impl Fn(&RunId, &Run) -> bool) {
+    pub(crate) fn remove_runs(&mut self, is_over: impl Fn(&RunId, &Run) -> bool) {
         for (_, run) in self.runs.extract_if(|id, run| is_over(id, run)) {
             if let Some(state) = self.targets.get_mut(&run.target) {
                 state.running = state.running.saturating_sub(1);
@@ -392,7 +383,7 @@
         }
     }
 
-    fn refuse(&mut self, id: RunId, reason: Refusal, after: Duration) {
+    pub(crate) fn refuse(&mut self, id: RunId, reason: Refusal, after: Duration) {
         self.decisions.push(Decision::Refuse {
             id,
             reason,
@@ -400,7 +391,7 @@
         });
     }
 
-    fn pool(&mut self, name: &Name) -> &mut PoolState {
+    pub(crate) fn pool(&mut self, name: &Name) -> &mut PoolState {
         let settings = &self.settings;
         self.pools.entry(name.clone()).or_insert_with(|| PoolState {
             queue: Vec::new(),
--- a/crates/gateway/src/owner/shard.rs
+++ b/crates/admit/src/shard.rs
@@ -7,7 +7,7 @@
 /// Maximum number of targets of a pool per shard. One owner decides for all targets of a shard.
 const MAX_TARGETS_PER_SHARD: usize = 48;
 /// Odd multiplier that mixes the bits of a key.
-pub(super) const HASH_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+pub(crate) const HASH_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// Key of one start of a target, for use in messages.
 #[must_use]
@@ -25,14 +25,14 @@
 
 /// Index of the shard of a target.
 #[must_use]
-pub(crate) fn shard_of(id: &str, shards: u32) -> u32 {
+pub fn shard_of(id: &str, shards: u32) -> u32 {
     shard_of_hash(id_hash(id), shards)
 }
 
-pub(super) fn id_hash(id: &str) -> u64 {
+pub(crate) fn id_hash(id: &str) -> u64 {
     xxh3_64(id.as_bytes())
 }
 
-pub(super) fn shard_of_hash(hash: u64, shards: u32) -> u32 {
+pub(crate) fn shard_of_hash(hash: u64, shards: u32) -> u32 {
     u32::try_from(hash % u64::from(shards.max(1))).unwrap_or(0)
 }
--- a/crates/gateway/src/sliding_extremum.rs
+++ b/crates/admit/src/sliding_extremum.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// Values of the last `window` that no later value supersedes.
-pub(crate) struct SlidingExtremum {
+pub struct SlidingExtremum {
     window: Duration,
     /// Order of an earlier value relative to a later one for which the earlier one is retained.
     retained_order: Ordering,
@@ -14,7 +14,8 @@
 
 impl SlidingExtremum {
     /// Tracks the largest value.
-    pub(crate) fn largest(window: Duration) -> Self {
+    #[must_use]
+    pub fn largest(window: Duration) -> Self {
         SlidingExtremum {
             window,
             retained_order: Ordering::Greater,
@@ -23,14 +24,16 @@
     }
 
     /// Tracks the smallest value.
-    pub(crate) fn smallest(window: Duration) -> Self {
+    #[must_use]
+    pub fn smallest(window: Duration) -> Self {
         SlidingExtremum {
             retained_order: Ordering::Less,
             ..SlidingExtremum::largest(window)
         }
     }
 
-    pub(crate) fn push(&mut self, now: Duration, value: usize) {
+    /// Records a value.
+    pub fn push(&mut self, now: Duration, value: usize) {
         while self
             .samples
             .back()
@@ -49,7 +52,8 @@
     }
 
     /// The extremum as of the last push.
-    pub(crate) fn get(&self) -> Option<usize> {
+    #[must_use]
+    pub fn get(&self) -> Option<usize> {
         self.samples.front().map(|&(_, value)| value)
     }
 }
--- a/crates/gateway/src/owner/target.rs
+++ b/crates/admit/src/target.rs
@@ -6,10 +6,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::convert::count_to_f64;
+use crate::limit_bucket::LimitBucket;
 use crate::model::{Name, Target};
-use crate::owner::limit_bucket::LimitBucket;
-use crate::owner::model::{RunEnd, RunReport};
-use crate::owner::shard::{HASH_MULTIPLIER, id_hash, shard_of_hash};
+use crate::offer::{RunEnd, RunReport};
+use crate::shard::{HASH_MULTIPLIER, id_hash, shard_of_hash};
 
 /// Weight of a new observation in the moving averages.
 const MEAN_WEIGHT: f64 = 0.2;
@@ -26,59 +26,59 @@
 /// serves, or until the store reports its cold start. Changes in the store arrive within this time.
 const MAYBE_COLD_TIME: Duration = Duration::from_secs(2);
 /// Window of the limit of cold targets.
-pub(super) const COLD_WINDOW: Duration = Duration::from_secs(1);
+pub(crate) const COLD_WINDOW: Duration = Duration::from_secs(1);
 /// Weight of the share of failed runs in the load of a target.
 const FAILURE_WEIGHT: f64 = 8.0;
 
 /// Sends per second that a target may get, by whether it is cold.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct RateCaps {
-    pub(super) cold: f64,
+pub(crate) struct RateCaps {
+    pub(crate) cold: f64,
     /// For a target that may be cold although the store doesn't report it.
-    pub(super) maybe_cold: f64,
-    pub(super) warm: f64,
+    pub(crate) maybe_cold: f64,
+    pub(crate) warm: f64,
 }
 
 /// Parts of the limits of a shard's targets that one owner may use.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct OwnerShares {
+pub(crate) struct OwnerShares {
     /// Sends per second, if the pool has a limit for cold targets.
-    pub(super) caps: Option<RateCaps>,
+    pub(crate) caps: Option<RateCaps>,
     /// Share of the slots.
-    pub(super) slots: f64,
+    pub(crate) slots: f64,
     /// Share of the limits that targets have named.
-    pub(super) limit: f64,
+    pub(crate) limit: f64,
 }
 
 /// Whether a target may get one more run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Room {
+pub(crate) enum Room {
     Free,
     /// Only the limit that the target has named prevents it.
     LimitReached,
     Full,
 }
 
-pub(super) struct TargetState {
-    pub(super) id: Name,
+pub(crate) struct TargetState {
+    pub(crate) id: Name,
     hash: u64,
-    pub(super) pool: Name,
-    pub(super) zone: Name,
-    pub(super) slots: u32,
-    pub(super) open: bool,
+    pub(crate) pool: Name,
+    pub(crate) zone: Name,
+    pub(crate) slots: u32,
+    pub(crate) open: bool,
     /// Time until which it is cold, as it reported.
     cold_until: Duration,
     /// Time until which it may be cold although the store doesn't report it.
     maybe_cold_until: Duration,
     /// Whether it could not be reached since it last served a run.
     was_unreachable: bool,
-    pub(super) running: u32,
+    pub(crate) running: u32,
     /// Time of the last end of a run, or of the start of a run when none was running.
-    pub(super) last_activity: Duration,
+    pub(crate) last_activity: Duration,
     /// Times of the sends in the last window.
     sends: VecDeque<Duration>,
     /// Mean seconds per unit of work.
-    pub(super) time_per_unit: Option<f64>,
+    pub(crate) time_per_unit: Option<f64>,
     /// Moving average of the share of runs that failed.
     failure_share: f64,
     backoff: Duration,
@@ -93,7 +93,7 @@
 }
 
 impl TargetState {
-    pub(super) fn new(target: &Target) -> Self {
+    pub(crate) fn new(target: &Target) -> Self {
         TargetState {
             id: target.id.clone(),
             hash: id_hash(&target.id),
@@ -119,7 +119,7 @@
     }
 
     /// Applies the limit that the target names, in requests per second.
-    pub(super) fn set_limit(&mut self, now: Duration, per_s: Option<f64>) {
+    pub(crate) fn set_limit(&mut self, now: Duration, per_s: Option<f64>) {
         match (per_s, &mut self.limit) {
             (Some(per_s), Some(bucket)) => bucket.set_limit(per_s),
             (Some(per_s), None) => self.limit = Some(LimitBucket::new(now, per_s)),
@@ -128,12 +128,12 @@
     }
 
     /// Index of its shard, given the number of shards of its pool.
-    pub(super) fn shard(&self, shards: u32) -> u32 {
+    pub(crate) fn shard(&self, shards: u32) -> u32 {
         shard_of_hash(self.hash, shards)
     }
 
     /// Applies the cold start that the store reports.
-    pub(super) fn set_cold(&mut self, until: Duration) {
+    pub(crate) fn set_cold(&mut self, until: Duration) {
         if until != self.cold_until {
             self.cold_until = until;
             self.maybe_cold_until = Duration::ZERO;
@@ -144,7 +144,7 @@
     ///
     /// A cap below one send per second allows one send in some seconds, which differ between
     /// members: many members with small shares would otherwise send to a cold target at once.
-    pub(super) fn room(&mut self, now: Duration, shares: &OwnerShares, member_salt: u64) -> Room {
+    pub(crate) fn room(&mut self, now: Duration, shares: &OwnerShares, member_salt: u64) -> Room {
         let cap = shares.caps.map(|caps| match now {
             now if now < self.cold_until => caps.cold,
             now if now < self.maybe_cold_until => caps.maybe_cold,
@@ -195,7 +195,7 @@
 
     /// Load if one more run were granted; the target with the lowest is chosen. `time_per_unit` is
     /// the mean of the pool.
-    pub(super) fn load(&self, time_per_unit: f64) -> f64 {
+    pub(crate) fn load(&self, time_per_unit: f64) -> f64 {
         let relative = match self.time_per_unit {
             Some(own) if time_per_unit > 0.0 => own / time_per_unit,
             _ => 1.0,
@@ -204,7 +204,7 @@
         share * relative * (1.0 + FAILURE_WEIGHT * self.failure_share)
     }
 
-    pub(super) fn record_send(&mut self, now: Duration) {
+    pub(crate) fn record_send(&mut self, now: Duration) {
         if self.running == 0 {
             self.last_activity = now;
         }
@@ -215,7 +215,7 @@
         self.running += 1;
     }
 
-    pub(super) fn record_end(&mut self, now: Duration, report: &RunReport) {
+    pub(crate) fn record_end(&mut self, now: Duration, report: &RunReport) {
         self.running = self.running.saturating_sub(1);
         self.last_activity = now;
         if let Some((running, waiting)) = report.load {
--- a/crates/gateway/tests/advice.rs
+++ b/crates/admit/tests/advice.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use gateway::{Catalog, Decision, Owner, Refusal, RunEnd, RunId, RunReport};
+use admit::{Catalog, Decision, Owner, Refusal, RunEnd, RunId, RunReport};
 use support::{listing, ms, offer, settings};
 
 /// Guards against callers that all get the same retry time and are refused again together.
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/admit/tests/catalog.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use gateway::{AccessError, Catalog, Change};
+use admit::{AccessError, Catalog, Change};
 use support::{config, listing, ms, target};
 
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
@@ -221,8 +221,8 @@
     catalog
 }
 
-fn entry(id: &str, sequence: u64) -> gateway::Target {
-    gateway::Target {
+fn entry(id: &str, sequence: u64) -> admit::Target {
+    admit::Target {
         sequence,
         ..target(id, 4)
     }
@@ -366,7 +366,7 @@
 #[test]
 fn a_leaving_target_stays_closed() {
     let mut catalog = catalog(1);
-    let key = gateway::target_key(catalog.target("t-0").expect("a listed target"));
+    let key = admit::target_key(catalog.target("t-0").expect("a listed target"));
 
     let is_new = [
         catalog.record_leaving(ms(10), key),
--- a/crates/gateway/tests/overload.rs
+++ b/crates/admit/tests/overload.rs
@@ -9,7 +9,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
 
-use gateway::{Catalog, Change, Decision, Owner, RunEnd, RunId, RunReport};
+use admit::{Catalog, Change, Decision, Owner, RunEnd, RunId, RunReport};
 use support::{config, listing, ms, offer, route, settings};
 
 const TARGETS: usize = 24;
@@ -117,7 +117,7 @@
     cfg.routes = classes()
         .iter()
         .map(|class| {
-            let mut route = route(class.path, class.path, gateway::RouteKind::NonIdempotent);
+            let mut route = route(class.path, class.path, admit::RouteKind::NonIdempotent);
             route.tier = class.tier;
             route.target_latency = class.target_latency;
             route
--- a/crates/gateway/tests/owner.rs
+++ b/crates/admit/tests/owner.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use gateway::{Catalog, Change, Decision, LimitShare, Owner, Refusal, RunEnd, RunId, RunReport};
+use admit::{Catalog, Change, Decision, LimitShare, Owner, Refusal, RunEnd, RunId, RunReport};
 use support::{listing, ms, offer, settings};
 
 fn owner(targets: usize, slots: u32) -> (Owner, Catalog) {
@@ -258,7 +258,7 @@
 }
 
 fn key(id: &str) -> u64 {
-    gateway::target_key(&support::target(id, 1))
+    admit::target_key(&support::target(id, 1))
 }
 
 /// A target that can't be reached gets no runs during a backoff, then one run as a probe, and is
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/admit/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use gateway::{
+use admit::{
     Change, Config, HttpLimits, Name, Offer, Pool, Rate, Route, RouteKind, RunId, Settings, Target,
     TokenCounts, Unit, Workspace,
 };
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 
-use crate::catalog::Change;
-use crate::model::{Name, Settings, TokenCounts};
 use crate::transfer::Progress;
+use admit::Change;
+use admit::{Name, Settings, TokenCounts};
 
 /// Contents of the head of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,11 +11,11 @@
 use crate::adapter::{Attestation, ForwardContext, ResponseHead};
 use crate::buffer_budget::Reservation;
 use crate::clock;
-use crate::model::{Name, Target};
 use crate::node::Node;
-use crate::owner::RunEnd;
 use crate::target_notices;
 use crate::upstream::{self, Upstream};
+use admit::RunEnd;
+use admit::{Name, Target};
 
 /// A request in the form in which it is sent to targets.
 #[derive(Debug)]
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -7,9 +7,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::convert::count_to_f64;
 use crate::position::Position;
-use crate::sliding_extremum::SlidingExtremum;
+use admit::{LimitShare, SlidingExtremum, count_to_f64};
 
 /// A member that was silent for this long owns no shards. Five heartbeats of 250 ms.
 const OWNER_SILENCE: Duration = Duration::from_millis(1250);
@@ -116,21 +115,6 @@
     pub sightings: Vec<Sighting>,
 }
 
-/// Share of the fleet-wide limits that a member may use for one shard.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitShare {
-    /// Share of each limit, at most 1.
-    pub share: f64,
-    /// Share of the limits of cold targets. It grows only after the number of live members has
-    /// settled: until the window of the limit has passed, the owner on the other side of a
-    /// partition may have used it.
-    pub cold_share: f64,
-    /// Share of a single member of the fleet.
-    pub member_share: f64,
-    /// Whether the member is the first owner of the shard.
-    pub is_first_owner: bool,
-}
-
 struct KnownMember {
     member: Member,
     /// Newest known `Member::seq`; `member` may be older.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -6,11 +6,11 @@
 use prost::{Message, Oneof};
 
 use crate::membership::{Heartbeat, Member, Sighting};
-use crate::model::TokenCounts;
-use crate::named_limits::LimitReport;
-use crate::owner::{Offer, RunEnd, RunId, RunReport};
 use crate::poison_parts::PartReport;
 use crate::position::Position;
+use admit::LimitReport;
+use admit::TokenCounts;
+use admit::{Offer, RunEnd, RunId, RunReport};
 
 /// Maximum size of a datagram that is received.
 pub(crate) const MAX_DATAGRAM: usize = 16 * 1024;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,18 +16,18 @@
 
 use crate::adapter::HttpDialect;
 use crate::buffer_budget::BufferBudget;
-use crate::catalog::Catalog;
 use crate::clock;
 use crate::log_throttle::LogThrottle;
 use crate::membership::{Membership, vm_class, zone_code};
 use crate::message::{Body, Datagram, GrantMsg, RefuseMsg, ReleaseMsg, millis};
-use crate::model::{Name, Settings};
-use crate::named_limits::NamedLimits;
-use crate::owner::{Decision, Offer, Owner, Refusal, RunId, RunReport};
 use crate::poison_parts::PoisonParts;
 use crate::record_log::RecordLog;
 use crate::target_pauses::TargetPauses;
 use crate::upstream::UpstreamPool;
+use admit::Catalog;
+use admit::NamedLimits;
+use admit::{Decision, Offer, Owner, Refusal, RunId, RunReport};
+use admit::{Name, Settings};
 
 /// Reply of an owner to an offer.
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -15,12 +15,12 @@
     Body, Datagram, GrantMsg, HeartbeatMsg, LimitMsg, MAX_DATAGRAM, PartReportMsg, ReleaseMsg,
     RunMsg,
 };
-use crate::model::Name;
-use crate::named_limits::LimitReport;
 use crate::node::{Node, Reply};
-use crate::owner::{Refusal, RunEnd, RunId, RunReport};
 use crate::poison_parts::PartReport;
 use crate::target_notices;
+use admit::LimitReport;
+use admit::Name;
+use admit::{Refusal, RunEnd, RunId, RunReport};
 
 /// Interval between heartbeats. A member loses the ownership of shards after five lost heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -9,9 +9,9 @@
 
 use crate::clock;
 use crate::message::{Body, OfferMsg, millis};
-use crate::model::{Name, Target, TokenCounts};
 use crate::node::{InFlight, Node, Reply};
-use crate::owner::{self, Refusal, RunEnd, RunReport};
+use admit::{Name, Target, TokenCounts};
+use admit::{Refusal, RunEnd, RunReport};
 
 /// An unanswered offer is sent again after this time; replies take a few milliseconds.
 const RESEND_INTERVAL: Duration = Duration::from_millis(40);
@@ -290,14 +290,14 @@
     let pauses = node.target_pauses.borrow();
     let now = clock::now();
     let is_usable = |target: &&Target| {
-        catalog.is_open(target) && !pauses.is_paused(now, owner::target_key(target))
+        catalog.is_open(target) && !pauses.is_paused(now, admit::target_key(target))
     };
     let Some(target) = catalog.target(target).filter(is_usable) else {
         drop((catalog, pauses));
         node.release(from, run, &RunReport::of(RunEnd::Unused));
         return None;
     };
-    let key = owner::target_key(target);
+    let key = admit::target_key(target);
     let in_flight = InFlight {
         owner: from,
         target: key,
@@ -328,7 +328,7 @@
     }
     let open = of_pool().filter(|target| catalog.is_open(target));
     let shard = open
-        .map(|target| owner::shard_of(&target.id, shards))
+        .map(|target| admit::shard_of(&target.id, shards))
         .filter(|shard| !tried_shards.contains(shard))
         .choose(&mut rand::rng());
     // If no target is open, any owner can refuse the request.
--- a/crates/gateway/src/record_log.rs
+++ b/crates/gateway/src/record_log.rs
@@ -3,8 +3,8 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 
 use crate::adapter::Record;
-use crate::model::Name;
 use crate::position::Position;
+use admit::Name;
 
 /// Maximum number of recent changes. A member that missed more gets a snapshot.
 const MAX_HISTORY: usize = 1024;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,12 +17,12 @@
 use crate::buffer_budget::{Buffered, Reservation};
 use crate::clock;
 use crate::crash_check;
-use crate::model::Route;
 use crate::node::{CountGuard, Node};
-use crate::owner::RunEnd;
 use crate::permit::{self, Permit, PermitRequest};
 use crate::request_log::RequestLog;
 use crate::upstream::Upstream;
+use admit::Route;
+use admit::RunEnd;
 
 /// Frames queued for a caller. When the queue is full, a slow caller applies backpressure to the
 /// target.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -18,16 +18,16 @@
 use crate::attempt::{self, OutboundRequest, ReceivedHead, SendOutcome};
 use crate::body::{self, Body, BodyError};
 use crate::buffer_budget::Buffered;
-use crate::catalog::{Access, AccessError};
 use crate::clock;
 use crate::crash_check;
-use crate::model::{Name, Route};
 use crate::node::{CountGuard, Node};
-use crate::owner::{Refusal, RunEnd};
 use crate::permit::{self, Permit, PermitRequest};
 use crate::relay::{self, StreamContext};
 use crate::request_log::RequestLog;
 use crate::retry_decision::{AttemptOutcome, NextStep, next_step};
+use admit::{Access, AccessError};
+use admit::{Name, Route};
+use admit::{Refusal, RunEnd};
 
 /// Fraction of the target latency for which a request may wait for a permit. The rest is for the
 /// target.
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -7,9 +7,9 @@
 use metrics::{counter, histogram};
 
 use crate::clock;
-use crate::model::{Name, RouteKind};
 use crate::node::Node;
 use crate::permit::Permit;
+use admit::{Name, RouteKind};
 
 /// Facts about one request, collected while it is served.
 #[derive(Debug)]
--- a/crates/gateway/src/retry_decision.rs
+++ b/crates/gateway/src/retry_decision.rs
@@ -1,6 +1,6 @@
 //! Decides after an attempt whether to retry, and what the caller gets.
 
-use crate::model::RouteKind;
+use admit::RouteKind;
 
 /// Outcome of one attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -14,7 +14,6 @@
 use tokio::time::sleep;
 
 use crate::adapter::{Batch, Record, Store, StoreError};
-use crate::catalog::Change;
 use crate::clock;
 use crate::feed::{FeedError, FeedResponse};
 use crate::feed_client::FeedClient;
@@ -23,6 +22,7 @@
 use crate::position::Position;
 use crate::record_log::LogDelta;
 use crate::transfer::Progress;
+use admit::Change;
 
 /// Longest wait of one watch. A dead connection is detected after this time plus
 /// `RESPONSE_TIMEOUT`, unless another member reports a newer revision first.
--- a/crates/gateway/src/target_notices.rs
+++ b/crates/gateway/src/target_notices.rs
@@ -6,10 +6,10 @@
 
 use crate::adapter::{Attestation, ResponseHead, StatedLimit};
 use crate::clock;
-use crate::model::Target;
-use crate::named_limits::LimitReport;
 use crate::node::Node;
-use crate::owner::target_key;
+use admit::LimitReport;
+use admit::Target;
+use admit::target_key;
 
 /// Records what the response of a target says.
 pub(crate) fn record(node: &Node, target: &Target, head: &ResponseHead) {
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -3,6 +3,7 @@
 //!
 //! For a long run: `PROPTEST_CASES=10000 cargo test --release -p gateway --test limits`
 
+#[path = "../../admit/tests/support/mod.rs"]
 mod support;
 
 use std::collections::{HashMap, VecDeque};
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -1,5 +1,6 @@
 //! Discovery, liveness and limit shares of members.
 
+#[path = "../../admit/tests/support/mod.rs"]
 mod support;
 
 use std::collections::HashMap;
--- a/crates/gateway/tests/named_limits.rs
+++ b/crates/gateway/tests/named_limits.rs
@@ -1,5 +1,6 @@
 //! Limits that targets name, as members observe and report them.
 
+#[path = "../../admit/tests/support/mod.rs"]
 mod support;
 
 use gateway::{LimitReport, LogThrottle, NamedLimits, TargetPauses};
--- a/crates/gateway/tests/poison_parts.rs
+++ b/crates/gateway/tests/poison_parts.rs
@@ -1,5 +1,6 @@
 //! Requests and parts of prompts that crash targets are told from sound ones.
 
+#[path = "../../admit/tests/support/mod.rs"]
 mod support;
 
 use std::time::Duration;
--- a/crates/gateway/tests/transfer.rs
+++ b/crates/gateway/tests/transfer.rs
@@ -1,5 +1,6 @@
 //! Slow transfers go on and stalled ones end.
 
+#[path = "../../admit/tests/support/mod.rs"]
 mod support;
 
 use std::time::Duration;
