--- a/crates/admit/src/grant.rs
+++ b/crates/admit/src/grant.rs
@@ -6,6 +6,7 @@
 use crate::model::Name;
 use crate::offer::{Decision, Offer, Refusal};
 use crate::owner::{Owner, QueuedOffer, Run};
+use crate::placement::{Bounds, Estimate, FIRST_MARGIN};
 use crate::shard::HASH_MULTIPLIER;
 use crate::target::{OwnerShares, Room, TargetState};
 
@@ -13,6 +14,13 @@
 /// units of load.
 const ZONE_LOAD: f64 = 0.02;
 const SESSION_LOAD: f64 = 0.25;
+/// Load that a request adds which uses all that it bears.
+const TIGHTNESS_LOAD: f64 = 1.0;
+/// Share of the time to the target latency that a request may wait while the speed of the targets is
+/// not known.
+const UNKNOWN_WAIT_SHARE: f64 = 0.5;
+/// Share that it may always wait. A long prompt that no idle target reads in time is late anyway.
+const MIN_WAIT_SHARE: f64 = 0.25;
 /// Maximum number of sessions whose target is remembered.
 const MAX_SESSIONS: usize = 8192;
 
@@ -84,11 +92,11 @@
             now >= waiting.deadline || !candidates.get(self, now, &waiting.offer).keys.is_empty()
         });
         let rest = queue.split_off(first.unwrap_or(queue.len()));
-        let time_per_unit = self.mean_time_per_unit(name);
         let before = queue.len();
         for waiting in rest {
             let candidates = candidates.get(self, now, &waiting.offer);
-            if let Some(at) = self.choose_target(&candidates.keys, &waiting.offer, time_per_unit) {
+            let is_last_chance = now >= waiting.deadline;
+            if let Some(at) = self.choose_target(now, &candidates.keys, &waiting, is_last_chance) {
                 let key = candidates.keys[at];
                 self.grant(now, waiting, key);
                 let salt = self.tie_salt;
@@ -101,7 +109,7 @@
                     candidates.keys.swap_remove(at);
                     candidates.is_limited |= room == Room::LimitReached;
                 }
-            } else if now >= waiting.deadline {
+            } else if is_last_chance {
                 self.refund(&waiting.offer, waiting.charged);
                 let reason = self.no_capacity_reason(now, &waiting.offer);
                 let after = self.pool(name).retry_after(now, before + kept.len());
@@ -138,13 +146,19 @@
         }
     }
 
-    /// Returns the position of the candidate with the lowest load.
+    /// Returns the position of the best candidate on which the request, and the streams beside it,
+    /// are expected to be in time. At its last chance, a request takes any candidate on which it ends
+    /// within its time limit.
     fn choose_target(
         &self,
+        now: Duration,
         candidates: &[u64],
-        offer: &Offer,
-        time_per_unit: f64,
+        waiting: &QueuedOffer,
+        is_last_chance: bool,
     ) -> Option<usize> {
+        let offer = &waiting.offer;
+        let bounds = waiting.bounds(now);
+        let pool_unit = self.mean_unit(&offer.pool);
         let session_target = self.session_targets.get(&offer.session).copied();
         let mut best: Option<(f64, u64, usize)> = None;
         for (at, &key) in candidates.iter().enumerate() {
@@ -152,7 +166,13 @@
                 continue;
             }
             let state = &self.targets[&key];
-            let mut load = state.load(time_per_unit);
+            let Some(tightness) = self.tightness(now, state, offer, &bounds, pool_unit) else {
+                continue;
+            };
+            if tightness > 1.0 && !is_last_chance {
+                continue;
+            }
+            let mut load = state.load() + TIGHTNESS_LOAD * tightness;
             if state.zone != offer.zone {
                 load += ZONE_LOAD;
             }
@@ -179,7 +199,9 @@
             .targets
             .get_mut(&key)
             .expect("candidates are known targets");
-        state.record_send(now);
+        let prompt_tokens = offer.prompt_tokens();
+        state.record_send(now, prompt_tokens);
+        let queued_tokens = state.unread_tokens;
         self.decisions.push(Decision::Grant {
             id: offer.id,
             target: state.id.clone(),
@@ -192,17 +214,100 @@
                 pool: offer.pool,
                 granted_at: now,
                 deadline: now + offer.time_left,
+                prompt_tokens,
+                expected_output: offer.expected_output,
+                has_started: false,
+                queued_tokens,
             },
         );
     }
 
-    fn mean_time_per_unit(&self, pool: &str) -> f64 {
+    /// How much of its bounds a request would use at a target; zero if nothing is known. `None` if it
+    /// could not end there, or would stop the streams beside it for too long.
+    fn tightness(
+        &self,
+        now: Duration,
+        state: &TargetState,
+        offer: &Offer,
+        bounds: &Bounds,
+        pool_unit: f64,
+    ) -> Option<f64> {
+        let Some(estimate) = self.estimate(now, state, offer, pool_unit) else {
+            return Some(0.0);
+        };
+        estimate
+            .can_finish(bounds)
+            .then(|| estimate.tightness(bounds))
+    }
+
+    /// What a target is expected to need for a request; `None` if too little is known.
+    fn estimate(
+        &self,
+        now: Duration,
+        state: &TargetState,
+        offer: &Offer,
+        pool_unit: f64,
+    ) -> Option<Estimate> {
+        let unit = state.speed.unit_now(now, pool_unit);
+        if unit <= 0.0 {
+            return None;
+        }
+        if offer.token_counts.is_none() {
+            return Some(Estimate {
+                first: unit,
+                total: unit,
+                pause: 0.0,
+            });
+        }
+        let speed = &self.pools.get(&offer.pool)?.speed;
+        let read = speed.read_units(offer.prompt_tokens())?;
+        let unread = speed.read_units(state.unread_tokens)?;
+        let first = unit * (1.0 + unread + read);
+        let events = speed.expected_events(offer.expected_output).unwrap_or(0.0);
+        let pause = if state.running > 0 {
+            unit * speed.pause_units(read)
+        } else {
+            0.0
+        };
+        Some(Estimate {
+            first,
+            total: first + unit * events,
+            pause,
+        })
+    }
+
+    /// Longest wait of an offer in the queue. After it, no target of the shard is expected to respond
+    /// in time, or, as long as the speed of the targets is not known, half of the time is over.
+    pub(crate) fn wait_limit(&self, now: Duration, offer: &Offer) -> Duration {
+        let half = offer
+            .max_wait
+            .min(offer.aim_left.mul_f64(UNKNOWN_WAIT_SHARE));
+        if offer.aim_left.is_zero() {
+            return offer.max_wait.mul_f64(UNKNOWN_WAIT_SHARE);
+        }
+        let pool_unit = self.mean_unit(&offer.pool);
+        let firsts = self
+            .targets
+            .values()
+            .filter(|state| state.open && is_of_shard(state, offer))
+            .filter_map(|state| {
+                let estimate = self.estimate(now, state, offer, pool_unit)?;
+                Some(estimate.first)
+            });
+        let Some(first) = firsts.reduce(f64::min) else {
+            return half;
+        };
+        let aim = offer.aim_left.as_secs_f64();
+        let left = (aim - first * FIRST_MARGIN).max(aim * MIN_WAIT_SHARE);
+        Duration::from_secs_f64(left).min(offer.max_wait)
+    }
+
+    /// Mean seconds per unit of work over the targets of a pool; zero if none is known.
+    pub(crate) fn mean_unit(&self, pool: &str) -> f64 {
         let states = self.targets.values().filter(|state| &*state.pool == pool);
         let (sum, count) = states
-            .filter_map(|state| state.time_per_unit)
-            .fold((0.0, 0), |(sum, count), time_per_unit| {
-                (sum + time_per_unit, count + 1)
-            });
+            .filter_map(|state| state.speed.unit())
+            .fold((0.0, 0), |(sum, count), unit| (sum + unit, count + 1));
         if count == 0 {
             0.0
         } else {
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -17,12 +17,15 @@
 mod named_limits;
 mod offer;
 mod owner;
+mod pace;
+mod placement;
 mod restore_hold;
 mod retry_budget;
 mod retry_schedule;
 mod shard;
 mod sliding_extremum;
 mod target;
+mod target_speed;
 mod token_bucket;
 
 pub use catalog::{Access, AccessError, Catalog, Change};
@@ -32,7 +35,7 @@
     TokenCounts, Unit, Workspace,
 };
 pub use named_limits::{LimitReport, NamedLimits};
-pub use offer::{Decision, Offer, Refusal, RunEnd, RunId, RunReport};
+pub use offer::{Decision, Offer, Refusal, RunEnd, RunId, RunReport, StartReport, TargetLoad};
 pub use owner::Owner;
 pub use retry_budget::RetryBudget;
 pub use shard::{shard_of, target_key};
--- a/crates/admit/src/model.rs
+++ b/crates/admit/src/model.rs
@@ -53,6 +53,8 @@
     pub timeout: Duration,
     /// Target latency: a response within this time has its full value.
     pub target_latency: Duration,
+    /// Longest pause between events for which a stream is on time; `None` if none is stated.
+    pub max_pause: Option<Duration>,
     /// Maximum number of targets to which one request is sent.
     pub max_attempts: u32,
     /// Priority tier; 0 is the highest.
--- a/crates/admit/src/offer.rs
+++ b/crates/admit/src/offer.rs
@@ -30,10 +30,16 @@
     pub workspace: Option<Name>,
     /// Size as declared by the caller.
     pub token_counts: Option<TokenCounts>,
+    /// The caller's estimate of the output tokens.
+    pub expected_output: Option<u32>,
     /// Hash of the last prompt part; 0 if there is none.
     pub session: u64,
     /// Longest time in the queue.
     pub max_wait: Duration,
+    /// Time until its response, or the first event of it, is late.
+    pub aim_left: Duration,
+    /// Longest pause between events for which a stream is on time.
+    pub max_pause: Option<Duration>,
     /// Time until the run must be over.
     pub time_left: Duration,
     /// Number of targets to which the request was already sent.
@@ -46,6 +52,13 @@
     pub zone: Name,
 }
 
+impl Offer {
+    /// Tokens in its prompt; zero if it declares none.
+    pub(crate) fn prompt_tokens(&self) -> u32 {
+        self.token_counts.map_or(0, |counts| counts.prompt_tokens)
+    }
+}
+
 /// Why an offer is refused. A refused offer was not sent to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
@@ -200,6 +213,27 @@
     }
 }
 
+/// Load as a target reports it in the head of a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// Running requests.
+    pub running: u32,
+    /// Waiting requests.
+    pub waiting: u32,
+    /// Time that work takes on the target's machine at this moment, in percent of the usual; `None` if
+    /// it is not stated.
+    pub slowdown_percent: Option<u32>,
+}
+
+/// What an entry reports when the first event of a stream arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartReport {
+    /// Time from the send to the first event.
+    pub first_event: Duration,
+    /// Load that the target reported in the head of the response.
+    pub load: Option<TargetLoad>,
+}
+
 /// What an entry reports about a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RunReport {
@@ -207,8 +241,12 @@
     pub end: RunEnd,
     /// Time per unit of work: between events of a stream, or for a whole response.
     pub time_per_unit: Option<Duration>,
-    /// Running and waiting requests, as reported by the target in its response.
-    pub load: Option<(u32, u32)>,
+    /// Load that the target reported in its response.
+    pub load: Option<TargetLoad>,
+    /// Longest pause between two events of a stream.
+    pub longest_pause: Option<Duration>,
+    /// Events of a stream that was served completely.
+    pub events: Option<u32>,
 }
 
 impl RunReport {
@@ -219,6 +257,8 @@
             end,
             time_per_unit: None,
             load: None,
+            longest_pause: None,
+            events: None,
         }
     }
 }
--- a/crates/admit/src/owner.rs
+++ b/crates/admit/src/owner.rs
@@ -14,11 +14,14 @@
 use crate::model::LimitShare;
 use crate::model::{Name, Settings, Unit};
 use crate::named_limits::NamedLimits;
-use crate::offer::{Decision, Offer, Refusal, RunEnd, RunId, RunReport};
+use crate::offer::{Decision, Offer, Refusal, RunEnd, RunId, RunReport, StartReport};
+use crate::pace::Pace;
+use crate::placement::Bounds;
 use crate::retry_budget::RetryBudget;
 use crate::retry_schedule::RetrySchedule;
 use crate::shard::target_key;
 use crate::target::TargetState;
+use crate::target_speed::PoolSpeed;
 use crate::token_bucket::TokenBucket;
 
 /// An entry counts as asking for this long after its last offer.
@@ -52,11 +55,23 @@
     pub(crate) granted_at: Duration,
     /// Time by which it must be over.
     pub(crate) deadline: Duration,
+    /// Size of its prompt; zero for a run of which only the target is known.
+    pub(crate) prompt_tokens: u32,
+    pub(crate) expected_output: Option<u32>,
+    /// Whether its first event has arrived.
+    pub(crate) has_started: bool,
+    /// Prompt tokens that its target had to read when it was granted, its own included.
+    pub(crate) queued_tokens: u32,
 }
 
 pub(crate) struct QueuedOffer {
     pub(crate) offer: Offer,
+    /// End of its wait in the queue.
     pub(crate) deadline: Duration,
+    /// Time at which its first event is late. In the past, it only has to end in time.
+    pub(crate) due: Duration,
+    /// Time at which it must be over.
+    pub(crate) end_by: Duration,
     /// Units charged to the workspace's token bucket.
     pub(crate) charged: f64,
     /// Whether a target with capacity was passed over because it had reached the limit that it names.
@@ -66,12 +81,40 @@
 pub(crate) struct PoolState {
     pub(crate) queue: Vec<QueuedOffer>,
     pub(crate) budget: RetryBudget,
+    pub(crate) speed: PoolSpeed,
     /// Mean seconds between ends of runs while there is work.
     pub(crate) mean_end_interval: f64,
     pub(crate) retry_schedule: RetrySchedule,
     pub(crate) last_end: Duration,
 }
 
+impl QueuedOffer {
+    /// Key of its place in the queue: the higher tier first, then those that can still be in time,
+    /// then those whose wait ends first.
+    fn order(&self) -> (u8, bool, Duration) {
+        (
+            self.offer.tier,
+            self.offer.aim_left.is_zero(),
+            self.deadline,
+        )
+    }
+
+    /// What it bears from now on.
+    pub(crate) fn bounds(&self, now: Duration) -> Bounds {
+        let total = self.end_by.saturating_sub(now).as_secs_f64();
+        let is_late = self.offer.aim_left.is_zero();
+        Bounds {
+            first: if is_late {
+                total
+            } else {
+                self.due.saturating_sub(now).as_secs_f64()
+            },
+            total,
+            pause: (self.offer.max_pause).map_or(f64::INFINITY, |pause| pause.as_secs_f64()),
+        }
+    }
+}
+
 impl PoolState {
     /// Time after which one more refused request would be admitted.
     pub(crate) fn retry_after(&mut self, now: Duration, ahead: usize) -> Duration {
@@ -169,10 +212,14 @@
             pools.insert(target.pool.clone());
             let key = target_key(target);
             seen.insert(key);
-            let state = self
-                .targets
-                .entry(key)
-                .or_insert_with(|| TargetState::new(target));
+            let is_cold = cold_until > now;
+            let state = self.targets.entry(key).or_insert_with(|| {
+                let mut state = TargetState::new(target);
+                if is_cold {
+                    state.pace = Pace::START;
+                }
+                state
+            });
             state.open = catalog.is_open(target);
             state.slots = target.slots;
             state.set_cold(cold_until);
@@ -238,6 +285,7 @@
             Err(wait) => return self.refuse(offer.id, Refusal::Rate, wait),
         };
         let rate_share = self.rate_share();
+        let wait_limit = self.wait_limit(now, &offer);
         let pool = self.pool(&offer.pool);
         if offer.sends > 0 {
             if !pool.budget.try_take_retry(now, rate_share) {
@@ -251,25 +299,24 @@
             .queue
             .partition_point(|waiting| waiting.offer.tier <= offer.tier);
         let wait = Duration::from_secs_f64(pool.mean_end_interval * count_to_f64(ahead));
-        if ahead > 0 && wait > offer.max_wait {
+        if ahead > 0 && wait > wait_limit {
             let after = pool.retry_after(now, ahead);
             self.refund(&offer, charged);
             let reason = self.no_capacity_reason(now, &offer);
             return self.refuse(offer.id, reason, after);
         }
-        let deadline = now + offer.max_wait;
-        let key = (offer.tier, deadline);
-        let queue = &mut self.pool(&offer.pool).queue;
-        let at = queue.partition_point(|waiting| (waiting.offer.tier, waiting.deadline) <= key);
-        queue.insert(
-            at,
-            QueuedOffer {
-                offer,
-                deadline,
-                charged,
-                has_met_limit: false,
-            },
-        );
+        let waiting = QueuedOffer {
+            deadline: now + wait_limit,
+            due: now + offer.aim_left,
+            end_by: now + offer.time_left,
+            offer,
+            charged,
+            has_met_limit: false,
+        };
+        let key = waiting.order();
+        let queue = &mut self.pool(&waiting.offer.pool).queue;
+        let at = queue.partition_point(|other| other.order() <= key);
+        queue.insert(at, waiting);
     }
 
     /// Removes a queued offer, or ends its run as unused.
@@ -289,10 +336,15 @@
         let Some(run) = self.runs.remove(&id) else {
             return;
         };
+        let pool_unit = self.mean_unit(&run.pool);
+        let unread_tokens = (!run.has_started).then_some(run.prompt_tokens);
+        let mut unit = None;
         if let Some(state) = self.targets.get_mut(&run.target) {
-            state.record_end(now, report);
+            unit = state.speed.unit();
+            state.record_end(now, report, unread_tokens, pool_unit);
         }
         let pool = self.pool(&run.pool);
+        pool.speed.record_end(report, run.expected_output, unit);
         let interval = now.saturating_sub(pool.last_end).as_secs_f64();
         if interval < MAX_END_INTERVAL {
             pool.mean_end_interval += (interval - pool.mean_end_interval) * END_INTERVAL_WEIGHT;
@@ -300,6 +352,24 @@
         pool.last_end = now;
     }
 
+    /// Records the first event of a stream.
+    pub fn start(&mut self, now: Duration, id: RunId, report: &StartReport) {
+        let Some(run) = self.runs.get_mut(&id).filter(|run| !run.has_started) else {
+            return;
+        };
+        run.has_started = true;
+        let (pool, queued_tokens) = (run.pool.clone(), run.queued_tokens);
+        let mut unit = None;
+        if let Some(state) = self.targets.get_mut(&run.target) {
+            unit = state.speed.unit();
+            state.record_start(now, run.prompt_tokens, report);
+        }
+        if let Some(unit) = unit {
+            let speed = &mut self.pool(&pool).speed;
+            speed.record_start(report.first_event, queued_tokens, unit);
+        }
+    }
+
     /// Synchronizes with the list of all runs that an entry has in flight through this owner, with
     /// their targets.
     pub fn sync_runs(&mut self, now: Duration, entry: u64, listed: &[(u64, u64)]) {
@@ -317,7 +387,7 @@
             let Some(state) = self.targets.get_mut(&target) else {
                 continue;
             };
-            state.running += 1;
+            state.adopt_run();
             let pool = state.pool.clone();
             self.runs.insert(
                 id,
@@ -326,6 +396,10 @@
                     pool,
                     granted_at: now,
                     deadline: now + ADOPTED_RUN_LIMIT,
+                    prompt_tokens: 0,
+                    expected_output: None,
+                    has_started: true,
+                    queued_tokens: 0,
                 },
             );
         }
@@ -379,6 +453,9 @@
         for (_, run) in self.runs.extract_if(|id, run| is_over(id, run)) {
             if let Some(state) = self.targets.get_mut(&run.target) {
                 state.running = state.running.saturating_sub(1);
+                if !run.has_started {
+                    state.unread_tokens = state.unread_tokens.saturating_sub(run.prompt_tokens);
+                }
             }
         }
     }
@@ -400,6 +477,7 @@
                 settings.retry_ratio,
                 settings.retry_slack,
             ),
+            speed: PoolSpeed::default(),
             mean_end_interval: 0.0,
             retry_schedule: RetrySchedule::default(),
             last_end: Duration::ZERO,
--- a/crates/admit/src/target.rs
+++ b/crates/admit/src/target.rs
@@ -8,8 +8,11 @@
 use crate::convert::count_to_f64;
 use crate::limit_bucket::LimitBucket;
 use crate::model::{Name, Target};
-use crate::offer::{RunEnd, RunReport};
+use crate::offer::{RunEnd, RunReport, StartReport, TargetLoad};
+use crate::pace::{Pace, is_slow};
 use crate::shard::{HASH_MULTIPLIER, id_hash, shard_of_hash};
+use crate::sliding_extremum::SlidingExtremum;
+use crate::target_speed::TargetSpeed;
 
 /// Weight of a new observation in the moving averages.
 const MEAN_WEIGHT: f64 = 0.2;
@@ -20,13 +23,17 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(2400);
 /// Backoff after the target reports that it is at capacity.
 const OVERLOAD_BACKOFF: Duration = Duration::from_millis(60);
-/// Load from other owners, as reported by the target, counts for this long.
+/// Load from other owners counts for this long: the lowest that the target reported in this time. A
+/// single report may still count runs that have ended since.
 const OTHER_LOAD_MEMORY: Duration = Duration::from_millis(500);
 /// A target that could not be reached may have restarted. It counts as cold for this long after it
 /// serves, or until the store reports its cold start. Changes in the store arrive within this time.
 const MAYBE_COLD_TIME: Duration = Duration::from_secs(2);
 /// Window of the limit of cold targets.
 pub(crate) const COLD_WINDOW: Duration = Duration::from_secs(1);
+/// Time from the end of a run to the arrival of the next one that is granted its slot: three
+/// messages between VMs. Short runs would leave slots idle for a good part of the time.
+const CONTROL_ROUND_TRIP: f64 = 0.006;
 /// Weight of the share of failed runs in the load of a target.
 const FAILURE_WEIGHT: f64 = 8.0;
 
@@ -77,16 +84,15 @@
     pub(crate) last_activity: Duration,
     /// Times of the sends in the last window.
     sends: VecDeque<Duration>,
-    /// Mean seconds per unit of work.
-    pub(crate) time_per_unit: Option<f64>,
+    /// Prompt tokens of the runs whose first event has not arrived.
+    pub(crate) unread_tokens: u32,
+    pub(crate) speed: TargetSpeed,
+    pub(crate) pace: Pace,
     /// Moving average of the share of runs that failed.
     failure_share: f64,
     backoff: Duration,
     backoff_until: Duration,
-    /// Whether it has failed since it last served a run. If so, it gets one run at a time as a
-    /// probe.
-    half_open: bool,
-    other_load: u32,
+    other_load: SlidingExtremum,
     other_load_until: Duration,
     /// Limit that the target has named.
     limit: Option<LimitBucket>,
@@ -107,12 +113,13 @@
             running: 0,
             last_activity: Duration::ZERO,
             sends: VecDeque::new(),
-            time_per_unit: None,
+            unread_tokens: 0,
+            speed: TargetSpeed::default(),
+            pace: Pace::Full,
             failure_share: 0.0,
             backoff: Duration::ZERO,
             backoff_until: Duration::ZERO,
-            half_open: false,
-            other_load: 0,
+            other_load: SlidingExtremum::smallest(OTHER_LOAD_MEMORY),
             other_load_until: Duration::ZERO,
             limit: None,
         }
@@ -160,19 +167,10 @@
         {
             self.sends.pop_front();
         }
-        let other_load = if now < self.other_load_until {
-            self.other_load
-        } else {
-            0
-        };
-        let max_running = if self.half_open {
-            1.0
-        } else {
-            (f64::from(self.slots) * shares.slots).max(1.0)
-        };
+        let max_running = (self.pace.max_running(self.places(now)) * shares.slots).max(1.0);
         let has_capacity = self.open
             && now >= self.backoff_until
-            && f64::from(self.running.saturating_add(other_load)) < max_running
+            && f64::from(self.running) + self.other_load(now) < max_running
             && cap.is_none_or(|cap| count_to_f64(self.sends.len()) < cap.max(1.0).floor());
         let is_below_limit = self
             .limit
@@ -193,18 +191,64 @@
         draw < probability * f64::from(u32::MAX)
     }
 
-    /// Load if one more run were granted; the target with the lowest is chosen. `time_per_unit` is
-    /// the mean of the pool.
-    pub(crate) fn load(&self, time_per_unit: f64) -> f64 {
-        let relative = match self.time_per_unit {
-            Some(own) if time_per_unit > 0.0 => own / time_per_unit,
-            _ => 1.0,
-        };
+    /// Runs that it can hold without a wait: its slots, and as many more as end during a round trip.
+    fn places(&self, now: Duration) -> f64 {
+        let slots = f64::from(self.slots);
+        let is_cold = now < self.cold_until || now < self.maybe_cold_until;
+        let unit = self.speed.unit().filter(|&unit| unit > 0.0 && !is_cold);
+        slots
+            + unit.map_or(0.0, |unit| {
+                (slots * CONTROL_ROUND_TRIP / unit).floor().min(slots)
+            })
+    }
+
+    /// Runs of other owners.
+    fn other_load(&self, now: Duration) -> f64 {
+        let known = self
+            .other_load
+            .get()
+            .filter(|_| now < self.other_load_until);
+        known.map_or(0.0, count_to_f64)
+    }
+
+    /// Share of its slots that is taken if one more run is granted, higher for a target that fails.
+    pub(crate) fn load(&self) -> f64 {
         let share = f64::from(self.running + 1) / f64::from(self.slots.max(1));
-        share * relative * (1.0 + FAILURE_WEIGHT * self.failure_share)
+        share * (1.0 + FAILURE_WEIGHT * self.failure_share)
+    }
+
+    /// Records a load that the target reported while it had `own` runs of this owner.
+    fn record_load(&mut self, now: Duration, load: &TargetLoad, own: u32) {
+        self.speed.record_load(now, load);
+        let others = load
+            .running
+            .saturating_add(load.waiting)
+            .saturating_sub(own);
+        let others = usize::try_from(others).unwrap_or(usize::MAX);
+        self.other_load.push(now, others);
+        self.other_load_until = now + OTHER_LOAD_MEMORY;
     }
 
-    pub(crate) fn record_send(&mut self, now: Duration) {
+    /// Records the first event of a run with this many prompt tokens.
+    pub(crate) fn record_start(&mut self, now: Duration, tokens: u32, report: &StartReport) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(tokens);
+        self.pace.record_answer(self.slots);
+        if let Some(load) = &report.load {
+            self.record_load(now, load, self.running);
+        }
+    }
+
+    /// Records a run with this many prompt tokens that another owner granted.
+    pub(crate) fn adopt_run(&mut self) {
+        self.running += 1;
+        if let Pace::Window(window) = self.pace {
+            // The other owner has found that the target bears this much.
+            self.pace = Pace::Window(window.max(f64::from(self.running)));
+        }
+    }
+
+    pub(crate) fn record_send(&mut self, now: Duration, tokens: u32) {
+        self.unread_tokens = self.unread_tokens.saturating_add(tokens);
         if self.running == 0 {
             self.last_activity = now;
         }
@@ -215,40 +259,53 @@
         self.running += 1;
     }
 
-    pub(crate) fn record_end(&mut self, now: Duration, report: &RunReport) {
-        self.running = self.running.saturating_sub(1);
-        self.last_activity = now;
-        if let Some((running, waiting)) = report.load {
+    /// Records the end of a run. `unread_tokens` is the size of its prompt if its first event has not
+    /// arrived, and `pool_unit` the mean time per unit of work in the pool.
+    pub(crate) fn record_end(
+        &mut self,
+        now: Duration,
+        report: &RunReport,
+        unread_tokens: Option<u32>,
+        pool_unit: f64,
+    ) {
+        if let Some(load) = &report.load {
             // The reported load still includes the run that ended.
-            let others = (running + waiting).saturating_sub(self.running + 1);
-            self.other_load = others;
-            self.other_load_until = now + OTHER_LOAD_MEMORY;
+            self.record_load(now, load, self.running);
         }
+        self.running = self.running.saturating_sub(1);
+        self.unread_tokens = self
+            .unread_tokens
+            .saturating_sub(unread_tokens.unwrap_or(0));
+        self.last_activity = now;
         match report.end {
             RunEnd::Served => {
                 self.failure_share *= 1.0 - MEAN_WEIGHT;
                 self.backoff = Duration::ZERO;
-                self.half_open = false;
                 if std::mem::take(&mut self.was_unreachable) {
                     self.maybe_cold_until = now + MAYBE_COLD_TIME;
                 }
-                if let Some(time_per_unit) = report.time_per_unit {
-                    let time_per_unit = time_per_unit.as_secs_f64();
-                    self.time_per_unit = Some(match self.time_per_unit {
-                        Some(mean) => mean + (time_per_unit - mean) * MEAN_WEIGHT,
-                        None => time_per_unit,
-                    });
+                let unit = report.time_per_unit;
+                if unit.is_some_and(|unit| is_slow(unit.as_secs_f64(), pool_unit)) {
+                    self.pace.record_setback();
+                } else if unread_tokens.is_some() {
+                    self.pace.record_answer(self.slots);
+                }
+                if let Some(unit) = unit {
+                    self.speed.record_unit(unit);
                 }
             }
-            RunEnd::Error => self.failure_share += (1.0 - self.failure_share) * MEAN_WEIGHT,
-            RunEnd::Overloaded => self.backoff_until = now + OVERLOAD_BACKOFF,
-            RunEnd::Broken => {
+            RunEnd::Error | RunEnd::Broken => {
                 self.failure_share += (1.0 - self.failure_share) * MEAN_WEIGHT;
+                self.pace.record_setback();
+            }
+            RunEnd::Overloaded => {
+                self.backoff_until = now + OVERLOAD_BACKOFF;
+                self.pace.record_setback();
             }
             RunEnd::Unreachable | RunEnd::TimedOut | RunEnd::Misdirected => {
                 self.was_unreachable |= report.end == RunEnd::Unreachable;
                 self.failure_share += (1.0 - self.failure_share) * MEAN_WEIGHT;
-                self.half_open = true;
+                self.pace = Pace::START;
                 if now >= self.backoff_until {
                     self.backoff = (self.backoff * 2).clamp(INITIAL_BACKOFF, MAX_BACKOFF);
                     self.backoff_until = now + self.backoff;
--- a/crates/admit/tests/overload.rs
+++ b/crates/admit/tests/overload.rs
@@ -180,6 +180,7 @@
                 Order::OneTier => 0,
             };
             offer.max_wait = class.target_latency / 2;
+            offer.aim_left = class.target_latency;
             offer.time_left = Duration::from_secs(15);
             if is_counted(now) {
                 outcome.offered += class.worth;
--- a/crates/admit/tests/owner.rs
+++ b/crates/admit/tests/owner.rs
@@ -63,11 +63,14 @@
     owner.release(ms(9000), id, &RunReport::of(RunEnd::Served));
 
     let back = sends(&mut owner, ms(9001), 700);
-    let later = sends(&mut owner, ms(12_000), 900);
+    // Each round of answers in time doubles what a recovered target may have at once.
+    let rounds = [12_000, 13_000, 14_000].map(|at| sends(&mut owner, ms(at), 1000 + at));
+    let later = rounds[2];
 
     // An owner that is not the first one has 15% of the limit of a cold target, which is 39.5.
     assert!(back <= 5, "{back} sends at once");
     assert!(back < warm, "{back} sends at once, {warm} when warm");
+    assert!(rounds[0] < rounds[1], "{rounds:?} sends");
     assert_eq!(later, warm);
 }
 
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -9,7 +9,7 @@
 
 use crate::transfer::Progress;
 use admit::Change;
-use admit::{Name, Settings, TokenCounts};
+use admit::{Name, Settings, TargetLoad, TokenCounts};
 
 /// Contents of the head of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -22,6 +22,8 @@
     pub key: Option<String>,
     /// Size of the request as declared by the caller.
     pub token_counts: Option<TokenCounts>,
+    /// The caller's estimate of the output tokens.
+    pub expected_output: Option<u32>,
     /// Hashes of the prompt parts in order, each with its token count.
     pub prompt_parts: Vec<(u64, u32)>,
 }
@@ -83,8 +85,8 @@
     pub id: Option<String>,
     /// Origin of the response, and whether the request ran.
     pub attestation: Attestation,
-    /// Running and waiting requests at the target.
-    pub load: Option<(u32, u32)>,
+    /// Load of the target.
+    pub load: Option<TargetLoad>,
     /// Time for which the target keeps an idle connection open.
     pub keep_alive: Option<Duration>,
     /// Whether the target closes the connection after this response.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -71,7 +71,8 @@
 pub use admit::{
     Access, AccessError, Catalog, Change, Config, Decision, HttpLimits, LimitReport, LimitShare,
     Name, NamedLimits, Offer, Owner, Pool, Rate, Refusal, RetryBudget, Route, RouteKind, RunEnd,
-    RunId, RunReport, Settings, Target, TokenBucket, TokenCounts, Unit, Workspace, target_key,
+    RunId, RunReport, Settings, StartReport, Target, TargetLoad, TokenBucket, TokenCounts, Unit,
+    Workspace, target_key,
 };
 pub use buffer_budget::{BufferBudget, Buffered, Reservation};
 pub use clock::now as boot_time;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -10,7 +10,7 @@
 use crate::position::Position;
 use admit::LimitReport;
 use admit::TokenCounts;
-use admit::{Offer, RunEnd, RunId, RunReport};
+use admit::{Offer, RunEnd, RunId, RunReport, StartReport, TargetLoad};
 
 /// Maximum size of a datagram that is received.
 pub(crate) const MAX_DATAGRAM: usize = 16 * 1024;
@@ -21,7 +21,7 @@
     /// Incarnation of the sender.
     #[prost(fixed64, tag = "1")]
     pub(crate) sender: u64,
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub(crate) body: Option<Body>,
 }
 
@@ -42,6 +42,8 @@
     Release(ReleaseMsg),
     #[prost(fixed64, tag = "8")]
     Withdraw(u64),
+    #[prost(message, tag = "9")]
+    Start(StartMsg),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -184,6 +186,14 @@
     pub(crate) zone: String,
     #[prost(uint32, tag = "16")]
     pub(crate) shard: u32,
+    /// The caller's estimate of the output tokens.
+    #[prost(uint32, optional, tag = "17")]
+    pub(crate) expected_output: Option<u32>,
+    /// Time until the response is late; missing in offers of older builds.
+    #[prost(uint32, optional, tag = "18")]
+    pub(crate) aim_ms: Option<u32>,
+    #[prost(uint32, optional, tag = "19")]
+    pub(crate) max_pause_ms: Option<u32>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -222,6 +232,70 @@
     pub(crate) running: u32,
     #[prost(uint32, tag = "6")]
     pub(crate) waiting: u32,
+    #[prost(uint32, optional, tag = "7")]
+    pub(crate) slowdown_percent: Option<u32>,
+    #[prost(uint32, optional, tag = "8")]
+    pub(crate) longest_pause_ms: Option<u32>,
+    #[prost(uint32, optional, tag = "9")]
+    pub(crate) events: Option<u32>,
+}
+
+/// The first event of a stream arrived.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct StartMsg {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) run: u64,
+    #[prost(uint32, tag = "2")]
+    pub(crate) first_event_ms: u32,
+    #[prost(message, optional, tag = "3")]
+    pub(crate) load: Option<LoadMsg>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct LoadMsg {
+    #[prost(uint32, tag = "1")]
+    pub(crate) running: u32,
+    #[prost(uint32, tag = "2")]
+    pub(crate) waiting: u32,
+    #[prost(uint32, optional, tag = "3")]
+    pub(crate) slowdown_percent: Option<u32>,
+}
+
+impl From<&TargetLoad> for LoadMsg {
+    fn from(load: &TargetLoad) -> Self {
+        LoadMsg {
+            running: load.running,
+            waiting: load.waiting,
+            slowdown_percent: load.slowdown_percent,
+        }
+    }
+}
+
+impl From<&LoadMsg> for TargetLoad {
+    fn from(msg: &LoadMsg) -> Self {
+        TargetLoad {
+            running: msg.running,
+            waiting: msg.waiting,
+            slowdown_percent: msg.slowdown_percent,
+        }
+    }
+}
+
+impl StartMsg {
+    pub(crate) fn new(run: u64, report: &StartReport) -> Self {
+        StartMsg {
+            run,
+            first_event_ms: millis(report.first_event),
+            load: report.load.as_ref().map(LoadMsg::from),
+        }
+    }
+
+    pub(crate) fn to_report(&self) -> StartReport {
+        StartReport {
+            first_event: Duration::from_millis(self.first_event_ms.into()),
+            load: self.load.as_ref().map(TargetLoad::from),
+        }
+    }
 }
 
 impl From<&Member> for MemberMsg {
@@ -331,6 +405,9 @@
     }
 }
 
+/// Older builds let a request wait for half of its target latency.
+const OLD_AIM_PER_WAIT: u32 = 2;
+
 impl OfferMsg {
     /// Converts the message to an offer.
     pub(crate) fn into_offer(self, id: RunId) -> Offer {
@@ -345,7 +422,14 @@
                 prompt_tokens: self.prompt_tokens,
                 output_tokens: self.output_tokens,
             }),
+            expected_output: self.expected_output,
             session: self.session,
+            aim_left: Duration::from_millis(
+                self.aim_ms
+                    .unwrap_or_else(|| self.wait_ms.saturating_mul(OLD_AIM_PER_WAIT))
+                    .into(),
+            ),
+            max_pause: (self.max_pause_ms).map(|ms| Duration::from_millis(ms.into())),
             max_wait: Duration::from_millis(self.wait_ms.into()),
             time_left: Duration::from_millis(self.left_ms.into()),
             sends: self.sends,
@@ -358,7 +442,7 @@
 
 impl ReleaseMsg {
     pub(crate) fn new(run: u64, report: &RunReport) -> Self {
-        let (running, waiting) = report.load.unwrap_or_default();
+        let load = report.load.unwrap_or_default();
         let time_per_unit = report
             .time_per_unit
             .map_or(0, |time_per_unit| time_per_unit.as_micros());
@@ -367,8 +451,11 @@
             end: report.end.code(),
             time_per_unit_us: u32::try_from(time_per_unit).unwrap_or(u32::MAX),
             has_load: report.load.is_some(),
-            running,
-            waiting,
+            running: load.running,
+            waiting: load.waiting,
+            slowdown_percent: load.slowdown_percent,
+            longest_pause_ms: report.longest_pause.map(millis),
+            events: report.events,
         }
     }
 
@@ -377,7 +464,13 @@
             end: RunEnd::from_code(self.end),
             time_per_unit: (self.time_per_unit_us > 0)
                 .then(|| Duration::from_micros(self.time_per_unit_us.into())),
-            load: self.has_load.then_some((self.running, self.waiting)),
+            load: self.has_load.then_some(TargetLoad {
+                running: self.running,
+                waiting: self.waiting,
+                slowdown_percent: self.slowdown_percent,
+            }),
+            longest_pause: (self.longest_pause_ms).map(|ms| Duration::from_millis(ms.into())),
+            events: self.events,
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,14 +19,14 @@
 use crate::clock;
 use crate::log_throttle::LogThrottle;
 use crate::membership::{Membership, vm_class, zone_code};
-use crate::message::{Body, Datagram, GrantMsg, RefuseMsg, ReleaseMsg, millis};
+use crate::message::{Body, Datagram, GrantMsg, RefuseMsg, ReleaseMsg, StartMsg, millis};
 use crate::poison_parts::PoisonParts;
 use crate::record_log::RecordLog;
 use crate::target_pauses::TargetPauses;
 use crate::upstream::UpstreamPool;
 use admit::Catalog;
 use admit::NamedLimits;
-use admit::{Decision, Offer, Owner, Refusal, RunId, RunReport};
+use admit::{Decision, Offer, Owner, Refusal, RunId, RunReport, StartReport};
 use admit::{Name, Settings};
 
 /// Reply of an owner to an offer.
@@ -389,6 +389,16 @@
         self.socket.recv_from(buf).await
     }
 
+    /// Tells the owner that granted a run that its first event has arrived.
+    pub(crate) fn start_run(&self, owner: Ipv4Addr, run: u64, report: &StartReport) {
+        if owner == self.settings.ip {
+            let id = self.local_run_id(run);
+            self.owner.borrow_mut().start(clock::now(), id, report);
+        } else {
+            self.send(owner, Body::Start(StartMsg::new(run, report)));
+        }
+    }
+
     /// Ends a run at the owner that granted it.
     pub(crate) fn release(&self, owner: Ipv4Addr, run: u64, report: &RunReport) {
         self.runs.borrow_mut().remove(&run);
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -198,6 +198,13 @@
             node.owner.borrow_mut().release(now, id, &msg.to_report());
             node.decide();
         }
+        Body::Start(msg) => {
+            let id = RunId {
+                entry: sender,
+                run: msg.run,
+            };
+            node.owner.borrow_mut().start(now, id, &msg.to_report());
+        }
         Body::Withdraw(run) => {
             let id = RunId { entry: sender, run };
             node.owner.borrow_mut().withdraw(now, id);
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -11,7 +11,7 @@
 use crate::message::{Body, OfferMsg, millis};
 use crate::node::{InFlight, Node, Reply};
 use admit::{Name, Target, TokenCounts};
-use admit::{Refusal, RunEnd, RunReport};
+use admit::{Refusal, RunEnd, RunReport, StartReport, TargetLoad};
 
 /// An unanswered offer is sent again after this time; replies take a few milliseconds.
 const RESEND_INTERVAL: Duration = Duration::from_millis(40);
@@ -32,12 +32,17 @@
     pub(crate) tier: u8,
     pub(crate) workspace: Option<Name>,
     pub(crate) token_counts: Option<TokenCounts>,
+    pub(crate) expected_output: Option<u32>,
     pub(crate) session: u64,
     pub(crate) sends: u32,
     pub(crate) avoid: Vec<u64>,
     pub(crate) fingerprint: u64,
     /// Longest wait for a permit.
     pub(crate) max_wait: Duration,
+    /// Time at which the response, or its first event, is late.
+    pub(crate) due: Duration,
+    /// Longest pause between events.
+    pub(crate) max_pause: Option<Duration>,
     /// Time until the run must be over.
     pub(crate) time_left: Duration,
 }
@@ -52,6 +57,7 @@
     /// Whether it was granted only after a wait for targets at the limits that they name.
     pub(crate) has_met_limit: bool,
     pub(crate) report: RunReport,
+    granted_at: Duration,
 }
 
 impl Permit {
@@ -60,6 +66,15 @@
         self.owner
     }
 
+    /// Tells the owner that the first event of the stream has arrived.
+    pub(crate) fn report_start(&self, load: Option<TargetLoad>) {
+        let report = StartReport {
+            first_event: clock::now().saturating_sub(self.granted_at),
+            load,
+        };
+        self.node.start_run(self.owner, self.run, &report);
+    }
+
     pub(crate) fn end(mut self, end: RunEnd) {
         self.report.end = end;
     }
@@ -311,6 +326,7 @@
         key,
         has_met_limit: false,
         report: RunReport::of(RunEnd::Cancelled),
+        granted_at: now,
     })
 }
 
@@ -358,7 +374,10 @@
         prompt_tokens: token_counts.prompt_tokens,
         output_tokens: token_counts.output_tokens,
         counted: request.token_counts.is_some(),
+        expected_output: request.expected_output,
         session: request.session,
+        aim_ms: Some(millis(request.due.saturating_sub(clock::now()))),
+        max_pause_ms: request.max_pause.map(millis),
         wait_ms: millis(max_wait),
         left_ms: millis(request.time_left.saturating_sub(waited)),
         sends: request.sends,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -176,7 +176,7 @@
     Complete,
     Broken,
     /// It is silent, and another target has room for it.
-    Stalled(Permit),
+    Stalled(Box<Permit>),
     DeadlinePassed,
     /// The buffers of the process are full.
     NoMemory,
@@ -225,7 +225,9 @@
         )
         .await;
         let TargetStream {
-            permit, upstream, ..
+            mut permit,
+            upstream,
+            ..
         } = source;
         stream.permit_request.avoid.push(permit.key);
         let mut next_permit = None;
@@ -236,6 +238,7 @@
                     // Fails only if the caller has left.
                     let _ = tx.send(Ok(Buffered::new(remainder, reserved))).await;
                 }
+                permit.report.events = Some(events.count);
                 permit.end(RunEnd::Served);
                 stream
                     .log
@@ -282,7 +285,7 @@
                     crash_check::check_target(&stream.node, parts, &permit.target);
                 }
                 permit.end(RunEnd::TimedOut);
-                next_permit = Some(next);
+                next_permit = Some(*next);
             }
         }
         // Closing the connection stops the target before another one gets the request.
@@ -318,6 +321,7 @@
 ) -> StreamEnd {
     let mut first: Option<(Duration, u32)> = None;
     let mut has_answered = false;
+    let mut last_event_at = None;
     loop {
         let time_left = stream.node.time_left(stream.deadline);
         if time_left.is_zero() {
@@ -327,7 +331,7 @@
             biased;
             () = tx.closed() => return StreamEnd::CallerLeft,
             frame = stream.node.before(stream.deadline, source.body.frame()) => frame,
-            next = permit_after_stall(stream, resume_request) => return StreamEnd::Stalled(next),
+            next = permit_after_stall(stream, resume_request) => return StreamEnd::Stalled(Box::new(next)),
         };
         match frame {
             None => return StreamEnd::DeadlinePassed,
@@ -355,6 +359,13 @@
                 if events.count > 0 && !std::mem::replace(&mut has_answered, true) {
                     let mut poison_parts = stream.node.poison_parts.borrow_mut();
                     poison_parts.record_answer(now, &stream.req.parts);
+                    drop(poison_parts);
+                    source.permit.report_start(source.head.load);
+                }
+                if let Some(last) = last_event_at.replace(now) {
+                    let pause = now.saturating_sub(last);
+                    let longest = source.permit.report.longest_pause.get_or_insert(pause);
+                    *longest = pause.max(*longest);
                 }
                 let (first_at, first_count) = *first.get_or_insert((now, events.count));
                 let new_events = events.count.saturating_sub(first_count);
@@ -398,6 +409,7 @@
         let mut request = request.clone();
         request.time_left = stream.node.time_left(stream.deadline);
         request.max_wait = request.max_wait.min(request.time_left);
+        request.due = clock::now() + request.max_wait;
         if let Ok(permit) = permit::acquire(&stream.node, &request).await {
             return permit;
         }
@@ -432,6 +444,7 @@
     let time_left = stream.node.time_left(stream.deadline);
     stream.permit_request.time_left = time_left;
     stream.permit_request.max_wait = stream.permit_request.max_wait.min(time_left);
+    stream.permit_request.due = clock::now() + stream.permit_request.max_wait;
     let resumed = async {
         let asked_at = clock::now();
         let permit = if let Some(permit) = permit {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -29,9 +29,9 @@
 use admit::{Name, Route};
 use admit::{Refusal, RunEnd};
 
-/// Fraction of the target latency for which a request may wait for a permit. The rest is for the
-/// target.
-const PERMIT_WAIT_SHARE: f64 = 0.5;
+/// Fraction of the target latency for which a request may wait for a permit at most. The owner refuses
+/// it sooner if the rest is too short for the targets.
+const PERMIT_WAIT_SHARE: f64 = 0.85;
 /// A retryable request gives up on a target that doesn't respond after this multiple of the target
 /// latency.
 const HEAD_TIMEOUT_FACTOR: u32 = 2;
@@ -152,7 +152,7 @@
         version,
     );
     let fingerprint = fingerprint(path, head.key.as_deref(), &body);
-    let permit_request = permit_request(&allowed, &head, fingerprint);
+    let permit_request = permit_request(&allowed, &head, fingerprint, received_at);
     Ok(AdmittedRequest {
         node: Rc::clone(node),
         deadline,
@@ -189,7 +189,12 @@
     }
 }
 
-fn permit_request(allowed: &Access, head: &RequestHead, fingerprint: u64) -> PermitRequest {
+fn permit_request(
+    allowed: &Access,
+    head: &RequestHead,
+    fingerprint: u64,
+    received_at: Duration,
+) -> PermitRequest {
     let route = &allowed.route;
     let workspace = allowed.workspace.as_ref();
     PermitRequest {
@@ -199,11 +204,14 @@
             .filter(|w| w.rate.is_some())
             .map(|w| w.name.clone()),
         token_counts: head.token_counts,
+        expected_output: head.expected_output,
         session: head.prompt_parts.last().map_or(0, |&(part, _)| part),
         sends: 0,
         avoid: Vec::new(),
         fingerprint,
         max_wait: route.target_latency.mul_f64(PERMIT_WAIT_SHARE),
+        due: received_at + route.target_latency,
+        max_pause: route.max_pause.filter(|_| route.kind.is_stream()),
         time_left: route.timeout,
     }
 }
