--- a/crates/admit/tests/owner.rs
+++ b/crates/admit/tests/owner.rs
@@ -66,7 +66,7 @@
 
     let back = sends(&mut owner, ms(9001), 700);
     // Each round of answers in time doubles what a recovered target may have at once.
-    let rounds = [12_000, 13_000, 14_000].map(|at| sends(&mut owner, ms(at), 1000 + at));
+    let rounds = [12_000, 14_000, 16_000].map(|at| sends(&mut owner, ms(at), 1000 + at));
     let later = rounds[2];
 
     // An owner that is not the first one has 15% of the limit of a cold target, which is 39.5.
