--- a/crates/admit/src/grant.rs
+++ b/crates/admit/src/grant.rs
@@ -21,6 +21,13 @@
 const UNKNOWN_WAIT_SHARE: f64 = 0.5;
 /// Share that it may always wait. A long prompt that no idle target reads in time is late anyway.
 const MIN_WAIT_SHARE: f64 = 0.25;
+/// Share of the time limit that a request may wait. A caller that has come back has less time left than
+/// the target latency, and must not be held until it gives up.
+const MAX_TIME_SHARE: f64 = 0.4;
+/// In this last part of its wait, a request takes any target on which it ends within its time limit,
+/// although its first event may be late. Lower tiers would otherwise get that target while it is
+/// refused.
+const LAST_CHANCE_TIME: Duration = Duration::from_millis(20);
 /// Maximum number of sessions whose target is remembered.
 const MAX_SESSIONS: usize = 8192;
 
@@ -95,7 +102,7 @@
         let before = queue.len();
         for waiting in rest {
             let candidates = candidates.get(self, now, &waiting.offer);
-            let is_last_chance = now >= waiting.deadline;
+            let is_last_chance = now + LAST_CHANCE_TIME >= waiting.deadline;
             if let Some(at) = self.choose_target(now, &candidates.keys, &waiting, is_last_chance) {
                 let key = candidates.keys[at];
                 self.grant(now, waiting, key);
@@ -109,10 +116,12 @@
                     candidates.keys.swap_remove(at);
                     candidates.is_limited |= room == Room::LimitReached;
                 }
-            } else if is_last_chance {
+            } else if now >= waiting.deadline {
                 self.refund(&waiting.offer, waiting.charged);
                 let reason = self.no_capacity_reason(now, &waiting.offer);
-                let after = self.pool(name).retry_after(now, before + kept.len());
+                let ahead = count_to_f64(before + kept.len());
+                let flow = &mut self.pool(name).flow;
+                let after = flow.book_return(now, waiting.offer.tier, ahead);
                 self.refuse(waiting.offer.id, reason, after);
             } else {
                 kept.push(waiting);
@@ -195,13 +204,19 @@
             }
             self.session_targets.insert(offer.session, key);
         }
+        let pool_unit = self.mean_unit(&offer.pool);
+        let pool = self.pool(&offer.pool);
+        pool.flow.record_grant(offer.tier);
+        let read_units = pool.speed.read_units(offer.prompt_tokens());
         let state = self
             .targets
             .get_mut(&key)
             .expect("candidates are known targets");
+        let read_time = state.speed.unit_now(now, pool_unit) * read_units.unwrap_or(0.0);
         let prompt_tokens = offer.prompt_tokens();
+        let is_reading = state.unread_tokens > 0;
         state.record_send(now, prompt_tokens);
-        let queued_tokens = state.unread_tokens;
+        state.queue_prompt(now, read_time);
         self.decisions.push(Decision::Grant {
             id: offer.id,
             target: state.id.clone(),
@@ -217,7 +232,7 @@
                 prompt_tokens,
                 expected_output: offer.expected_output,
                 has_started: false,
-                queued_tokens,
+                read_alone: !is_reading,
             },
         );
     }
@@ -261,8 +276,8 @@
         }
         let speed = &self.pools.get(&offer.pool)?.speed;
         let read = speed.read_units(offer.prompt_tokens())?;
-        let unread = speed.read_units(state.unread_tokens)?;
-        let first = unit * (1.0 + unread + read);
+        let queued = state.reading_until.saturating_sub(now).as_secs_f64();
+        let first = queued + unit * (1.0 + read);
         let events = speed.expected_events(offer.expected_output).unwrap_or(0.0);
         let pause = if state.running > 0 {
             unit * speed.pause_units(read)
@@ -299,7 +314,10 @@
         };
         let aim = offer.aim_left.as_secs_f64();
         let left = (aim - first * FIRST_MARGIN).max(aim * MIN_WAIT_SHARE);
-        Duration::from_secs_f64(left).min(offer.max_wait)
+        let half_time = offer.time_left.mul_f64(MAX_TIME_SHARE);
+        Duration::from_secs_f64(left)
+            .min(offer.max_wait)
+            .min(half_time)
     }
 
     /// Mean seconds per unit of work over the targets of a pool; zero if none is known.
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -21,11 +21,11 @@
 mod placement;
 mod restore_hold;
 mod retry_budget;
-mod retry_schedule;
 mod shard;
 mod sliding_extremum;
 mod target;
 mod target_speed;
+mod tier_flow;
 mod token_bucket;
 
 pub use catalog::{Access, AccessError, Catalog, Change};
--- a/crates/admit/src/owner.rs
+++ b/crates/admit/src/owner.rs
@@ -18,10 +18,10 @@
 use crate::pace::Pace;
 use crate::placement::Bounds;
 use crate::retry_budget::RetryBudget;
-use crate::retry_schedule::RetrySchedule;
 use crate::shard::target_key;
 use crate::target::TargetState;
 use crate::target_speed::PoolSpeed;
+use crate::tier_flow::TierFlow;
 use crate::token_bucket::TokenBucket;
 
 /// An entry counts as asking for this long after its last offer.
@@ -31,12 +31,6 @@
 const LISTING_DELAY: Duration = Duration::from_millis(400);
 /// A run that was learned from an entry's list counts for at most this long.
 const ADOPTED_RUN_LIMIT: Duration = Duration::from_secs(30);
-/// Weight of a new observation in the mean interval between ends of runs.
-const END_INTERVAL_WEIGHT: f64 = 0.05;
-/// Longer intervals between ends of runs are ignored, because there was no work in between.
-const MAX_END_INTERVAL: f64 = 0.2;
-/// Shortest mean interval between ends of runs: 1000 per second.
-const MIN_END_INTERVAL: f64 = 0.001;
 /// Shortest and longest retry time given to refused callers.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_secs(5);
@@ -60,8 +54,8 @@
     pub(crate) expected_output: Option<u32>,
     /// Whether its first event has arrived.
     pub(crate) has_started: bool,
-    /// Prompt tokens that its target had to read when it was granted, its own included.
-    pub(crate) queued_tokens: u32,
+    /// Whether its target was reading no other prompt when it was granted.
+    pub(crate) read_alone: bool,
 }
 
 pub(crate) struct QueuedOffer {
@@ -82,10 +76,7 @@
     pub(crate) queue: Vec<QueuedOffer>,
     pub(crate) budget: RetryBudget,
     pub(crate) speed: PoolSpeed,
-    /// Mean seconds between ends of runs while there is work.
-    pub(crate) mean_end_interval: f64,
-    pub(crate) retry_schedule: RetrySchedule,
-    pub(crate) last_end: Duration,
+    pub(crate) flow: TierFlow,
 }
 
 impl QueuedOffer {
@@ -115,15 +106,6 @@
     }
 }
 
-impl PoolState {
-    /// Time after which one more refused request would be admitted.
-    pub(crate) fn retry_after(&mut self, now: Duration, ahead: usize) -> Duration {
-        let per_s = 1.0 / self.mean_end_interval.max(MIN_END_INTERVAL);
-        self.retry_schedule
-            .schedule(now, count_to_f64(ahead), per_s)
-    }
-}
-
 /// Decides on offers for the targets of the shards that a member owns.
 pub struct Owner {
     pub(crate) settings: Settings,
@@ -298,9 +280,9 @@
         let ahead = pool
             .queue
             .partition_point(|waiting| waiting.offer.tier <= offer.tier);
-        let wait = Duration::from_secs_f64(pool.mean_end_interval * count_to_f64(ahead));
-        if ahead > 0 && wait > wait_limit {
-            let after = pool.retry_after(now, ahead);
+        let ahead = count_to_f64(ahead);
+        if ahead > 0.0 && pool.flow.min_wait(ahead) > wait_limit {
+            let after = pool.flow.book_return(now, offer.tier, ahead);
             self.refund(&offer, charged);
             let reason = self.no_capacity_reason(now, &offer);
             return self.refuse(offer.id, reason, after);
@@ -345,11 +327,7 @@
         }
         let pool = self.pool(&run.pool);
         pool.speed.record_end(report, run.expected_output, unit);
-        let interval = now.saturating_sub(pool.last_end).as_secs_f64();
-        if interval < MAX_END_INTERVAL {
-            pool.mean_end_interval += (interval - pool.mean_end_interval) * END_INTERVAL_WEIGHT;
-        }
-        pool.last_end = now;
+        pool.flow.record_end(now);
     }
 
     /// Records the first event of a stream.
@@ -358,15 +336,16 @@
             return;
         };
         run.has_started = true;
-        let (pool, queued_tokens) = (run.pool.clone(), run.queued_tokens);
+        let pool = run.pool.clone();
+        let (read_alone, prompt_tokens) = (run.read_alone, run.prompt_tokens);
         let mut unit = None;
         if let Some(state) = self.targets.get_mut(&run.target) {
             unit = state.speed.unit();
             state.record_start(now, run.prompt_tokens, report);
         }
-        if let Some(unit) = unit {
+        if let Some(unit) = unit.filter(|_| read_alone) {
             let speed = &mut self.pool(&pool).speed;
-            speed.record_start(report.first_event, queued_tokens, unit);
+            speed.record_start(report.first_event, prompt_tokens, unit);
         }
     }
 
@@ -399,7 +378,7 @@
                     prompt_tokens: 0,
                     expected_output: None,
                     has_started: true,
-                    queued_tokens: 0,
+                    read_alone: false,
                 },
             );
         }
@@ -454,7 +433,7 @@
             if let Some(state) = self.targets.get_mut(&run.target) {
                 state.running = state.running.saturating_sub(1);
                 if !run.has_started {
-                    state.unread_tokens = state.unread_tokens.saturating_sub(run.prompt_tokens);
+                    state.finish_prompt(run.prompt_tokens);
                 }
             }
         }
@@ -478,9 +457,7 @@
                 settings.retry_slack,
             ),
             speed: PoolSpeed::default(),
-            mean_end_interval: 0.0,
-            retry_schedule: RetrySchedule::default(),
-            last_end: Duration::ZERO,
+            flow: TierFlow::default(),
         })
     }
 }
--- a/crates/admit/src/target.rs
+++ b/crates/admit/src/target.rs
@@ -86,6 +86,8 @@
     sends: VecDeque<Duration>,
     /// Prompt tokens of the runs whose first event has not arrived.
     pub(crate) unread_tokens: u32,
+    /// Time by which these are expected to be read.
+    pub(crate) reading_until: Duration,
     pub(crate) speed: TargetSpeed,
     pub(crate) pace: Pace,
     /// Moving average of the share of runs that failed.
@@ -114,6 +116,7 @@
             last_activity: Duration::ZERO,
             sends: VecDeque::new(),
             unread_tokens: 0,
+            reading_until: Duration::ZERO,
             speed: TargetSpeed::default(),
             pace: Pace::Full,
             failure_share: 0.0,
@@ -229,9 +232,23 @@
         self.other_load_until = now + OTHER_LOAD_MEMORY;
     }
 
+    /// Adds the time that reading a prompt takes.
+    pub(crate) fn queue_prompt(&mut self, now: Duration, read_seconds: f64) {
+        let read_time = Duration::try_from_secs_f64(read_seconds).unwrap_or_default();
+        self.reading_until = self.reading_until.max(now) + read_time;
+    }
+
+    /// Removes a prompt that was read, or whose run has ended.
+    pub(crate) fn finish_prompt(&mut self, tokens: u32) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(tokens);
+        if self.unread_tokens == 0 {
+            self.reading_until = Duration::ZERO;
+        }
+    }
+
     /// Records the first event of a run with this many prompt tokens.
     pub(crate) fn record_start(&mut self, now: Duration, tokens: u32, report: &StartReport) {
-        self.unread_tokens = self.unread_tokens.saturating_sub(tokens);
+        self.finish_prompt(tokens);
         self.pace.record_answer(self.slots);
         if let Some(load) = &report.load {
             self.record_load(now, load, self.running);
@@ -273,9 +290,7 @@
             self.record_load(now, load, self.running);
         }
         self.running = self.running.saturating_sub(1);
-        self.unread_tokens = self
-            .unread_tokens
-            .saturating_sub(unread_tokens.unwrap_or(0));
+        self.finish_prompt(unread_tokens.unwrap_or(0));
         self.last_activity = now;
         match report.end {
             RunEnd::Served => {
--- a/crates/admit/src/target_speed.rs
+++ b/crates/admit/src/target_speed.rs
@@ -76,14 +76,13 @@
 }
 
 impl PoolSpeed {
-    /// Records the first event of a stream. `queued_tokens` are the prompt tokens that the target
-    /// had to read before and with its own.
-    pub(crate) fn record_start(&mut self, first_event: Duration, queued_tokens: u32, unit: f64) {
-        if queued_tokens < MIN_OBSERVED_PROMPT || unit <= 0.0 {
+    /// Records the first event of a stream whose target read no other prompt when it was sent.
+    pub(crate) fn record_start(&mut self, first_event: Duration, prompt_tokens: u32, unit: f64) {
+        if prompt_tokens < MIN_OBSERVED_PROMPT || unit <= 0.0 {
             return;
         }
         let reading = (first_event.as_secs_f64() - unit).max(0.0);
-        let per_token = reading / unit / f64::from(queued_tokens);
+        let per_token = reading / unit / f64::from(prompt_tokens);
         // Prompts that are already in the cache take no time.
         if per_token > 0.0 {
             self.read_per_token = Some(moved(self.read_per_token, per_token, POOL_WEIGHT));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -216,7 +216,7 @@
             && events.can_be_resumed();
         let resume_request = can_resume.then(|| resume_request(&stream, &source));
         let end = relay_events(
-            &stream,
+            &mut stream,
             &mut source,
             &mut events,
             &mut reserved,
@@ -312,7 +312,7 @@
 }
 
 async fn relay_events(
-    stream: &StreamContext,
+    stream: &mut StreamContext,
     source: &mut TargetStream,
     events: &mut EventSplitter,
     reserved: &mut Reservation,
@@ -364,6 +364,7 @@
                 }
                 if let Some(last) = last_event_at.replace(now) {
                     let pause = now.saturating_sub(last);
+                    stream.log.record_pause(pause);
                     let longest = source.permit.report.longest_pause.get_or_insert(pause);
                     *longest = pause.max(*longest);
                 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -143,7 +143,7 @@
         Some(Err(err)) => return Err(reject_body(node, &head.id, err)),
         None => return Err(reject(node, 408, &head.id, "body late", None)),
     };
-    let log = RequestLog::new(
+    let mut log = RequestLog::new(
         received_at,
         &head.id,
         &allowed.route.name,
@@ -153,6 +153,7 @@
     );
     let fingerprint = fingerprint(path, head.key.as_deref(), &body);
     let permit_request = permit_request(&allowed, &head, fingerprint, received_at);
+    log.record_request(&permit_request);
     Ok(AdmittedRequest {
         node: Rc::clone(node),
         deadline,
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -8,7 +8,7 @@
 
 use crate::clock;
 use crate::node::Node;
-use crate::permit::Permit;
+use crate::permit::{Permit, PermitRequest};
 use admit::{Name, RouteKind};
 
 /// Facts about one request, collected while it is served.
@@ -30,6 +30,11 @@
     has_met_limit: bool,
     first_byte: Option<Duration>,
     sends: u32,
+    tier: u8,
+    /// Prompt tokens and expected output tokens that the caller stated; zero if none.
+    tokens: (u32, u32),
+    /// Longest pause between events.
+    longest_pause: Duration,
 }
 
 impl RequestLog {
@@ -54,9 +59,25 @@
             has_met_limit: false,
             first_byte: None,
             sends: 0,
+            tier: 0,
+            tokens: (0, 0),
+            longest_pause: Duration::ZERO,
         }
     }
 
+    /// Records what the request asks for, by which it is ranked and placed.
+    pub(crate) fn record_request(&mut self, request: &PermitRequest) {
+        self.tier = request.tier;
+        let prompt = request
+            .token_counts
+            .map_or(0, |counts| counts.prompt_tokens);
+        self.tokens = (prompt, request.expected_output.unwrap_or(0));
+    }
+
+    pub(crate) fn record_pause(&mut self, pause: Duration) {
+        self.longest_pause = self.longest_pause.max(pause);
+    }
+
     /// Records a permit.
     pub(crate) fn record_permit(&mut self, permit: &Permit, permit_wait: Duration) {
         self.owner = permit.owner().to_string();
@@ -99,7 +120,8 @@
                 id = &*self.id, route = &*self.route, workspace = self.workspace(),
                 owner = &*self.owner, target = &*self.target, sends = self.sends,
                 waited_ms = millis(self.permit_wait), first_ms = millis(first),
-                took_ms = millis(took), events = events, config = self.config,
+                took_ms = millis(took), events = events, tier = self.tier, prompt = self.tokens.0,
+                expected = self.tokens.1, pause_ms = millis(self.longest_pause), config = self.config,
                 met_limit = self.has_met_limit;
                 "entry: served"
             );
@@ -108,7 +130,8 @@
                 id = &*self.id, route = &*self.route, workspace = self.workspace(),
                 owner = &*self.owner, target = &*self.target, sends = self.sends,
                 waited_ms = millis(self.permit_wait), first_ms = millis(first),
-                took_ms = millis(took), events = events, config = self.config,
+                took_ms = millis(took), events = events, tier = self.tier, prompt = self.tokens.0,
+                expected = self.tokens.1, pause_ms = millis(self.longest_pause), config = self.config,
                 met_limit = self.has_met_limit,
                 live = node.membership.borrow().live_count(clock::now()), outcome = outcome;
                 "entry: not served whole"
@@ -134,7 +157,8 @@
         warn!(
             id = &*self.id, route = &*self.route, workspace = self.workspace(),
             owner = &*self.owner, target = &*self.target, sends = self.sends,
-            waited_ms = millis(self.permit_wait), took_ms = millis(took), status = status,
+            waited_ms = millis(self.permit_wait), took_ms = millis(took), status = status, tier = self.tier,
+            prompt = self.tokens.0, expected = self.tokens.1,
             reason = reason, retry_after_ms = retry_after.map_or(0, millis),
             config = self.config, live = node.membership.borrow().live_count(now),
             store_age_ms = millis(node.store_age(now));
