--- a/crates/admit/src/owner.rs
+++ b/crates/admit/src/owner.rs
@@ -204,6 +204,19 @@
             .unwrap_or_default()
     }
 
+    /// Number of runs counted at all targets, and prompt tokens of those without a first event.
+    #[must_use]
+    pub fn running_totals(&self) -> (u64, u64) {
+        self.targets
+            .values()
+            .fold((0, 0), |(running, unread), state| {
+                (
+                    running + u64::from(state.running),
+                    unread + u64::from(state.unread_tokens),
+                )
+            })
+    }
+
     /// Applies the targets, pools and workspaces of the catalog.
     pub fn apply_catalog(&mut self, now: Duration, catalog: &Catalog) {
         let mut seen = HashSet::new();
