--- a/crates/admit/src/grant.rs
+++ b/crates/admit/src/grant.rs
@@ -21,6 +21,8 @@
 const UNKNOWN_WAIT_SHARE: f64 = 0.5;
 /// Share that it may always wait. A long prompt that no idle target reads in time is late anyway.
 const MIN_WAIT_SHARE: f64 = 0.25;
+/// Time for which the mean speed of a pool is used. Speeds are averages over many runs.
+const MEAN_UNIT_MEMORY: Duration = Duration::from_millis(100);
 /// Share of the time limit that a request may wait. A caller that has come back has less time left than
 /// the target latency, and must not be held until it gives up.
 const MAX_TIME_SHARE: f64 = 0.4;
@@ -100,10 +102,13 @@
         });
         let rest = queue.split_off(first.unwrap_or(queue.len()));
         let before = queue.len();
+        let pool_unit = self.mean_unit(now, name);
         for waiting in rest {
             let candidates = candidates.get(self, now, &waiting.offer);
             let is_last_chance = now + LAST_CHANCE_TIME >= waiting.deadline;
-            if let Some(at) = self.choose_target(now, &candidates.keys, &waiting, is_last_chance) {
+            if let Some(at) =
+                self.choose_target(now, &candidates.keys, &waiting, pool_unit, is_last_chance)
+            {
                 let key = candidates.keys[at];
                 self.grant(now, waiting, key);
                 let salt = self.tie_salt;
@@ -163,11 +168,11 @@
         now: Duration,
         candidates: &[u64],
         waiting: &QueuedOffer,
+        pool_unit: f64,
         is_last_chance: bool,
     ) -> Option<usize> {
         let offer = &waiting.offer;
         let bounds = waiting.bounds(now);
-        let pool_unit = self.mean_unit(&offer.pool);
         let session_target = self.session_targets.get(&offer.session).copied();
         let mut best: Option<(f64, u64, usize)> = None;
         for (at, &key) in candidates.iter().enumerate() {
@@ -204,7 +209,7 @@
             }
             self.session_targets.insert(offer.session, key);
         }
-        let pool_unit = self.mean_unit(&offer.pool);
+        let pool_unit = self.mean_unit(now, &offer.pool);
         let pool = self.pool(&offer.pool);
         pool.flow.record_grant(offer.tier);
         let read_units = pool.speed.read_units(offer.prompt_tokens());
@@ -293,14 +298,14 @@
 
     /// Longest wait of an offer in the queue. After it, no target of the shard is expected to respond
     /// in time, or, as long as the speed of the targets is not known, half of the time is over.
-    pub(crate) fn wait_limit(&self, now: Duration, offer: &Offer) -> Duration {
+    pub(crate) fn wait_limit(&mut self, now: Duration, offer: &Offer) -> Duration {
         let half = offer
             .max_wait
             .min(offer.aim_left.mul_f64(UNKNOWN_WAIT_SHARE));
         if offer.aim_left.is_zero() {
             return offer.max_wait.mul_f64(UNKNOWN_WAIT_SHARE);
         }
-        let pool_unit = self.mean_unit(&offer.pool);
+        let pool_unit = self.mean_unit(now, &offer.pool);
         let firsts = self
             .targets
             .values()
@@ -321,15 +326,21 @@
     }
 
     /// Mean seconds per unit of work over the targets of a pool; zero if none is known.
-    pub(crate) fn mean_unit(&self, pool: &str) -> f64 {
-        let states = self.targets.values().filter(|state| &*state.pool == pool);
+    pub(crate) fn mean_unit(&mut self, now: Duration, pool: &Name) -> f64 {
+        let (mean, computed_at) = self.pool(pool).mean_unit;
+        if mean > 0.0 && now.saturating_sub(computed_at) < MEAN_UNIT_MEMORY {
+            return mean;
+        }
+        let states = self.targets.values().filter(|state| state.pool == *pool);
         let (sum, count) = states
             .filter_map(|state| state.speed.unit())
             .fold((0.0, 0), |(sum, count), unit| (sum + unit, count + 1));
-        if count == 0 {
+        let mean = if count == 0 {
             0.0
         } else {
             sum / count_to_f64(count)
-        }
+        };
+        self.pool(pool).mean_unit = (mean, now);
+        mean
     }
 }
--- a/crates/admit/src/owner.rs
+++ b/crates/admit/src/owner.rs
@@ -76,6 +76,9 @@
     pub(crate) queue: Vec<QueuedOffer>,
     pub(crate) budget: RetryBudget,
     pub(crate) speed: PoolSpeed,
+    /// Mean seconds per unit of work over the targets, and the time at which it was computed. A decision
+    /// must not go through all targets for each request that waits.
+    pub(crate) mean_unit: (f64, Duration),
     pub(crate) flow: TierFlow,
 }
 
@@ -290,12 +293,14 @@
         } else {
             pool.budget.record_first_send(now);
         }
-        let ahead = pool
-            .queue
-            .partition_point(|waiting| waiting.offer.tier <= offer.tier);
-        let ahead = count_to_f64(ahead);
-        if ahead > 0.0 && pool.flow.min_wait(ahead) > wait_limit {
-            let after = pool.flow.book_return(now, offer.tier, ahead);
+        if self.would_wait_longer(&offer, wait_limit) {
+            // Offers that arrived since the last decision may not have to wait.
+            self.serve_queue(now, &offer.pool);
+        }
+        if self.would_wait_longer(&offer, wait_limit) {
+            let ahead = self.queued_ahead(&offer);
+            let flow = &mut self.pool(&offer.pool).flow;
+            let after = flow.book_return(now, offer.tier, ahead);
             self.refund(&offer, charged);
             let reason = self.no_capacity_reason(now, &offer);
             return self.refuse(offer.id, reason, after);
@@ -314,6 +319,18 @@
         queue.insert(at, waiting);
     }
 
+    /// Number of queued offers that go before a new one.
+    fn queued_ahead(&mut self, offer: &Offer) -> f64 {
+        let queue = &self.pool(&offer.pool).queue;
+        count_to_f64(queue.partition_point(|waiting| waiting.offer.tier <= offer.tier))
+    }
+
+    /// Whether an offer would wait for longer than it may.
+    fn would_wait_longer(&mut self, offer: &Offer, wait_limit: Duration) -> bool {
+        let ahead = self.queued_ahead(offer);
+        ahead > 0.0 && self.pool(&offer.pool).flow.min_wait(ahead) > wait_limit
+    }
+
     /// Removes a queued offer, or ends its run as unused.
     pub fn withdraw(&mut self, now: Duration, id: RunId) {
         for pool in self.pools.values_mut() {
@@ -331,7 +348,7 @@
         let Some(run) = self.runs.remove(&id) else {
             return;
         };
-        let pool_unit = self.mean_unit(&run.pool);
+        let pool_unit = self.mean_unit(now, &run.pool);
         let unread_tokens = (!run.has_started).then_some(run.prompt_tokens);
         let mut unit = None;
         if let Some(state) = self.targets.get_mut(&run.target) {
@@ -373,7 +390,8 @@
         });
         for &(run, target) in listed {
             let id = RunId { entry, run };
-            if self.runs.contains_key(&id) {
+            // A run that is listed while it is queued here was granted by another owner.
+            if self.runs.contains_key(&id) || self.is_queued(id) {
                 continue;
             }
             let Some(state) = self.targets.get_mut(&target) else {
@@ -470,6 +488,7 @@
                 settings.retry_slack,
             ),
             speed: PoolSpeed::default(),
+            mean_unit: (0.0, Duration::ZERO),
             flow: TierFlow::default(),
         })
     }
