member: take a response with a status outside 200 to 599 as broken

Cause: The HTTP parser accepts status codes up to 999, and 101 as the end of a response. next_step relayed each status that it had no rule for. Change: attempt::send ends such an attempt as broken before it reads the headers of the response, and next_step decides for such a status as for a broken response.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,11 +7,13 @@
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use metrics::counter;
 
 use crate::adapter::{Attestation, ForwardContext, ResponseHead};
 use crate::buffer_budget::Reservation;
 use crate::clock;
 use crate::node::Node;
+use crate::retry_decision::is_final_status;
 use crate::target_notices;
 use crate::upstream::{self, Upstream};
 use admit::RunEnd;
@@ -102,6 +104,11 @@
         }
         Some(Ok(response)) => response,
     };
+    // Neither the headers nor the body of such a response can be relied on.
+    if !is_final_status(response.status().as_u16()) {
+        counter!("primrosechute_damaged_responses_total", "reason" => "status").increment(1);
+        return SendOutcome::Broken("status not final");
+    }
     let (parts, body) = response.into_parts();
     let bodyless = Response::from_parts(parts, ());
     let head = node.dialect.parse_response_head(&bodyless);
--- a/crates/gateway/src/retry_decision.rs
+++ b/crates/gateway/src/retry_decision.rs
@@ -1,5 +1,7 @@
 //! Decides after an attempt whether to retry, and what the caller gets.
 
+use std::ops::RangeInclusive;
+
 use admit::RouteKind;
 
 /// Outcome of one attempt.
@@ -55,11 +57,26 @@
 /// Status codes that promise the caller that the request did not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+/// Status codes of complete responses. Interim ones, from 100 to 199, are not the end of a response,
+/// and the HTTP parser accepts codes up to 999, which callers can't interpret.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Whether a status code can be that of a complete response.
+pub(crate) fn is_final_status(status: u16) -> bool {
+    FINAL_STATUSES.contains(&status)
+}
+
 /// Decides what happens after one attempt. `can_retry` is true if attempts and time are left for
 /// another target.
 #[must_use]
 pub fn next_step(outcome: AttemptOutcome, kind: RouteKind, can_retry: bool) -> NextStep {
     let retry = can_retry && kind.is_retryable();
+    let outcome = match outcome {
+        AttemptOutcome::Answered { status, .. } if !is_final_status(status) => {
+            AttemptOutcome::Broken
+        }
+        outcome => outcome,
+    };
     match outcome {
         AttemptOutcome::NotSent | AttemptOutcome::Rejected if can_retry => NextStep::Retry,
         AttemptOutcome::NotSent | AttemptOutcome::Rejected => NextStep::FailNotRun,
--- a/crates/gateway/tests/retry_decision.rs
+++ b/crates/gateway/tests/retry_decision.rs
@@ -105,6 +105,7 @@
             NextStep::FailUnknown,
         ),
         (answered(503, true), IDEMPOTENT, true, NextStep::Retry),
+        (answered(599, true), NON_IDEMPOTENT, true, NextStep::Relay),
     ];
     for (outcome, kind, can_retry, expected) in rows {
         assert_eq!(
@@ -115,13 +116,31 @@
     }
 }
 
+/// Guards against a status that no complete response has, and that is relayed nevertheless.
+#[test]
+fn a_status_outside_http_is_that_of_a_broken_response() {
+    for status in [0, 1, 99, 100, 101, 199, 600, 777, 999, 1000, u16::MAX] {
+        for signed in [false, true] {
+            for kind in [NON_IDEMPOTENT, IDEMPOTENT, STREAM, RESUMABLE_STREAM] {
+                for can_retry in [false, true] {
+                    let expected = next_step(AttemptOutcome::Broken, kind, can_retry);
+
+                    let step = next_step(answered(status, signed), kind, can_retry);
+
+                    assert_eq!(step, expected, "{status} {signed} {kind:?} {can_retry}");
+                }
+            }
+        }
+    }
+}
+
 /// Guards against a request being reported as not run although bytes of it were sent and its target
 /// did not state that it did not run.
 #[test]
 fn only_unsent_or_rejected_requests_are_reported_as_not_run() {
     for kind in [NON_IDEMPOTENT, IDEMPOTENT, STREAM, RESUMABLE_STREAM] {
         for can_retry in [false, true] {
-            for status in 100..600 {
+            for status in 0..=u16::MAX {
                 for signed in [false, true] {
                     assert_ne!(
                         next_step(answered(status, signed), kind, can_retry),
