serve: take a response with a status outside 200 to 599 as broken

Cause: The HTTP parser accepts status codes up to 999, and 101 as the end of a response. The daemon relayed them with the outcome served. Change: Connection::send fails for such a response like for a broken connection, so that an engine is asked for the run and a call to a service ends as unknown.

--- a/crates/daemon/src/entry/dispatch.rs
+++ b/crates/daemon/src/entry/dispatch.rs
@@ -16,7 +16,7 @@
 use super::response_buffer::ResponseBuffer;
 use crate::node::Node;
 use crate::outcome::{ID_HEADER, Outcome};
-use crate::target::{ConnectError, Connection};
+use crate::target::{ConnectError, Connection, NoResponse};
 
 /// Header with the workspace for which a request runs, added for the target.
 const WORKSPACE_HEADER: &str = "x-primrosechute-workspace";
@@ -58,7 +58,7 @@
 pub(super) enum Sent {
     /// The head of the response arrived.
     Responded(Response<Incoming>),
-    /// The connection broke before the response began.
+    /// The connection broke before the response began, or its head can't be used.
     Broken,
     /// The hard deadline passed.
     TimedOut,
@@ -92,7 +92,7 @@
     Ok(tokio::select! {
         response = connection.send(req) => match response {
             Ok(response) => Sent::Responded(response),
-            Err(_) => resume_after_break(node, job, target.address).await,
+            Err(NoResponse) => resume_after_break(node, job, target.address).await,
         },
         () = tokio::time::sleep(left) => Sent::TimedOut,
         () = caller_gone(buffer) => Sent::CallerGone,
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -5,6 +5,7 @@
 //! At the design scale a daemon opens about 50 connections a second.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use metrics::counter;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -28,6 +30,14 @@
     Unreachable,
 }
 
+/// No usable response head arrived, although the request may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct NoResponse;
+
+/// Status codes of complete responses. Interim ones, from 100 to 199, are not the end of a response,
+/// and the HTTP parser accepts codes up to 999, which callers can't interpret.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// An open connection for one request.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -55,11 +65,20 @@
     }
 
     /// Sends the request. After this call it may have run.
+    ///
+    /// # Errors
+    /// Fails if the connection breaks before the response head, or if that has no status of HTTP.
     pub(crate) async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, hyper::Error> {
-        self.sender.send_request(req).await
+    ) -> Result<Response<Incoming>, NoResponse> {
+        let response = self.sender.send_request(req).await;
+        let response = response.map_err(|_| NoResponse)?;
+        if FINAL_STATUSES.contains(&response.status().as_u16()) {
+            return Ok(response);
+        }
+        counter!("primrosechute_damaged_responses_total", "reason" => "status").increment(1);
+        Err(NoResponse)
     }
 }
 
