Tests of parts of responses before an orderly close

Cause: No test showed what a caller gets if a target closes in order before the length is reached, the last chunk or the end of the trailers, also with Connection: close and HTTP/1.0.

--- a/crates/daemon/tests/damaged_responses.rs
+++ b/crates/daemon/tests/damaged_responses.rs
@@ -181,6 +181,8 @@
 const SIZED_CLOSE: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 5\r\n\r\nhello";
 const SIZED_1_0: &str = "HTTP/1.0 200 OK\r\ncontent-length: 5\r\n\r\nhello";
 const SIZED_PART: &str = "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhello";
+const SIZED_PART_CLOSE: &str =
+    "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 50\r\n\r\nhello";
 const SIZED_PART_1_0: &str = "HTTP/1.0 200 OK\r\ncontent-length: 50\r\n\r\nhello";
 const CHUNKED: &str =
     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
@@ -229,6 +231,37 @@
     }
 }
 
+/// Guards against a part of a response that is taken for complete because the connection was closed in
+/// order: its length is not reached, or its last chunk, the trailers or the line after them are missing.
+#[tokio::test]
+async fn a_part_before_an_orderly_close_is_no_success() {
+    use Ending::{Closes, HalfCloses};
+    let parts = [
+        SIZED_PART,
+        SIZED_PART_CLOSE,
+        SIZED_PART_1_0,
+        CHUNKED_PART,
+        LAST_CHUNK_PART,
+        TRAILERS_PART,
+    ];
+    for text in parts {
+        for ending in [Closes, HalfCloses] {
+            for path in [SERVICE, ENGINE] {
+                for &length in uploads(path) {
+                    let target = Target::start(Reply { text, ending });
+                    let daemon = start_daemon(&target, path).await;
+
+                    let response = upload(&daemon, path, length).await;
+
+                    let row = format!("{text:?} {ending:?} {path} {length}");
+                    assert!(is_broken(&response), "{row}: {response:?}");
+                    assert_eq!(target.sends(), 1, "{row}");
+                }
+            }
+        }
+    }
+}
+
 /// Guards against a sound response that is lost because it came, or its connection ended, before the
 /// request was written, and against a target that does not get the rest of the request.
 #[tokio::test]
