--- a/crates/admit/tests/placement.rs
+++ b/crates/admit/tests/placement.rs
@@ -325,7 +325,6 @@
     /// Guards against an order of reports and lists that leaves slots taken, or unread prompt tokens
     /// counted, after all runs have ended.
     #[test]
-    #[ignore = "known red, see KNOWN-RED.txt"]
     fn nothing_is_counted_when_all_runs_have_ended(ops in ops()) {
         prop_assert_eq!(totals_after(&ops, true), (0, 0));
     }
@@ -339,7 +338,6 @@
 
 /// Guards against offers that are refused beside free slots because others arrived at the same moment.
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt"]
 fn offers_that_arrive_together_get_the_free_slots() {
     let (mut owner, catalog) = owner();
     teach(&mut owner, &catalog);
--- a/crates/admit/tests/replays.rs
+++ b/crates/admit/tests/replays.rs
@@ -822,7 +822,6 @@
 
 /// Guards against lower tiers that take the place of higher ones while the load stays.
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt"]
 fn twice_the_capacity() {
     check(|| Row {
         name: "twice",
@@ -833,7 +832,6 @@
 
 /// Guards against a backlog that makes requests late after a burst.
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt"]
 fn a_burst() {
     check(|| Row {
         name: "burst",
@@ -850,7 +848,6 @@
 
 /// Guards against queues that grow while the clumps of three zones meet at 8 s.
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt"]
 fn waves_of_three_zones_that_meet() {
     check(|| Row {
         name: "waves",
@@ -891,7 +888,6 @@
 
 /// Guards against requests that are lost or late at targets that are gone.
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt"]
 fn a_fifth_of_the_targets_gone() {
     check(|| Row {
         name: "gone",
@@ -924,7 +920,6 @@
 
 /// Guards against a new owner that sends more than the slots hold beside runs that it does not know.
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt"]
 fn the_owner_restarted() {
     check(|| Row {
         name: "restart",
