--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! | `poison_parts` | detection of poison requests and poison parts of prompts | none |
 //! | `crash_check` | checks whether the target of a broken run has crashed | TCP |
 //! | `retry_decision` | response to the caller or retry after an attempt | none |
+//! | `run_listing` | which owners get the list of runs | none |
 //! | `message` | datagrams between members | none |
 //! | `buffer_budget` | bounds the memory of all buffers together | none |
 //! | `body` | bodies of requests and responses | through `upstream` |
@@ -61,6 +62,7 @@
 mod request;
 mod request_log;
 mod retry_decision;
+mod run_listing;
 mod serve;
 mod store_follower;
 mod target_notices;
@@ -78,10 +80,12 @@
 pub use clock::now as boot_time;
 pub use log_throttle::LogThrottle;
 pub use membership::{Heartbeat, Member, Membership, Sighting};
+pub use message::run_list_len;
 pub use poison_parts::{Blame, PartReport, PoisonParts};
 pub use position::Position;
 pub use record_log::{LogDelta, RecordLog};
 pub use retry_decision::{AttemptOutcome, NextStep, next_step};
+pub use run_listing::RunListing;
 pub use serve::{Outcome, run};
 pub use target_pauses::TargetPauses;
 pub use transfer::{Progress, until_stalled};
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -585,6 +585,17 @@
             .unwrap_or_default()
     }
 
+    /// Whether a known member is in the zone of this process.
+    pub(crate) fn is_in_own_zone(&self, ip: Ipv4Addr) -> Option<bool> {
+        let known = self.known.get(&ip)?;
+        Some(known.member.zone == self.local.zone)
+    }
+
+    /// Incarnation of a known member.
+    pub(crate) fn incarnation_of(&self, ip: Ipv4Addr) -> Option<u64> {
+        Some(self.known.get(&ip)?.member.incarnation)
+    }
+
     /// Number of live members, including this process.
     #[must_use]
     pub fn live_count(&self, now: Duration) -> usize {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -46,6 +46,23 @@
     Start(StartMsg),
 }
 
+impl Body {
+    /// Label of the kind of message in metrics.
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            Body::Heartbeat(msg) if msg.others.is_empty() && msg.sightings.is_empty() => "run_list",
+            Body::Heartbeat(_) => "heartbeat",
+            Body::Offer(_) => "offer",
+            Body::Queued(_) => "queued",
+            Body::Grant(_) => "grant",
+            Body::Refuse(_) => "refuse",
+            Body::Release(_) => "release",
+            Body::Withdraw(_) => "withdraw",
+            Body::Start(_) => "start",
+        }
+    }
+}
+
 #[derive(Clone, PartialEq, Message)]
 #[expect(clippy::struct_excessive_bools, reason = "independent facts")]
 pub(crate) struct MemberMsg {
@@ -498,6 +515,27 @@
     }
 }
 
+/// Bytes of a datagram that carries only the list of runs, without limits and leaving targets.
+#[must_use]
+pub fn run_list_len(from: &Member, runs: &[(u64, u64)]) -> usize {
+    let heartbeat = Heartbeat {
+        from: *from,
+        others: Vec::new(),
+        sightings: Vec::new(),
+    };
+    let mut msg = HeartbeatMsg::new(&heartbeat);
+    msg.runs = runs
+        .iter()
+        .map(|&(run, target)| RunMsg { run, target })
+        .collect();
+    datagram_len(from.incarnation, msg)
+}
+
+fn datagram_len(sender: u64, msg: HeartbeatMsg) -> usize {
+    let body = Some(Body::Heartbeat(msg));
+    Datagram { sender, body }.encoded_len()
+}
+
 /// Milliseconds for the wire; longer times are capped at `u32::MAX`.
 pub(crate) fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -22,6 +22,7 @@
 use crate::message::{Body, Datagram, GrantMsg, RefuseMsg, ReleaseMsg, StartMsg, millis};
 use crate::poison_parts::PoisonParts;
 use crate::record_log::RecordLog;
+use crate::run_listing::RunListing;
 use crate::target_pauses::TargetPauses;
 use crate::upstream::UpstreamPool;
 use admit::Catalog;
@@ -116,8 +117,7 @@
     /// Successful calls of this member to the store, since one failed.
     pub(crate) store_contact: Cell<Option<StoreContact>>,
     pub(crate) runs: RefCell<HashMap<u64, InFlight>>,
-    /// Owners that were asked recently, with the time of the last offer.
-    pub(crate) recent_owners: RefCell<HashMap<Ipv4Addr, Duration>>,
+    pub(crate) run_listing: RefCell<RunListing>,
     pending: RefCell<HashMap<u64, mpsc::UnboundedSender<Reply>>>,
     /// Addresses of the entries that sent offers or heartbeats to this process, by incarnation.
     entry_addresses: RefCell<HashMap<u64, Ipv4Addr>>,
@@ -162,7 +162,7 @@
             last_store_success: Cell::new(Duration::ZERO),
             store_contact: Cell::new(None),
             runs: RefCell::default(),
-            recent_owners: RefCell::default(),
+            run_listing: RefCell::default(),
             pending: RefCell::default(),
             entry_addresses: RefCell::default(),
             next_run: Cell::new(1),
@@ -378,13 +378,36 @@
             body: Some(body),
         };
         let address = SocketAddr::from((to, self.settings.peer_reach));
+        let encoded = datagram.encode_to_vec();
+        let kind = datagram.body.as_ref().map_or("none", Body::kind);
+        self.count_sent(to, kind, encoded.len());
         // A failed send counts as a lost datagram; whatever must arrive is sent again.
-        if let Err(err) = self.socket.try_send_to(&datagram.encode_to_vec(), address) {
+        if let Err(err) = self.socket.try_send_to(&encoded, address) {
             metrics::counter!("primrosechute_datagrams_unsent_total").increment(1);
             debug!("peer: a datagram to {to} was not sent: {err}");
         }
     }
 
+    /// Sends the end of a run or an offer to its owner. Lists of runs repeat it.
+    pub(crate) fn send_end(&self, owner: Ipv4Addr, body: Body) {
+        self.run_listing
+            .borrow_mut()
+            .record_end(clock::now(), owner);
+        self.send(owner, body);
+    }
+
+    /// Counts bytes sent to another member.
+    pub(crate) fn count_sent(&self, to: Ipv4Addr, kind: &'static str, bytes: usize) {
+        let zone = match self.membership.borrow().is_in_own_zone(to) {
+            Some(true) => "own",
+            Some(false) => "other",
+            None => "unknown",
+        };
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        metrics::counter!("primrosechute_peer_bytes_total", "kind" => kind, "zone" => zone)
+            .increment(bytes);
+    }
+
     pub(crate) async fn receive(&self, buf: &mut [u8]) -> std::io::Result<(usize, SocketAddr)> {
         self.socket.recv_from(buf).await
     }
@@ -407,7 +430,7 @@
             self.owner.borrow_mut().release(clock::now(), id, report);
             self.decide();
         } else {
-            self.send(owner, Body::Release(ReleaseMsg::new(run, report)));
+            self.send_end(owner, Body::Release(ReleaseMsg::new(run, report)));
         }
     }
 
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -1,5 +1,6 @@
 //! Exchanges datagrams with other members: heartbeats, offers and decisions.
 
+use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +16,7 @@
     Body, Datagram, GrantMsg, HeartbeatMsg, LimitMsg, MAX_DATAGRAM, PartReportMsg, ReleaseMsg,
     RunMsg,
 };
-use crate::node::{Node, Reply};
+use crate::node::{InFlight, Node, Reply};
 use crate::poison_parts::PartReport;
 use crate::target_notices;
 use admit::LimitReport;
@@ -30,8 +31,6 @@
 /// Shortest time between two heartbeats if more are requested. It bounds their traffic while targets
 /// crash one after the other.
 const MIN_HEARTBEAT_GAP: Duration = Duration::from_millis(100);
-/// An owner gets the list of runs in flight for this long after the last offer to it.
-const RECENT_OWNER_MEMORY: Duration = Duration::from_secs(3);
 /// While offers are queued, the owner is polled at this interval in addition, for waits and
 /// backoffs that have ended.
 const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -86,19 +85,13 @@
         });
         membership.next_heartbeat(now)
     };
-    let mut recent_owners = node.recent_owners.borrow_mut();
-    recent_owners.retain(|_, &mut at| now.saturating_sub(at) < RECENT_OWNER_MEMORY);
+    let runs = node.runs.borrow();
     let gossip_recipients = to.len();
-    for &owner in recent_owners.keys() {
-        if owner != node.settings.ip && !to.contains(&owner) {
-            to.push(owner);
-        }
-    }
+    add_list_recipients(node, now, &runs, &mut to);
     let reports = node.poison_parts.borrow().reports(now);
     let limits = node.named_limits.borrow_mut().reports(now);
     let limits: Vec<LimitMsg> = limits.iter().map(LimitMsg::from).collect();
     let leaving = node.catalog.borrow().recently_leaving(now);
-    let runs = node.runs.borrow();
     for (at, ip) in to.into_iter().enumerate() {
         let mut msg = HeartbeatMsg::new(&heartbeat);
         msg.limits.clone_from(&limits);
@@ -123,6 +116,28 @@
     }
 }
 
+/// Adds the owners that get the list of runs to those that get the heartbeat anyway.
+fn add_list_recipients(
+    node: &Node,
+    now: Duration,
+    runs: &HashMap<u64, InFlight>,
+    to: &mut Vec<Ipv4Addr>,
+) {
+    let membership = node.membership.borrow();
+    let incarnation_of = |owner| membership.incarnation_of(owner);
+    let owners = runs.values().map(|run| run.owner);
+    let in_flight = owners.filter(|&ip| ip != node.settings.ip).collect();
+    let mut listing = node.run_listing.borrow_mut();
+    for owner in listing.due(now, &in_flight, incarnation_of) {
+        if !to.contains(&owner) {
+            to.push(owner);
+        }
+    }
+    for &ip in to.iter() {
+        listing.record_sent(now, ip, incarnation_of(ip));
+    }
+}
+
 /// Polls the owner while offers are queued.
 pub(crate) async fn poll_owner(node: Rc<Node>) {
     loop {
@@ -261,5 +276,5 @@
     }
     // The run may be in flight with a permit of another owner, so it stays in the list of runs.
     let unused = ReleaseMsg::new(run, &RunReport::of(RunEnd::Unused));
-    node.send(from, Body::Release(unused));
+    node.send_end(from, Body::Release(unused));
 }
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -104,7 +104,7 @@
             self.node.owner.borrow_mut().withdraw(clock::now(), id);
             self.node.decide();
         } else {
-            self.node.send(current_owner, Body::Withdraw(self.run));
+            self.node.send_end(current_owner, Body::Withdraw(self.run));
         }
     }
 }
@@ -264,7 +264,6 @@
     replies: &mut tokio::sync::mpsc::UnboundedReceiver<Reply>,
     max_wait: Duration,
 ) -> Option<Reply> {
-    node.recent_owners.borrow_mut().insert(owner, clock::now());
     if owner == node.settings.ip {
         node.offer(msg.clone().into_offer(node.local_run_id(msg.run)));
         let reply = timeout(max_wait + DECISION_MARGIN, replies.recv()).await;
