--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -17,9 +17,12 @@
 
 /// Maximum size of a response. A snapshot of 12,000 targets has about 6 MB.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-/// Maximum size of a request, which has three numbers.
+/// Maximum size of a request, which has three numbers and a flag.
 const MAX_REQUEST_BYTES: usize = 64;
 
+/// Bytes of the length that precedes each message.
+const FRAME_HEAD: usize = 4;
+
 type Inspect = Box<dyn FnMut(&[u8])>;
 
 /// Connection on which one member follows another one.
@@ -40,6 +43,9 @@
     /// Era of `after`.
     #[prost(uint64, tag = "3")]
     pub(crate) era: u64,
+    /// Whether the response may be a difference. Older builds don't know differences.
+    #[prost(bool, tag = "4")]
+    pub(crate) accepts_difference: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -79,15 +85,56 @@
     /// Era of `published_revision`.
     #[prost(uint64, tag = "8")]
     pub(crate) published_era: u64,
+    /// Whether the records are those written after the requested revision, and `digest` lists all.
+    #[prost(bool, tag = "9")]
+    pub(crate) is_difference: bool,
+    #[prost(fixed64, repeated, tag = "10")]
+    pub(crate) digest: Vec<u64>,
 }
 
 impl FeedRequest {
     pub(crate) fn after(&self) -> Position {
         Position::new(self.era, self.after)
     }
+
+    pub(crate) fn frame_len(&self) -> usize {
+        FRAME_HEAD + self.encoded_len()
+    }
 }
 
 impl FeedResponse {
+    pub(crate) fn new(delta: LogDelta) -> Self {
+        let mut response = FeedResponse::default();
+        let records = match delta {
+            LogDelta::None => Vec::new(),
+            LogDelta::Changes(records) => records,
+            LogDelta::Difference { newer, digest } => {
+                response.is_difference = true;
+                response.digest = digest;
+                newer
+            }
+            LogDelta::Snapshot(records) => {
+                response.is_snapshot = true;
+                records
+            }
+        };
+        response.records = records.into_iter().map(RecordMsg::from).collect();
+        response
+    }
+
+    pub(crate) fn frame_len(&self) -> usize {
+        FRAME_HEAD + self.encoded_len()
+    }
+
+    /// Label of the kind of response in metrics.
+    pub(crate) fn kind(&self) -> &'static str {
+        match (self.is_snapshot, self.is_difference) {
+            (true, _) => "feed_snapshot",
+            (false, true) => "feed_difference",
+            (false, false) => "feed_changes",
+        }
+    }
+
     /// Position up to which the sender has applied all changes.
     pub(crate) fn position(&self) -> Position {
         Position::new(self.era, self.revision)
@@ -104,11 +151,19 @@
             value: msg.value.clone(),
             revision: msg.revision,
         });
-        match (self.is_snapshot, self.records.is_empty()) {
-            (true, _) => LogDelta::Snapshot(records.collect()),
-            (false, true) => LogDelta::None,
-            (false, false) => LogDelta::Changes(records.collect()),
+        if self.is_snapshot {
+            return LogDelta::Snapshot(records.collect());
         }
+        if self.is_difference {
+            return LogDelta::Difference {
+                newer: records.collect(),
+                digest: self.digest.clone(),
+            };
+        }
+        if self.records.is_empty() {
+            return LogDelta::None;
+        }
+        LogDelta::Changes(records.collect())
     }
 }
 
@@ -139,6 +194,8 @@
     Silent,
     /// The buffers of the process are full.
     NoMemory,
+    /// A difference does not fit the items that are known.
+    Incomplete,
 }
 
 impl FeedError {
@@ -161,6 +218,7 @@
             FeedError::Stale => "stale",
             FeedError::Silent => "silent",
             FeedError::NoMemory => "no_memory",
+            FeedError::Incomplete => "incomplete",
         }
     }
 }
@@ -228,6 +286,12 @@
     }
 }
 
+/// Bytes of a response with these items.
+#[must_use]
+pub fn delta_len(delta: LogDelta) -> usize {
+    FeedResponse::new(delta).frame_len()
+}
+
 /// Counts the bytes that pass.
 fn inspect(progress: &Progress) -> Inspect {
     let progress = progress.clone();
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -7,8 +7,6 @@
 use tokio::time::timeout;
 
 use crate::feed::{Connection, FeedError, FeedRequest, FeedResponse};
-use crate::message::millis;
-use crate::position::Position;
 use crate::transfer::Progress;
 
 /// Client of one reader at a time.
@@ -24,27 +22,22 @@
         self.progress.clone()
     }
 
-    /// Waits up to `wait` for changes after a revision. The response has to begin within
-    /// `response_timeout` after that, and must not stall for longer. After a failure, or if this
+    /// Waits for changes as requested. The response has to begin within `response_timeout` after
+    /// the requested wait, and must not stall for longer. After a failure, or if this
     /// future is dropped, the connection is not used again: a late response could be taken for the
     /// next one.
     pub(crate) async fn watch(
         &mut self,
         reader: SocketAddr,
-        after: Position,
-        wait: Duration,
+        req: &FeedRequest,
         response_timeout: Duration,
     ) -> Result<FeedResponse, FeedError> {
         let mut conn = match self.conn.take() {
             Some((address, conn)) if address == reader => conn,
             _ => self.connect(reader, response_timeout).await?,
         };
-        let req = FeedRequest {
-            after: after.revision,
-            wait_ms: millis(wait),
-            era: after.era,
-        };
-        conn.send(&req, response_timeout).await?;
+        let wait = Duration::from_millis(req.wait_ms.into());
+        conn.send(req, response_timeout).await?;
         let response = conn
             .receive(wait + response_timeout, response_timeout)
             .await?;
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -1,6 +1,7 @@
 //! Passes on what this member read from the store to the members that follow it.
 
 use std::cell::Cell;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 
 use crate::body::count_full;
 use crate::clock;
-use crate::feed::{Connection, FeedError, FeedRequest, FeedResponse, RecordMsg};
+use crate::feed::{Connection, FeedError, FeedRequest, FeedResponse};
 use crate::message::millis;
 use crate::node::{CountGuard, Node};
 use crate::record_log::LogDelta;
@@ -62,6 +63,10 @@
     _guard: CountGuard,
     mut close: watch::Receiver<bool>,
 ) {
+    let follower = match stream.peer_addr() {
+        Ok(SocketAddr::V4(address)) => *address.ip(),
+        Ok(SocketAddr::V6(_)) | Err(_) => Ipv4Addr::UNSPECIFIED,
+    };
     let mut conn = Connection::server(stream);
     let exchange = async {
         while let Some(req) = conn
@@ -75,6 +80,13 @@
                 count_full("feed");
                 return Err(FeedError::NoMemory);
             }
+            if response.is_snapshot {
+                info!(
+                    "store: a whole snapshot of {} items is sent to {follower}",
+                    response.records.len()
+                );
+            }
+            node.count_sent(follower, response.kind(), response.frame_len());
             conn.send(&response, MAX_SEND_STALL).await?;
             counter!("primrosechute_feed_responses_total").increment(1);
         }
@@ -97,18 +109,13 @@
     let wait = Duration::from_millis(req.wait_ms.into()).min(MAX_WAIT);
     let deadline = Instant::now() + wait;
     let delta = loop {
-        let delta = node.record_log.borrow().since(req.after());
+        let delta = delta_for(node, req);
         if delta != LogDelta::None || !is_reader(node) || Instant::now() >= deadline {
             break delta;
         }
         // Whether it ends with a change or the deadline, the log is read again.
         let _ = timeout_at(deadline, changed.changed()).await;
     };
-    let (is_snapshot, records) = match delta {
-        LogDelta::None => (false, Vec::new()),
-        LogDelta::Changes(records) => (false, records),
-        LogDelta::Snapshot(records) => (true, records),
-    };
     let now = clock::now();
     node.dismiss_connection_failures(now);
     let failure_age = node.catalog.borrow().store_failure_age(now);
@@ -117,12 +124,20 @@
     FeedResponse {
         revision: position.revision,
         era: position.era,
-        is_snapshot,
-        records: records.into_iter().map(RecordMsg::from).collect(),
         published_revision: published.revision,
         published_era: published.era,
         is_reader: is_reader(node),
         failure_age_ms: failure_age.map(millis),
+        ..FeedResponse::new(delta)
+    }
+}
+
+fn delta_for(node: &Node, req: &FeedRequest) -> LogDelta {
+    let log = node.record_log.borrow();
+    if req.accepts_difference {
+        log.difference_since(req.after())
+    } else {
+        log.since(req.after())
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 //! | `clock` | time since boot | system clock |
 //! | `node` | state shared by all tasks | UDP |
 //! | `position` | positions in the history of the store | none |
+//! | `record_digest` | compact list of all items | none |
 //! | `record_log` | copy of the store's items and recent changes | none |
 //! | `store_follower` | follows the store, or a member that reads it | `Store` trait |
 //! | `transfer` | time limits for large responses | none |
@@ -57,6 +58,7 @@
 mod permit;
 mod poison_parts;
 mod position;
+mod record_digest;
 mod record_log;
 mod relay;
 mod request;
@@ -78,6 +80,7 @@
 };
 pub use buffer_budget::{BufferBudget, Buffered, Reservation};
 pub use clock::now as boot_time;
+pub use feed::delta_len;
 pub use log_throttle::LogThrottle;
 pub use membership::{Heartbeat, Member, Membership, Sighting};
 pub use message::run_list_len;
--- a/crates/gateway/src/record_log.rs
+++ b/crates/gateway/src/record_log.rs
@@ -4,10 +4,15 @@
 
 use crate::adapter::Record;
 use crate::position::Position;
+use crate::record_digest;
 use admit::Name;
 
-/// Maximum number of recent changes. A member that missed more gets a snapshot.
-const MAX_HISTORY: usize = 1024;
+/// Recent changes that are kept at least. A member that missed more than is kept gets a difference
+/// or a snapshot.
+const MIN_HISTORY: usize = 1024;
+/// Recent changes that are kept for each item: in one burst each target may be removed and written
+/// again.
+const HISTORY_PER_ITEM: usize = 2;
 
 /// What a member that knows a revision has to apply.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,6 +21,14 @@
     None,
     /// Changes, in order.
     Changes(Vec<Record>),
+    /// Items that were written later, and the digest of all items. Known items that are not in the
+    /// digest are gone.
+    Difference {
+        /// Items with a revision after the one that the member knows.
+        newer: Vec<Record>,
+        /// Hashes of all items.
+        digest: Vec<u64>,
+    },
     /// All items. Items that it lacks are gone.
     Snapshot(Vec<Record>),
 }
@@ -29,6 +42,8 @@
     /// The history holds all changes of the current era after this revision.
     history_start: u64,
     position: Position,
+    /// Largest number of items so far. A burst may remove all of them first.
+    max_items: usize,
 }
 
 impl RecordLog {
@@ -126,9 +141,35 @@
         LogDelta::Changes(newer.map(|(_, record)| record.clone()).collect())
     }
 
+    /// As `since`, but with a difference in place of a snapshot for a member that knows an earlier
+    /// revision of the same era. Revisions of different eras can't be compared.
+    #[must_use]
+    pub fn difference_since(&self, after: Position) -> LogDelta {
+        let is_known = after != Position::default() && after.era == self.position.era;
+        if !is_known || after.revision >= self.history_start {
+            return self.since(after);
+        }
+        let Some(digest) = record_digest::digest(self.items.values()) else {
+            return self.since(after);
+        };
+        let items = self.items.values();
+        let newer = items.filter(|record| record.revision > after.revision);
+        LogDelta::Difference {
+            newer: newer.cloned().collect(),
+            digest,
+        }
+    }
+
+    /// All items of the sender of a difference; `None` if they can't be derived from the items here.
+    #[must_use]
+    pub fn complete(&self, newer: Vec<Record>, digest: &[u64]) -> Option<Vec<Record>> {
+        record_digest::complete(&self.items, newer, digest)
+    }
+
     fn set(&mut self, record: Record, added: u64) {
         if record.value.is_some() {
             self.items.insert(record.key.clone(), record.clone());
+            self.max_items = self.max_items.max(self.items.len());
         } else {
             self.items.remove(&record.key);
         }
@@ -136,7 +177,8 @@
     }
 
     fn trim_history(&mut self) {
-        while self.history.len() > MAX_HISTORY {
+        let max_history = MIN_HISTORY.max(self.max_items * HISTORY_PER_ITEM);
+        while self.history.len() > max_history {
             if let Some((added, _)) = self.history.pop_front() {
                 self.history_start = self.history_start.max(added);
             }
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -15,9 +15,10 @@
 
 use crate::adapter::{Batch, Record, Store, StoreError};
 use crate::clock;
-use crate::feed::{FeedError, FeedResponse};
+use crate::feed::{FeedError, FeedRequest, FeedResponse};
 use crate::feed_client::FeedClient;
 use crate::log_throttle::LogThrottle;
+use crate::message::millis;
 use crate::node::{Node, StoreContact};
 use crate::position::Position;
 use crate::record_log::LogDelta;
@@ -73,6 +74,7 @@
         last_failure: None,
         avoided: Vec::new(),
         follow_failing_since: None,
+        needs_snapshot: false,
         next_own_call: Duration::ZERO,
         era_faults: LogThrottle::default(),
     };
@@ -98,6 +100,8 @@
     avoided: Vec<(Ipv4Addr, Duration)>,
     /// Time since which no reader could be followed.
     follow_failing_since: Option<Duration>,
+    /// Whether the last difference did not fit the items here, so that a whole snapshot is needed.
+    needs_snapshot: bool,
     /// Time before which this member does not call the store unless it is a reader.
     next_own_call: Duration,
     /// Eras, lower than that of an earlier response, that were logged.
@@ -150,14 +154,23 @@
         self.watch_from = None;
         let after = self.node.record_log.borrow().position();
         let address = SocketAddr::from((reader, self.node.settings.peer_port));
+        let req = FeedRequest {
+            after: after.revision,
+            wait_ms: millis(WATCH_WAIT),
+            era: after.era,
+            accepts_difference: !self.needs_snapshot,
+        };
+        self.node
+            .count_sent(reader, "feed_request", req.frame_len());
         let progress = self.feed.progress();
         let received = tokio::select! {
-            received = self.feed.watch(address, after, WATCH_WAIT, RESPONSE_TIMEOUT) => received,
+            received = self.feed.watch(address, &req, RESPONSE_TIMEOUT) => received,
             () = wait_until_behind(&self.node, MAX_FEED_LAG, &progress) => Err(FeedError::Stale),
             () = wait_until_silent(&self.node, reader) => Err(FeedError::Silent),
         };
         let Err(err) = received.and_then(|response| self.apply_response(&response)) else {
             self.follow_failing_since = None;
+            self.needs_snapshot = false;
             return;
         };
         let now = clock::now();
@@ -170,6 +183,7 @@
         let failing_since = *self.follow_failing_since.get_or_insert(now);
         match err {
             FeedError::NotReader => sleep(NOT_READER_PAUSE).await,
+            FeedError::Incomplete => self.needs_snapshot = true,
             // Other members know of changes that this zone does not get, so there is no time for
             // the other reader.
             FeedError::Stale => {
@@ -200,6 +214,13 @@
         match response.to_delta() {
             LogDelta::None => self.apply_changes(Vec::new(), response.position()),
             LogDelta::Changes(records) => self.apply_changes(records, response.position()),
+            LogDelta::Difference { newer, digest } => {
+                let completed = self.node.record_log.borrow().complete(newer, &digest);
+                let records = completed.ok_or(FeedError::Incomplete)?;
+                if !self.apply_listing(&records, response.position()) {
+                    return Err(FeedError::Malformed);
+                }
+            }
             LogDelta::Snapshot(records) => {
                 if !self.apply_listing(&records, response.position()) {
                     return Err(FeedError::Malformed);
--- a/crates/gateway/tests/record_log.rs
+++ b/crates/gateway/tests/record_log.rs
@@ -1,7 +1,7 @@
 //! The copy of the store's items that members pass on.
 
 use gateway::adapter::Record;
-use gateway::{LogDelta, Position, RecordLog};
+use gateway::{LogDelta, Position, RecordLog, delta_len};
 
 fn written(key: &str, revision: u64) -> Record {
     Record {
@@ -186,3 +186,82 @@
 
     assert_eq!((changes, log.position()), (vec![], at(10)));
 }
+
+/// Targets of a large fleet, with values of the size that the store holds.
+fn large_listing(targets: u64) -> Vec<Record> {
+    let target = |at| Record {
+        value: Some(vec![b'x'; 250].into()),
+        ..written(&format!("op/target/{at}"), at + 1)
+    };
+    (0..targets).map(target).collect()
+}
+
+/// Guards against a whole snapshot of 900 kB for each member whose own listing is older than the
+/// history of the reader that it follows.
+#[test]
+fn a_member_that_listed_before_its_reader_gets_a_difference() {
+    let before = large_listing(3_000);
+    let mut after = before[5..].to_vec();
+    after.extend((0..20).map(|at| written(&format!("op/target/{at}"), 3_100 + at)));
+    let (mut reader, mut follower) = (RecordLog::default(), RecordLog::default());
+    reader.apply_listing(&after[10..], at(3_150));
+    follower.apply_listing(&before, at(3_000));
+
+    let delta = reader.difference_since(follower.position());
+    let bytes = delta_len(delta.clone());
+    let LogDelta::Difference { newer, digest } = delta else {
+        panic!("{bytes} bytes, but no difference");
+    };
+    let all = follower.complete(newer, &digest).expect("all are known");
+    follower.apply_listing(&all, reader.position());
+
+    println!("{bytes} bytes");
+    assert!(bytes <= 30_000, "{bytes} bytes");
+    assert_eq!(snapshot(&follower), snapshot(&reader));
+}
+
+/// Guards against items that are lost because a member knows less than its position says, and
+/// against differences that are malformed or belong to other items.
+#[test]
+fn a_difference_that_does_not_fit_changes_nothing() {
+    let mut follower = listed_log();
+    follower.apply_changes(vec![written("c", 14)], at(20));
+    let mut reader = RecordLog::default();
+    let items = [written("a", 3), written("b", 5), written("d", 30)];
+    reader.apply_listing(&items, at(40));
+    let LogDelta::Difference { newer, digest } = reader.difference_since(at(20)) else {
+        panic!("{:?}", reader.difference_since(at(20)));
+    };
+    let rows = [
+        (newer.clone(), digest.clone()),
+        (Vec::new(), digest.clone()),
+        (newer.clone(), Vec::new()),
+        (vec![removed("b", 30)], digest.clone()),
+        (newer, [digest.clone(), digest].concat()),
+    ];
+
+    for (newer, digest) in rows {
+        assert_eq!(follower.complete(newer, &digest), None, "{digest:?}");
+    }
+    let of_another_era = reader.difference_since(Position::new(2, 1));
+    assert_eq!(of_another_era, LogDelta::None);
+    for unknown in [Position::default(), Position::new(0, 30)] {
+        let delta = reader.difference_since(unknown);
+        assert!(matches!(delta, LogDelta::Snapshot(_)), "{unknown:?}");
+    }
+}
+
+/// Guards against a history that is shorter than one burst of changes at all targets.
+#[test]
+fn the_history_covers_a_burst_of_changes() {
+    let mut log = RecordLog::default();
+    log.apply_listing(&large_listing(3_000), at(3_000));
+    for change in 0..6_000 {
+        let key = format!("op/target/{}", change % 3_000);
+        let record = if change < 3_000 { removed } else { written };
+        log.apply_changes(vec![record(&key, 3_001 + change)], at(3_001 + change));
+    }
+
+    let missed = log.since(at(3_050));
+    assert!(matches!(missed, LogDelta::Changes(records) if records.len() == 5_950));
+}
