--- a/crates/admit/tests/replays.rs
+++ b/crates/admit/tests/replays.rs
@@ -391,6 +391,7 @@
                         id,
                         reason: Refusal::Busy,
                         retry_after: ms(BASELINE_RETRY),
+                        is_final: false,
                     });
                 } else {
                     break;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,12 +19,15 @@
 //! | `poison_parts` | detection of poison requests and poison parts of prompts | none |
 //! | `crash_check` | checks whether the target of a broken run has crashed | TCP |
 //! | `retry_decision` | response to the caller or retry after an attempt | none |
+//! | `run_listing` | which owners get the list of runs | none |
 //! | `message` | datagrams between members | none |
 //! | `buffer_budget` | bounds the memory of all buffers together | none |
 //! | `body` | bodies of requests and responses | through `upstream` |
 //! | `clock` | time since boot | system clock |
+//! | `sighting_codec` | compact encoding of sightings | none |
 //! | `node` | state shared by all tasks | UDP |
 //! | `position` | positions in the history of the store | none |
+//! | `record_digest` | compact list of all items | none |
 //! | `record_log` | copy of the store's items and recent changes | none |
 //! | `store_follower` | follows the store, or a member that reads it | `Store` trait |
 //! | `transfer` | time limits for large responses | none |
@@ -58,12 +61,15 @@
 mod poison_parts;
 mod position;
 mod rate_link;
+mod record_digest;
 mod record_log;
 mod relay;
 mod request;
 mod request_log;
 mod retry_decision;
+mod run_listing;
 mod serve;
+mod sighting_codec;
 mod store_follower;
 mod target_notices;
 mod target_pauses;
@@ -78,12 +84,15 @@
 };
 pub use buffer_budget::{BufferBudget, Buffered, Reservation};
 pub use clock::now as boot_time;
+pub use feed::delta_len;
 pub use log_throttle::LogThrottle;
 pub use membership::{Heartbeat, Member, Membership, Sighting};
+pub use message::{gossip_len, repack, run_list_len};
 pub use poison_parts::{Blame, PartReport, PoisonParts};
 pub use position::Position;
 pub use record_log::{LogDelta, RecordLog};
 pub use retry_decision::{AttemptOutcome, NextStep, next_step};
+pub use run_listing::RunListing;
 pub use serve::{Outcome, run};
 pub use target_pauses::TargetPauses;
 pub use transfer::{Progress, until_stalled};
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -5,9 +5,10 @@
 
 use prost::{Message, Oneof};
 
-use crate::membership::{Heartbeat, Member, Sighting};
+use crate::membership::{Heartbeat, Member, Membership, Sighting};
 use crate::poison_parts::PartReport;
 use crate::position::Position;
+use crate::sighting_codec;
 use admit::LimitReport;
 use admit::TokenCounts;
 use admit::{LeaseReply, LeaseRequest};
@@ -51,6 +52,25 @@
     LeaseReply(LeaseReplyMsg),
 }
 
+impl Body {
+    /// Label of the kind of message in metrics.
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            Body::Heartbeat(msg) if !msg.has_gossip() => "run_list",
+            Body::Heartbeat(_) => "heartbeat",
+            Body::Offer(_) => "offer",
+            Body::Queued(_) => "queued",
+            Body::Grant(_) => "grant",
+            Body::Refuse(_) => "refuse",
+            Body::Release(_) => "release",
+            Body::Withdraw(_) => "withdraw",
+            Body::Start(_) => "start",
+            Body::LeaseRequest(_) => "lease_request",
+            Body::LeaseReply(_) => "lease_reply",
+        }
+    }
+}
+
 #[derive(Clone, PartialEq, Message)]
 #[expect(clippy::struct_excessive_bools, reason = "independent facts")]
 pub(crate) struct MemberMsg {
@@ -81,8 +101,12 @@
     pub(crate) era: u64,
     #[prost(bool, tag = "13")]
     pub(crate) store_steady: bool,
-    #[prost(bool, tag = "14")]
+    /// Whether the member leases rates. Missing in older builds.
+    #[prost(bool, tag = "15")]
     pub(crate) leases_rates: bool,
+    /// Whether the member reads `HeartbeatMsg::packed_sightings`. Missing in older builds.
+    #[prost(bool, tag = "14")]
+    pub(crate) reads_packed: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -105,6 +129,9 @@
     /// Keys of targets that said recently that they are leaving.
     #[prost(fixed64, repeated, tag = "7")]
     pub(crate) leaving: Vec<u64>,
+    /// In place of `sightings` for members that read it.
+    #[prost(bytes = "vec", tag = "14")]
+    pub(crate) packed_sightings: Vec<u8>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -357,6 +384,7 @@
             store_failed: member.store_failed,
             store_steady: member.store_steady,
             leases_rates: member.leases_rates,
+            reads_packed: member.reads_packed,
         }
     }
 }
@@ -377,6 +405,7 @@
             store_failed: msg.store_failed,
             store_steady: msg.store_steady,
             leases_rates: msg.leases_rates,
+            reads_packed: msg.reads_packed,
         }
     }
 }
@@ -579,9 +608,19 @@
             poison_parts: Vec::new(),
             limits: Vec::new(),
             leaving: Vec::new(),
+            packed_sightings: Vec::new(),
         }
     }
 
+    fn has_gossip(&self) -> bool {
+        !(self.others.is_empty() && self.sightings.is_empty() && self.packed_sightings.is_empty())
+    }
+
+    pub(crate) fn pack_sightings(&mut self, sightings: &[Sighting]) {
+        self.sightings.clear();
+        self.packed_sightings = sighting_codec::encode(sightings);
+    }
+
     /// Converts the message to a heartbeat, or returns `None` if it has no sender.
     pub(crate) fn to_heartbeat(&self) -> Option<Heartbeat> {
         Some(Heartbeat {
@@ -597,6 +636,44 @@
     u32::try_from(time.as_nanos().div_ceil(1_000_000)).unwrap_or(u32::MAX)
 }
 
+/// Bytes of a datagram that carries only the list of runs, without limits and leaving targets.
+#[must_use]
+pub fn run_list_len(from: &Member, runs: &[(u64, u64)]) -> usize {
+    let heartbeat = Heartbeat {
+        from: *from,
+        others: Vec::new(),
+        sightings: Vec::new(),
+    };
+    let mut msg = HeartbeatMsg::new(&heartbeat);
+    msg.runs = runs
+        .iter()
+        .map(|&(run, target)| RunMsg { run, target })
+        .collect();
+    datagram_len(from.incarnation, msg)
+}
+
+/// Bytes of a datagram with a heartbeat, without runs, limits and parts of prompts.
+#[must_use]
+pub fn gossip_len(heartbeat: &Heartbeat) -> usize {
+    let mut msg = HeartbeatMsg::new(heartbeat);
+    msg.pack_sightings(&heartbeat.sightings);
+    datagram_len(heartbeat.from.incarnation, msg)
+}
+
+/// Packs the sightings of a heartbeat and unpacks them as a receiver does. Returns `None` if the
+/// last `cut` bytes are missing and the rest is malformed.
+#[must_use]
+pub fn repack(heartbeat: &Heartbeat, to: &Membership, cut: usize) -> Option<Vec<Sighting>> {
+    let packed = sighting_codec::encode(&heartbeat.sightings);
+    let received = &packed[..packed.len().saturating_sub(cut)];
+    sighting_codec::decode(received, |ip| to.known_seq(ip))
+}
+
+fn datagram_len(sender: u64, msg: HeartbeatMsg) -> usize {
+    let body = Some(Body::Heartbeat(msg));
+    Datagram { sender, body }.encoded_len()
+}
+
 /// Milliseconds for the wire; longer times are capped at `u32::MAX`.
 pub(crate) fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
