--- a/crates/admit/src/grant.rs
+++ b/crates/admit/src/grant.rs
@@ -6,7 +6,6 @@
 use crate::model::Name;
 use crate::offer::{Decision, Offer, Refusal};
 use crate::owner::{Owner, QueuedOffer, Run};
-use crate::placement::{Bounds, Estimate, FIRST_MARGIN};
 use crate::shard::HASH_MULTIPLIER;
 use crate::target::{OwnerShares, Room, TargetState};
 
@@ -16,16 +15,6 @@
 const SESSION_LOAD: f64 = 0.25;
 /// Load that a request adds which uses all that it bears.
 const TIGHTNESS_LOAD: f64 = 1.0;
-/// Share of the time to the target latency that a request may wait while the speed of the targets is
-/// not known.
-const UNKNOWN_WAIT_SHARE: f64 = 0.5;
-/// Share that it may always wait. A long prompt that no idle target reads in time is late anyway.
-const MIN_WAIT_SHARE: f64 = 0.25;
-/// Time for which the mean speed of a pool is used. Speeds are averages over many runs.
-const MEAN_UNIT_MEMORY: Duration = Duration::from_millis(100);
-/// Share of the time limit that a request may wait. A caller that has come back has less time left than
-/// the target latency, and must not be held until it gives up.
-const MAX_TIME_SHARE: f64 = 0.4;
 /// In this last part of its wait, a request takes any target on which it ends within its time limit,
 /// although its first event may be late. Lower tiers would otherwise get that target while it is
 /// refused.
@@ -43,7 +32,7 @@
     is_limited: bool,
 }
 
-fn is_of_shard(state: &TargetState, offer: &Offer) -> bool {
+pub(crate) fn is_of_shard(state: &TargetState, offer: &Offer) -> bool {
     state.pool == offer.pool && (offer.shards <= 1 || state.shard(offer.shards) == offer.shard)
 }
 
@@ -241,106 +230,4 @@
             },
         );
     }
-
-    /// How much of its bounds a request would use at a target; zero if nothing is known. `None` if it
-    /// could not end there, or would stop the streams beside it for too long.
-    fn tightness(
-        &self,
-        now: Duration,
-        state: &TargetState,
-        offer: &Offer,
-        bounds: &Bounds,
-        pool_unit: f64,
-    ) -> Option<f64> {
-        let Some(estimate) = self.estimate(now, state, offer, pool_unit) else {
-            return Some(0.0);
-        };
-        estimate
-            .can_finish(bounds)
-            .then(|| estimate.tightness(bounds))
-    }
-
-    /// What a target is expected to need for a request; `None` if too little is known.
-    fn estimate(
-        &self,
-        now: Duration,
-        state: &TargetState,
-        offer: &Offer,
-        pool_unit: f64,
-    ) -> Option<Estimate> {
-        let unit = state.speed.unit_now(now, pool_unit);
-        if unit <= 0.0 {
-            return None;
-        }
-        if offer.token_counts.is_none() {
-            return Some(Estimate {
-                first: unit,
-                total: unit,
-                pause: 0.0,
-            });
-        }
-        let speed = &self.pools.get(&offer.pool)?.speed;
-        let read = speed.read_units(offer.prompt_tokens())?;
-        let queued = state.reading_until.saturating_sub(now).as_secs_f64();
-        let first = queued + unit * (1.0 + read);
-        let events = speed.expected_events(offer.expected_output).unwrap_or(0.0);
-        let pause = if state.running > 0 {
-            unit * speed.pause_units(read)
-        } else {
-            0.0
-        };
-        Some(Estimate {
-            first,
-            total: first + unit * events,
-            pause,
-        })
-    }
-
-    /// Longest wait of an offer in the queue. After it, no target of the shard is expected to respond
-    /// in time, or, as long as the speed of the targets is not known, half of the time is over.
-    pub(crate) fn wait_limit(&mut self, now: Duration, offer: &Offer) -> Duration {
-        let half = offer
-            .max_wait
-            .min(offer.aim_left.mul_f64(UNKNOWN_WAIT_SHARE));
-        if offer.aim_left.is_zero() {
-            return offer.max_wait.mul_f64(UNKNOWN_WAIT_SHARE);
-        }
-        let pool_unit = self.mean_unit(now, &offer.pool);
-        let firsts = self
-            .targets
-            .values()
-            .filter(|state| state.open && is_of_shard(state, offer))
-            .filter_map(|state| {
-                let estimate = self.estimate(now, state, offer, pool_unit)?;
-                Some(estimate.first)
-            });
-        let Some(first) = firsts.reduce(f64::min) else {
-            return half;
-        };
-        let aim = offer.aim_left.as_secs_f64();
-        let left = (aim - first * FIRST_MARGIN).max(aim * MIN_WAIT_SHARE);
-        let half_time = offer.time_left.mul_f64(MAX_TIME_SHARE);
-        Duration::from_secs_f64(left)
-            .min(offer.max_wait)
-            .min(half_time)
-    }
-
-    /// Mean seconds per unit of work over the targets of a pool; zero if none is known.
-    pub(crate) fn mean_unit(&mut self, now: Duration, pool: &Name) -> f64 {
-        let (mean, computed_at) = self.pool(pool).mean_unit;
-        if mean > 0.0 && now.saturating_sub(computed_at) < MEAN_UNIT_MEMORY {
-            return mean;
-        }
-        let states = self.targets.values().filter(|state| state.pool == *pool);
-        let (sum, count) = states
-            .filter_map(|state| state.speed.unit())
-            .fold((0.0, 0), |(sum, count), unit| (sum + unit, count + 1));
-        let mean = if count == 0 {
-            0.0
-        } else {
-            sum / count_to_f64(count)
-        };
-        self.pool(pool).mean_unit = (mean, now);
-        mean
-    }
 }
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -33,6 +33,7 @@
 mod target_speed;
 mod tier_flow;
 mod token_bucket;
+mod wait;
 
 pub use catalog::{Access, AccessError, Catalog, Change};
 pub use convert::count_to_f64;
--- a/crates/admit/src/placement.rs
+++ b/crates/admit/src/placement.rs
@@ -4,6 +4,14 @@
 //! a factor of five. By load alone, long prompts end up on slow engines, where their first event is
 //! late, their output does not end within its time limit, and all streams beside them pause.
 
+use std::time::Duration;
+
+use crate::convert::count_to_f64;
+use crate::model::Name;
+use crate::offer::Offer;
+use crate::owner::Owner;
+use crate::target::TargetState;
+
 /// What a target is expected to need for a request, in seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Estimate {
@@ -23,6 +31,8 @@
     pub(crate) pause: f64,
 }
 
+/// Time for which the mean speed of a pool is used. Speeds are averages over many runs.
+const MEAN_UNIT_MEMORY: Duration = Duration::from_millis(100);
 /// Times are estimates; a request fits only if this multiple of the time to its first event is left.
 pub(crate) const FIRST_MARGIN: f64 = 1.25;
 /// Callers estimate the output to within a factor of two. With this one, six in seven streams end
@@ -58,3 +68,78 @@
         time / bound
     }
 }
+
+impl Owner {
+    /// How much of its bounds a request would use at a target; zero if nothing is known. `None` if it
+    /// could not end there, or would stop the streams beside it for too long.
+    pub(crate) fn tightness(
+        &self,
+        now: Duration,
+        state: &TargetState,
+        offer: &Offer,
+        bounds: &Bounds,
+        pool_unit: f64,
+    ) -> Option<f64> {
+        let Some(estimate) = self.estimate(now, state, offer, pool_unit) else {
+            return Some(0.0);
+        };
+        estimate
+            .can_finish(bounds)
+            .then(|| estimate.tightness(bounds))
+    }
+
+    /// What a target is expected to need for a request; `None` if too little is known.
+    pub(crate) fn estimate(
+        &self,
+        now: Duration,
+        state: &TargetState,
+        offer: &Offer,
+        pool_unit: f64,
+    ) -> Option<Estimate> {
+        let unit = state.speed.unit_now(now, pool_unit);
+        if unit <= 0.0 {
+            return None;
+        }
+        if offer.token_counts.is_none() {
+            return Some(Estimate {
+                first: unit,
+                total: unit,
+                pause: 0.0,
+            });
+        }
+        let speed = &self.pools.get(&offer.pool)?.speed;
+        let read = speed.read_units(offer.prompt_tokens())?;
+        let queued = state.reading_until.saturating_sub(now).as_secs_f64();
+        let first = queued + unit * (1.0 + read);
+        let events = speed.expected_events(offer.expected_output).unwrap_or(0.0);
+        let pause = if state.running > 0 {
+            unit * speed.pause_units(read)
+        } else {
+            0.0
+        };
+        Some(Estimate {
+            first,
+            total: first + unit * events,
+            pause,
+        })
+    }
+
+    /// Mean seconds per unit of work over the targets of a pool; zero if none is known.
+    pub(crate) fn mean_unit(&mut self, now: Duration, pool: &Name) -> f64 {
+        let (mean, computed_at) = self.pool(pool).mean_unit;
+        if mean > 0.0 && now.saturating_sub(computed_at) < MEAN_UNIT_MEMORY {
+            return mean;
+        }
+        let states = self.targets.values().filter(|state| state.pool == *pool);
+        let (sum, count) = states
+            .filter_map(|state| state.speed.unit())
+            .fold((0.0, 0), |(sum, count), unit| (sum + unit, count + 1));
+        let mean = if count == 0 {
+            0.0
+        } else {
+            sum / count_to_f64(count)
+        };
+        self.pool(pool).mean_unit = (mean, now);
+        mean
+    }
+}
