--- a/crates/admit/src/grant.rs
+++ b/crates/admit/src/grant.rs
@@ -5,7 +5,8 @@
 use crate::convert::count_to_f64;
 use crate::model::Name;
 use crate::offer::{Decision, Offer, Refusal};
-use crate::owner::{Owner, QueuedOffer, Run};
+use crate::owner::{Owner, Run};
+use crate::queued_offer::QueuedOffer;
 use crate::shard::HASH_MULTIPLIER;
 use crate::target::{OwnerShares, Room, TargetState};
 
@@ -207,6 +208,8 @@
             .get_mut(&key)
             .expect("candidates are known targets");
         let read_time = state.speed.unit_now(now, pool_unit) * read_units.unwrap_or(0.0);
+        // A size that is absurd must not close the target to others for longer than the run lasts.
+        let read_time = read_time.min(offer.time_left.as_secs_f64());
         let prompt_tokens = offer.prompt_tokens();
         let is_reading = state.unread_tokens > 0;
         state.record_send(now, prompt_tokens);
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -19,6 +19,7 @@
 mod owner;
 mod pace;
 mod placement;
+mod queued_offer;
 mod rate_charge;
 mod rate_demand;
 mod rate_fallback;
--- a/crates/admit/src/owner.rs
+++ b/crates/admit/src/owner.rs
@@ -16,7 +16,7 @@
 use crate::named_limits::NamedLimits;
 use crate::offer::{Decision, Offer, Refusal, RunEnd, RunId, RunReport, StartReport};
 use crate::pace::Pace;
-use crate::placement::Bounds;
+use crate::queued_offer::QueuedOffer;
 use crate::rate_charge::{Charge, RateLeases, fleet_rate};
 use crate::retry_budget::RetryBudget;
 use crate::shard::target_key;
@@ -24,6 +24,7 @@
 use crate::target_speed::PoolSpeed;
 use crate::tier_flow::TierFlow;
 use crate::token_bucket::TokenBucket;
+use crate::wait::wait_limit;
 
 /// An entry counts as asking for this long after its last offer.
 const ENTRY_MEMORY: Duration = Duration::from_millis(1200);
@@ -59,20 +60,6 @@
     pub(crate) read_alone: bool,
 }
 
-pub(crate) struct QueuedOffer {
-    pub(crate) offer: Offer,
-    /// End of its wait in the queue.
-    pub(crate) deadline: Duration,
-    /// Time at which its first event is late. In the past, it only has to end in time.
-    pub(crate) due: Duration,
-    /// Time at which it must be over.
-    pub(crate) end_by: Duration,
-    /// Units charged to the workspace's token bucket.
-    pub(crate) charged: f64,
-    /// Whether a target with capacity was passed over because it had reached the limit that it names.
-    pub(crate) has_met_limit: bool,
-}
-
 pub(crate) struct PoolState {
     pub(crate) queue: Vec<QueuedOffer>,
     pub(crate) budget: RetryBudget,
@@ -83,33 +70,6 @@
     pub(crate) flow: TierFlow,
 }
 
-impl QueuedOffer {
-    /// Key of its place in the queue: the higher tier first, then those that can still be in time,
-    /// then those whose wait ends first.
-    fn order(&self) -> (u8, bool, Duration) {
-        (
-            self.offer.tier,
-            self.offer.aim_left.is_zero(),
-            self.deadline,
-        )
-    }
-
-    /// What it bears from now on.
-    pub(crate) fn bounds(&self, now: Duration) -> Bounds {
-        let total = self.end_by.saturating_sub(now).as_secs_f64();
-        let is_late = self.offer.aim_left.is_zero();
-        Bounds {
-            first: if is_late {
-                total
-            } else {
-                self.due.saturating_sub(now).as_secs_f64()
-            },
-            total,
-            pause: (self.offer.max_pause).map_or(f64::INFINITY, |pause| pause.as_secs_f64()),
-        }
-    }
-}
-
 /// Decides on offers for the targets of the shards that a member owns.
 pub struct Owner {
     pub(crate) settings: Settings,
@@ -299,7 +259,8 @@
     /// Queues or refuses an offer that its workspace's rate covers.
     pub(crate) fn admit_charged(&mut self, now: Duration, offer: Offer, charged: f64) {
         let rate_share = self.rate_share();
-        let wait_limit = self.wait_limit(now, &offer);
+        let best = self.best_estimate(now, &offer);
+        let wait_limit = wait_limit(&offer, best.as_ref());
         let pool = self.pool(&offer.pool);
         if offer.sends > 0 {
             if !pool.budget.try_take_retry(now, rate_share) {
@@ -325,6 +286,7 @@
             deadline: now + wait_limit,
             due: now + offer.aim_left,
             end_by: now + offer.time_left,
+            best,
             offer,
             charged,
             has_met_limit: false,
--- a/crates/admit/src/placement.rs
+++ b/crates/admit/src/placement.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::convert::count_to_f64;
+use crate::grant::is_of_shard;
 use crate::model::Name;
 use crate::offer::Offer;
 use crate::owner::Owner;
@@ -19,7 +20,7 @@
     pub(crate) first: f64,
     /// Until the end.
     pub(crate) total: f64,
-    /// Longest pause of the streams beside it.
+    /// Longest pause of streams beside it.
     pub(crate) pause: f64,
 }
 
@@ -38,8 +39,38 @@
 /// Callers estimate the output to within a factor of two. With this one, six in seven streams end
 /// within the estimate.
 const TOTAL_MARGIN: f64 = 1.6;
+/// A target counts as good as the best one if it needs up to this multiple of its time.
+const BEST_TOLERANCE: f64 = 1.5;
+
+impl Bounds {
+    /// Widens bounds that no target is expected to keep to what the best one needs. Estimates may be
+    /// wrong, and a request without a target would be refused beside idle ones.
+    pub(crate) fn widened_to(self, best: &Estimate) -> Bounds {
+        let widened = |bound: f64, best: f64| {
+            if best > bound {
+                best * BEST_TOLERANCE
+            } else {
+                bound
+            }
+        };
+        Bounds {
+            first: widened(self.first, best.first * FIRST_MARGIN),
+            total: widened(self.total, best.total * TOTAL_MARGIN),
+            pause: widened(self.pause, best.pause),
+        }
+    }
+}
 
 impl Estimate {
+    /// The least of each time.
+    fn least(self, other: Estimate) -> Estimate {
+        Estimate {
+            first: self.first.min(other.first),
+            total: self.total.min(other.total),
+            pause: self.pause.min(other.pause),
+        }
+    }
+
     /// How much of its bounds a request would use: it fits up to 1.
     pub(crate) fn tightness(&self, bounds: &Bounds) -> f64 {
         let first = used(self.first * FIRST_MARGIN, bounds.first);
@@ -80,9 +111,12 @@
         bounds: &Bounds,
         pool_unit: f64,
     ) -> Option<f64> {
-        let Some(estimate) = self.estimate(now, state, offer, pool_unit) else {
+        let Some(mut estimate) = self.estimate(now, state, offer, pool_unit) else {
             return Some(0.0);
         };
+        if state.running == 0 {
+            estimate.pause = 0.0;
+        }
         estimate
             .can_finish(bounds)
             .then(|| estimate.tightness(bounds))
@@ -112,18 +146,22 @@
         let queued = state.reading_until.saturating_sub(now).as_secs_f64();
         let first = queued + unit * (1.0 + read);
         let events = speed.expected_events(offer.expected_output).unwrap_or(0.0);
-        let pause = if state.running > 0 {
-            unit * speed.pause_units(read)
-        } else {
-            0.0
-        };
         Some(Estimate {
             first,
             total: first + unit * events,
-            pause,
+            pause: unit * speed.pause_units(read),
         })
     }
 
+    /// The least that any open target of the shard needs for a request; `None` if too little is known.
+    pub(crate) fn best_estimate(&mut self, now: Duration, offer: &Offer) -> Option<Estimate> {
+        let pool_unit = self.mean_unit(now, &offer.pool);
+        let states = self.targets.values();
+        let usable = states.filter(|state| state.open && is_of_shard(state, offer));
+        let estimates = usable.filter_map(|state| self.estimate(now, state, offer, pool_unit));
+        estimates.reduce(Estimate::least)
+    }
+
     /// Mean seconds per unit of work over the targets of a pool; zero if none is known.
     pub(crate) fn mean_unit(&mut self, now: Duration, pool: &Name) -> f64 {
         let (mean, computed_at) = self.pool(pool).mean_unit;
--- a/crates/admit/src/wait.rs
+++ b/crates/admit/src/wait.rs
@@ -6,10 +6,8 @@
 
 use std::time::Duration;
 
-use crate::grant::is_of_shard;
 use crate::offer::Offer;
-use crate::owner::Owner;
-use crate::placement::FIRST_MARGIN;
+use crate::placement::{Estimate, FIRST_MARGIN};
 
 /// Share of the time to the target latency that a request may wait while the speed of the targets is
 /// not known.
@@ -20,33 +18,21 @@
 /// the target latency, and must not be held until it gives up.
 const MAX_TIME_SHARE: f64 = 0.4;
 
-impl Owner {
-    /// Longest wait of an offer in the queue. After it, no target of the shard is expected to respond
-    /// in time, or, as long as the speed of the targets is not known, half of the time is over.
-    pub(crate) fn wait_limit(&mut self, now: Duration, offer: &Offer) -> Duration {
-        let half = offer
-            .max_wait
-            .min(offer.aim_left.mul_f64(UNKNOWN_WAIT_SHARE));
-        if offer.aim_left.is_zero() {
-            return offer.max_wait.mul_f64(UNKNOWN_WAIT_SHARE);
-        }
-        let pool_unit = self.mean_unit(now, &offer.pool);
-        let firsts = self
-            .targets
-            .values()
-            .filter(|state| state.open && is_of_shard(state, offer))
-            .filter_map(|state| {
-                let estimate = self.estimate(now, state, offer, pool_unit)?;
-                Some(estimate.first)
-            });
-        let Some(first) = firsts.reduce(f64::min) else {
-            return half;
-        };
-        let aim = offer.aim_left.as_secs_f64();
-        let left = (aim - first * FIRST_MARGIN).max(aim * MIN_WAIT_SHARE);
-        let half_time = offer.time_left.mul_f64(MAX_TIME_SHARE);
-        Duration::from_secs_f64(left)
-            .min(offer.max_wait)
-            .min(half_time)
+/// Longest wait of an offer in the queue, given the least that any target needs for it. After it, no
+/// target is expected to respond in time, or, as long as nothing is known of the targets, half of the
+/// time is over.
+pub(crate) fn wait_limit(offer: &Offer, best: Option<&Estimate>) -> Duration {
+    if offer.aim_left.is_zero() {
+        return offer.max_wait.mul_f64(UNKNOWN_WAIT_SHARE);
     }
+    let Some(best) = best else {
+        let half = offer.aim_left.mul_f64(UNKNOWN_WAIT_SHARE);
+        return offer.max_wait.min(half);
+    };
+    let aim = offer.aim_left.as_secs_f64();
+    let left = (aim - best.first * FIRST_MARGIN).max(aim * MIN_WAIT_SHARE);
+    let max_time = offer.time_left.mul_f64(MAX_TIME_SHARE);
+    Duration::from_secs_f64(left)
+        .min(offer.max_wait)
+        .min(max_time)
 }
--- a/crates/admit/tests/placement.rs
+++ b/crates/admit/tests/placement.rs
@@ -113,6 +113,35 @@
     assert_eq!(owner.running_totals(), (0, 0), "{row}");
 }
 
+/// Guards against requests that are refused, or held, beside free slots because no target is expected
+/// to serve them within their bounds. Estimates may be wrong, and such a request would be refused each
+/// time it comes back.
+#[test]
+fn requests_that_no_target_serves_in_time_take_free_slots() {
+    let long_output = stream_offer(100, 4000, Some(100_000));
+    let long_prompt = stream_offer(100, 400_000, Some(20));
+    let mut short_pause = stream_offer(100, 4000, Some(20));
+    short_pause.max_pause = Some(ms(1));
+    let rows = [
+        ("long output", long_output),
+        ("long prompt", long_prompt),
+        ("short pause", short_pause),
+    ];
+    for (row, offer) in rows {
+        let (mut owner, catalog) = owner();
+        teach(&mut owner, &catalog);
+        // Each target has a stream that the request can delay.
+        for run in [50, 51] {
+            owner.offer(ms(7000), &catalog, stream_offer(run, 100, Some(20)));
+            assert_eq!(granted(&mut owner, ms(7000)), [run], "{row}");
+        }
+
+        owner.offer(ms(7001), &catalog, offer);
+
+        assert_eq!(granted(&mut owner, ms(7001)), [100], "{row}");
+    }
+}
+
 /// Guards against a reported load that makes an owner panic, or that takes a target out of use for
 /// longer than reports are believed.
 #[test]
