--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -18,7 +18,7 @@
 use super::response_buffer::{Head, MAX_RESPONSE, ResponseBuffer, event_end, is_event};
 use crate::node::Node;
 use crate::outcome::{Failure, Outcome};
-use crate::target::{ConnectError, Connection, control_call, control_request};
+use crate::target::{ConnectError, Connection, ConnectionEnd, control_call, control_request};
 
 /// Consecutive breaks of a stream without a new event, and attempts without a response to resume it
 /// after one break, before it counts as incomplete.
@@ -126,7 +126,8 @@
     } else {
         let silent = node.settings.timing.stream_silent;
         let reserved = node.buffers.reserve();
-        match read_plain(body, silent, reserved).await {
+        let end = parts.extensions.get::<ConnectionEnd>().cloned();
+        match read_plain(body, end, silent, reserved).await {
             Ok(whole) => return finish_plain(head, &whole, buffer, stats),
             Err(Failure::Incomplete) if engine => resume_with_retries(node, job, target, 0)
                 .await
@@ -150,6 +151,7 @@
 /// taken for a complete one.
 async fn read_plain(
     mut body: Incoming,
+    end: Option<ConnectionEnd>,
     silent: Duration,
     mut reserved: Reservation,
 ) -> Result<Bytes, Failure> {
@@ -164,6 +166,11 @@
             whole.extend_from_slice(data);
         }
     }
+    if let Some(mut end) = end
+        && !end.is_in_order().await
+    {
+        return Err(Failure::Incomplete);
+    }
     Ok(whole.freeze())
 }
 
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -9,13 +9,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::TRANSFER_ENCODING;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use metrics::counter;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 /// Maximum size of the read buffer of a connection, and so of a response head.
@@ -38,10 +41,31 @@
 /// and the HTTP parser accepts codes up to 999, which callers can't interpret.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
+/// Longest wait for the end of a connection whose end is that of a response. A target that has closed
+/// its side in order may read the rest of the request for longer.
+const END_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Tells how a connection ends whose end is that of a response. It is an extension of such a response.
+#[derive(Clone, Debug)]
+pub(crate) struct ConnectionEnd(watch::Receiver<Option<bool>>);
+
+impl ConnectionEnd {
+    /// Whether the connection ended without an error. If the target closes it in order and then resets
+    /// it, the response looks complete, and only the rest of the request, which can't be written, shows
+    /// the reset.
+    pub(crate) async fn is_in_order(&mut self) -> bool {
+        match timeout(END_TIMEOUT, self.0.wait_for(Option::is_some)).await {
+            Ok(ended) => ended.is_ok_and(|ended| *ended == Some(true)),
+            Err(_) => true,
+        }
+    }
+}
+
 /// An open connection for one request.
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    end: ConnectionEnd,
 }
 
 impl Connection {
@@ -60,8 +84,12 @@
             .handshake(TokioIo::new(stream))
             .await;
         let (sender, connection) = handshake.map_err(|_| ConnectError::Unreachable)?;
-        tokio::spawn(connection);
-        Ok(Connection { sender })
+        let (tx, rx) = watch::channel(None);
+        tokio::spawn(async move { tx.send_replace(Some(connection.await.is_ok())) });
+        Ok(Connection {
+            sender,
+            end: ConnectionEnd(rx),
+        })
     }
 
     /// Sends the request. After this call it may have run.
@@ -73,7 +101,11 @@
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, NoResponse> {
         let response = self.sender.send_request(req).await;
-        let response = response.map_err(|_| NoResponse)?;
+        let mut response = response.map_err(|_| NoResponse)?;
+        let has_length = response.body().size_hint().exact().is_some();
+        if !has_length && !response.headers().contains_key(TRANSFER_ENCODING) {
+            response.extensions_mut().insert(self.end.clone());
+        }
         if FINAL_STATUSES.contains(&response.status().as_u16()) {
             return Ok(response);
         }
--- a/crates/daemon/tests/damaged_responses.rs
+++ b/crates/daemon/tests/damaged_responses.rs
@@ -33,6 +33,8 @@
     Resets,
     /// The same after the daemon has read the text.
     ResetsLater,
+    /// The sending side is closed first, so that the text looks complete until the reset.
+    ClosesThenResets,
     /// The rest of the request is read, and the connection is closed.
     Closes,
     /// The sending side is closed at once; the rest of the request is read.
@@ -102,7 +104,10 @@
         stream.write_all(self.reply.text.as_bytes()).await?;
         match self.reply.ending {
             Ending::Resets => return stream.get_ref().set_zero_linger(),
-            Ending::ResetsLater => {
+            Ending::ResetsLater | Ending::ClosesThenResets => {
+                if self.reply.ending == Ending::ClosesThenResets {
+                    stream.shutdown().await?;
+                }
                 sleep(READ_PAUSE).await;
                 return stream.get_ref().set_zero_linger();
             }
@@ -196,6 +201,26 @@
 const EVENTS: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n\
     id: 0\ndata: a\n\nid: 1\ndata: [DONE]\n\n";
 
+/// Checks that callers get none of the texts as a response, and that each request is sent once.
+async fn assert_no_success(texts: &[&'static str], endings: &[Ending]) {
+    for &text in texts {
+        for &ending in endings {
+            for path in [SERVICE, ENGINE] {
+                for &length in uploads(path) {
+                    let target = Target::start(Reply { text, ending });
+                    let daemon = start_daemon(&target, path).await;
+
+                    let response = upload(&daemon, path, length).await;
+
+                    let row = format!("{text:?} {ending:?} {path} {length}");
+                    assert!(is_broken(&response), "{row}: {response:?}");
+                    assert_eq!(target.sends(), 1, "{row}");
+                }
+            }
+        }
+    }
+}
+
 /// Guards against a part of a response that reaches the caller as a complete response because the
 /// connection was reset while the request was being written, and against a request that is sent
 /// twice for that.
@@ -213,22 +238,7 @@
         TRAILERS_PART,
         EVENTS_PART,
     ];
-    for text in parts {
-        for ending in [Resets, ResetsLater] {
-            for path in [SERVICE, ENGINE] {
-                for &length in uploads(path) {
-                    let target = Target::start(Reply { text, ending });
-                    let daemon = start_daemon(&target, path).await;
-
-                    let response = upload(&daemon, path, length).await;
-
-                    let row = format!("{text:?} {ending:?} {path} {length}");
-                    assert!(is_broken(&response), "{row}: {response:?}");
-                    assert_eq!(target.sends(), 1, "{row}");
-                }
-            }
-        }
-    }
+    assert_no_success(&parts, &[Resets, ResetsLater]).await;
 }
 
 /// Guards against a part of a response that is taken for complete because the connection was closed in
@@ -244,21 +254,23 @@
         LAST_CHUNK_PART,
         TRAILERS_PART,
     ];
-    for text in parts {
-        for ending in [Closes, HalfCloses] {
-            for path in [SERVICE, ENGINE] {
-                for &length in uploads(path) {
-                    let target = Target::start(Reply { text, ending });
-                    let daemon = start_daemon(&target, path).await;
+    assert_no_success(&parts, &[Closes, HalfCloses]).await;
+}
 
-                    let response = upload(&daemon, path, length).await;
+/// Guards against a part without a length that looks complete because the connection was closed in
+/// order before the reset. Only the unfinished upload shows the reset, so that it must not fit into
+/// the buffers of sockets.
+#[tokio::test]
+async fn a_part_before_a_close_and_a_reset_is_no_success() {
+    let ending = Ending::ClosesThenResets;
+    for text in [UNFRAMED, UNFRAMED_CLOSE, HTTP_1_0] {
+        let target = Target::start(Reply { text, ending });
+        let daemon = start_daemon(&target, SERVICE).await;
 
-                    let row = format!("{text:?} {ending:?} {path} {length}");
-                    assert!(is_broken(&response), "{row}: {response:?}");
-                    assert_eq!(target.sends(), 1, "{row}");
-                }
-            }
-        }
+        let response = upload(&daemon, SERVICE, UPLOADS[2]).await;
+
+        assert!(is_broken(&response), "{text:?}: {response:?}");
+        assert_eq!(target.sends(), 1, "{text:?}");
     }
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::TRANSFER_ENCODING;
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use metrics::counter;
 
@@ -42,6 +44,15 @@
     pub(crate) upstream: Upstream,
 }
 
+impl ReceivedHead {
+    /// Whether the end of the connection is the end of the response, which has neither a length nor
+    /// chunks.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        let has_length = self.response.body().size_hint().exact().is_some();
+        !has_length && !self.response.headers().contains_key(TRANSFER_ENCODING)
+    }
+}
+
 /// Result of one send.
 pub(crate) enum SendOutcome {
     /// No byte of the request was sent.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -139,6 +139,8 @@
     upstream: Upstream,
     body: Incoming,
     head: ResponseHead,
+    /// Whether the end of the connection is the end of the stream.
+    ends_with_connection: bool,
     /// Whether the body is a series of events. Another body may end anywhere.
     has_events: bool,
     /// Last event that the caller had when this target took over, until its first event shows that
@@ -153,6 +155,7 @@
             content_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM.as_bytes()));
         TargetStream {
             permit,
+            ends_with_connection: received.ends_with_connection(),
             upstream: received.upstream,
             body: received.response.into_body(),
             head: received.head,
@@ -337,7 +340,15 @@
             None => return StreamEnd::DeadlinePassed,
             // The end of a connection may be the end of the response.
             Some(None) if events.is_inside_event && source.has_events => return StreamEnd::Broken,
-            Some(None) => return StreamEnd::Complete,
+            Some(None) if !source.ends_with_connection => return StreamEnd::Complete,
+            Some(None) => {
+                let is_complete = source.upstream.has_ended_in_order().await;
+                return if is_complete {
+                    StreamEnd::Complete
+                } else {
+                    StreamEnd::Broken
+                };
+            }
             Some(Some(Err(_))) => return StreamEnd::Broken,
             Some(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -404,14 +404,22 @@
         received: ReceivedHead,
         started_at: Duration,
     ) -> (AttemptOutcome, Option<Response<Body>>) {
+        let ends_with_connection = received.ends_with_connection();
         let ReceivedHead {
             response,
             head,
-            upstream,
+            mut upstream,
         } = received;
         let (parts, body) = response.into_parts();
         let mut reserved = self.node.buffers.reserve();
         let read = body::read(body, MAX_RESPONSE_BYTES, &mut reserved);
+        let read = async {
+            let body = read.await?;
+            if ends_with_connection && !upstream.has_ended_in_order().await {
+                return Err(BodyError::Broken);
+            }
+            Ok(body)
+        };
         let body = self.node.before(self.deadline, read).await;
         permit.report.load = head.load;
         let body = match body {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -13,6 +13,7 @@
 use metrics::{counter, histogram};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use crate::clock;
@@ -28,6 +29,9 @@
 const MAX_IDLE_PER_TARGET: usize = 8;
 /// Maximum size of the read buffer of a connection, and so of a response head.
 const MAX_READ_BUFFER: usize = 16 * 1024;
+/// Longest wait for the end of a connection whose end is that of a response. A target that has closed
+/// its side in order may read the rest of the request for longer.
+const END_TIMEOUT: Duration = Duration::from_secs(1);
 /// TCP keepalive settings that detect a dead peer.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_RETRIES: u32 = 2;
@@ -38,10 +42,23 @@
     pub(crate) address: SocketAddr,
     /// Whether it has served a request before.
     pub(crate) reused: bool,
+    end: JoinHandle<Result<(), hyper::Error>>,
+}
+
+impl Upstream {
+    /// Whether the connection ended without an error, after a response whose end is that of the
+    /// connection. If the target closes it in order and then resets it, the response looks complete,
+    /// and only the rest of the request, which can't be written, shows the reset.
+    pub(crate) async fn has_ended_in_order(&mut self) -> bool {
+        match timeout(END_TIMEOUT, &mut self.end).await {
+            Ok(ended) => matches!(ended, Ok(Ok(()))),
+            Err(_) => true,
+        }
+    }
 }
 
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    upstream: Upstream,
     until: Duration,
 }
 
@@ -55,12 +72,11 @@
     pub(crate) fn take(&self, now: Duration, address: SocketAddr) -> Option<Upstream> {
         let mut all = self.idle.borrow_mut();
         let idle = all.get_mut(&address)?;
-        while let Some(IdleConnection { sender, until }) = idle.pop() {
-            if now < until && sender.is_ready() {
+        while let Some(IdleConnection { upstream, until }) = idle.pop() {
+            if now < until && upstream.sender.is_ready() {
                 return Some(Upstream {
-                    sender,
-                    address,
                     reused: true,
+                    ..upstream
                 });
             }
         }
@@ -78,7 +94,7 @@
             return;
         }
         idle.push(IdleConnection {
-            sender: upstream.sender,
+            upstream,
             until: now + keep,
         });
     }
@@ -86,7 +102,7 @@
     /// Closes idle connections that have expired.
     pub(crate) fn close_expired(&self, now: Duration) {
         self.idle.borrow_mut().retain(|_, idle| {
-            idle.retain(|idle| now < idle.until && !idle.sender.is_closed());
+            idle.retain(|idle| now < idle.until && !idle.upstream.sender.is_closed());
             !idle.is_empty()
         });
     }
@@ -124,14 +140,17 @@
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|_| "handshake")?;
-    tokio::task::spawn_local(async move {
-        if let Err(err) = conn.await {
+    let end = tokio::task::spawn_local(async move {
+        let ended = conn.await;
+        if let Err(err) = &ended {
             debug!("target: the connection to {address} failed: {err}");
         }
+        ended
     });
     Ok(Upstream {
         sender,
         address,
         reused: false,
+        end,
     })
 }
