--- a/crates/admit/src/owner.rs
+++ b/crates/admit/src/owner.rs
@@ -15,7 +15,6 @@
 use crate::model::{Name, Settings, Unit};
 use crate::named_limits::NamedLimits;
 use crate::offer::{Decision, Offer, Refusal, RunEnd, RunId, RunReport, StartReport};
-use crate::pace::Pace;
 use crate::queued_offer::QueuedOffer;
 use crate::rate_charge::{Charge, RateLeases, fleet_rate};
 use crate::retry_budget::RetryBudget;
@@ -173,17 +172,13 @@
             pools.insert(target.pool.clone());
             let key = target_key(target);
             seen.insert(key);
-            let is_cold = cold_until > now;
-            let state = self.targets.entry(key).or_insert_with(|| {
-                let mut state = TargetState::new(target);
-                if is_cold {
-                    state.pace = Pace::START;
-                }
-                state
-            });
+            let state = self
+                .targets
+                .entry(key)
+                .or_insert_with(|| TargetState::new(target));
             state.open = catalog.is_open(target);
             state.slots = target.slots;
-            state.set_cold(cold_until);
+            state.set_cold(now, cold_until);
             state.pool = target.pool.clone();
         }
         self.targets.retain(|key, _| seen.contains(key));
--- a/crates/admit/src/target.rs
+++ b/crates/admit/src/target.rs
@@ -142,8 +142,11 @@
         shard_of_hash(self.hash, shards)
     }
 
-    /// Applies the cold start that the store reports.
-    pub(crate) fn set_cold(&mut self, until: Duration) {
+    /// Applies the cold start that the store reports. A target may become cold again without a restart.
+    pub(crate) fn set_cold(&mut self, now: Duration, until: Duration) {
+        if now >= self.cold_until && now < until {
+            self.pace = Pace::START;
+        }
         if until != self.cold_until {
             self.cold_until = until;
             self.maybe_cold_until = Duration::ZERO;
--- a/crates/admit/tests/owner.rs
+++ b/crates/admit/tests/owner.rs
@@ -76,6 +76,38 @@
     assert_eq!(later, warm);
 }
 
+/// Guards against a target that gets all of its runs at once when it becomes cold again without a
+/// restart, and against one whose pace does not rise again.
+#[test]
+fn a_target_that_becomes_cold_again_starts_with_one_run() {
+    let (mut owner, mut catalog) = owner(1, 4);
+    let mut cold = support::target("t-0", 4);
+    cold.cold = Duration::from_secs(3);
+    cold.sequence = 2;
+    let grants = |owner: &mut Owner, catalog: &Catalog, now: Duration, first: u64| {
+        for run in first..first + 4 {
+            owner.offer(now, catalog, offer(1, run));
+        }
+        let runs = granted(&owner.poll(now));
+        for &run in &runs {
+            owner.release(now, RunId { entry: 1, run }, &RunReport::of(RunEnd::Served));
+        }
+        for run in granted(&owner.poll(now + ms(200))) {
+            owner.release(now, RunId { entry: 1, run }, &RunReport::of(RunEnd::Unused));
+        }
+        runs.len()
+    };
+    let warm = grants(&mut owner, &catalog, ms(5000), 0);
+
+    catalog.apply_changes(ms(6000), vec![Change::Target(cold)]);
+    owner.apply_catalog(ms(6000), &catalog);
+    let first = grants(&mut owner, &catalog, ms(6000), 100);
+    let second = grants(&mut owner, &catalog, ms(8000), 200);
+
+    assert_eq!((warm, first), (4, 1));
+    assert!(second > first, "{second} runs after an answer in time");
+}
+
 /// Guards against two owners that each send the load of a warm target within the second in which
 /// one replaces the other. The first one may have known that the target is cold.
 #[test]
