--- a/crates/admit/src/limits.rs
+++ b/crates/admit/src/limits.rs
@@ -6,8 +6,7 @@
 
 use crate::catalog::Catalog;
 use crate::convert::count_to_f64;
-use crate::model::LimitShare;
-use crate::model::{Name, Rate, Settings, Unit};
+use crate::model::{LimitShare, Name, Rate, Settings, Unit};
 use crate::offer::Offer;
 use crate::owner::Owner;
 use crate::rate_charge::{Charge, RateLeases};
--- a/crates/admit/src/rate_lease.rs
+++ b/crates/admit/src/rate_lease.rs
@@ -25,6 +25,7 @@
 const MAX_UNANSWERED: u32 = 2;
 /// Shortest time that an offer may wait for tokens. Entries wait longer for a decision.
 const MIN_TOKEN_WAIT: Duration = REPLY_TIMEOUT;
+
 /// An offer that waits for tokens.
 pub(crate) struct TokenWait {
     pub(crate) offer: Offer,
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -4,12 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use admit::{Change, Name, Settings, TargetLoad, TokenCounts};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 
 use crate::transfer::Progress;
-use admit::Change;
-use admit::{Name, Settings, TargetLoad, TokenCounts};
 
 /// Contents of the head of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use admit::{Name, RunEnd, Target};
 use bytes::Bytes;
 use http::header::TRANSFER_ENCODING;
 use http::{HeaderMap, Method, Request, Response, Uri};
@@ -18,8 +19,6 @@
 use crate::retry_decision::is_final_status;
 use crate::target_notices;
 use crate::upstream::{self, Upstream};
-use admit::RunEnd;
-use admit::{Name, Target};
 
 /// A request in the form in which it is sent to targets.
 #[derive(Debug)]
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -5,14 +5,13 @@
 
 use std::rc::Rc;
 
+use admit::{Target, target_key};
 use log::warn;
 use metrics::counter;
 
 use crate::clock;
 use crate::node::Node;
 use crate::upstream;
-use admit::Target;
-use admit::target_key;
 
 /// Checks the target of a run that broke, or was given up, before its answer began, and blames the request and the
 /// parts of its prompt if it has crashed. Does not delay the caller.
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -5,10 +5,10 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use admit::{HolderShares, LimitShare, SlidingExtremum, count_to_f64};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::position::Position;
-use admit::{HolderShares, LimitShare, SlidingExtremum, count_to_f64};
 
 /// A member that was silent for this long owns no shards. Five heartbeats of 250 ms.
 const OWNER_SILENCE: Duration = Duration::from_millis(1250);
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,16 +3,16 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use admit::{
+    LeaseReply, LeaseRequest, LimitReport, Offer, RunEnd, RunId, RunReport, StartReport,
+    TargetLoad, TokenCounts,
+};
 use prost::{Message, Oneof};
 
 use crate::membership::{Heartbeat, Member, Membership, Sighting};
 use crate::poison_parts::PartReport;
 use crate::position::Position;
 use crate::sighting_codec;
-use admit::LimitReport;
-use admit::TokenCounts;
-use admit::{LeaseReply, LeaseRequest};
-use admit::{Offer, RunEnd, RunId, RunReport, StartReport, TargetLoad};
 
 /// Maximum size of a datagram that is received.
 pub(crate) const MAX_DATAGRAM: usize = 16 * 1024;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -6,6 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use admit::{
+    Catalog, Decision, Name, NamedLimits, Offer, Owner, Refusal, RunId, RunReport, Settings,
+    StartReport,
+};
 use log::debug;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use prost::Message;
@@ -26,10 +30,6 @@
 use crate::run_listing::RunListing;
 use crate::target_pauses::TargetPauses;
 use crate::upstream::UpstreamPool;
-use admit::Catalog;
-use admit::NamedLimits;
-use admit::{Decision, Offer, Owner, Refusal, RunId, RunReport, StartReport};
-use admit::{Name, Settings};
 
 /// Reply of an owner to an offer.
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use admit::{LimitReport, Name, Refusal, RunEnd, RunId, RunReport};
 use log::{debug, info, warn};
 use metrics::counter;
 use prost::Message;
@@ -22,9 +23,6 @@
 use crate::rate_link;
 use crate::sighting_codec;
 use crate::target_notices;
-use admit::LimitReport;
-use admit::Name;
-use admit::{Refusal, RunEnd, RunId, RunReport};
 
 /// Interval between heartbeats. A member loses the ownership of shards after five lost heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -4,14 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use admit::{Name, Refusal, RunEnd, RunReport, StartReport, Target, TargetLoad, TokenCounts};
 use rand::seq::IteratorRandom;
 use tokio::time::timeout;
 
 use crate::clock;
 use crate::message::{Body, OfferMsg, millis};
 use crate::node::{InFlight, Node, Reply};
-use admit::{Name, Target, TokenCounts};
-use admit::{Refusal, RunEnd, RunReport, StartReport, TargetLoad};
 
 /// An unanswered offer is sent again after this time; replies take a few milliseconds.
 const RESEND_INTERVAL: Duration = Duration::from_millis(40);
--- a/crates/gateway/src/rate_link.rs
+++ b/crates/gateway/src/rate_link.rs
@@ -3,12 +3,12 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use admit::{LeaseEvent, LeaseReply, LeaseRequest};
 use log::{debug, info, warn};
 use metrics::counter;
 
 use crate::message::{Body, LeaseReplyMsg, LeaseRequestMsg};
 use crate::node::Node;
-use admit::{LeaseEvent, LeaseReply, LeaseRequest};
 
 /// Sends the requests of the local owner to the holders, and reports what happened to its leases.
 pub(crate) fn send_requests(node: &Node) {
--- a/crates/gateway/src/record_digest.rs
+++ b/crates/gateway/src/record_digest.rs
@@ -2,10 +2,10 @@
 
 use std::collections::{HashMap, HashSet};
 
+use admit::Name;
 use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::adapter::Record;
-use admit::Name;
 
 /// Hashes of the key, revision and value of each record; `None` if two are equal.
 pub(crate) fn digest<'a>(records: impl Iterator<Item = &'a Record>) -> Option<Vec<u64>> {
--- a/crates/gateway/src/record_log.rs
+++ b/crates/gateway/src/record_log.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
+use admit::Name;
+
 use crate::adapter::Record;
 use crate::position::Position;
 use crate::record_digest;
-use admit::Name;
 
 /// Recent changes that are kept at least. A member that missed more than is kept gets a difference
 /// or a snapshot.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use admit::{Route, RunEnd};
 use bytes::{Bytes, BytesMut};
 use http::Response;
 use http_body_util::BodyExt;
@@ -21,8 +22,6 @@
 use crate::permit::{self, Permit, PermitRequest};
 use crate::request_log::RequestLog;
 use crate::upstream::Upstream;
-use admit::Route;
-use admit::RunEnd;
 
 /// Frames queued for a caller. When the queue is full, a slow caller applies backpressure to the
 /// target.
@@ -324,7 +323,7 @@
 ) -> StreamEnd {
     let mut first: Option<(Duration, u32)> = None;
     let mut has_answered = false;
-    let mut last_event_at = None;
+    let mut last_data_at = None;
     loop {
         let time_left = stream.node.time_left(stream.deadline);
         if time_left.is_zero() {
@@ -334,7 +333,9 @@
             biased;
             () = tx.closed() => return StreamEnd::CallerLeft,
             frame = stream.node.before(stream.deadline, source.body.frame()) => frame,
-            next = permit_after_stall(stream, resume_request) => return StreamEnd::Stalled(Box::new(next)),
+            next = permit_after_stall(stream, resume_request) => {
+                return StreamEnd::Stalled(Box::new(next));
+            }
         };
         match frame {
             None => return StreamEnd::DeadlinePassed,
@@ -373,7 +374,7 @@
                     drop(poison_parts);
                     source.permit.report_start(source.head.load);
                 }
-                if let Some(last) = last_event_at.replace(now) {
+                if let Some(last) = last_data_at.replace(now) {
                     let pause = now.saturating_sub(last);
                     stream.log.record_pause(pause);
                     let longest = source.permit.report.longest_pause.get_or_insert(pause);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use admit::{Access, AccessError, Name, Refusal, Route, RunEnd};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -25,9 +26,6 @@
 use crate::relay::{self, StreamContext};
 use crate::request_log::RequestLog;
 use crate::retry_decision::{AttemptOutcome, NextStep, next_step};
-use admit::{Access, AccessError};
-use admit::{Name, Route};
-use admit::{Refusal, RunEnd};
 
 /// Fraction of the target latency for which a request may wait for a permit at most. The owner refuses
 /// it sooner if the rest is too short for the targets.
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -3,13 +3,13 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use admit::{Name, RouteKind};
 use log::{info, warn};
 use metrics::{counter, histogram};
 
 use crate::clock;
 use crate::node::Node;
 use crate::permit::{Permit, PermitRequest};
-use admit::{Name, RouteKind};
 
 /// Facts about one request, collected while it is served.
 #[derive(Debug)]
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use admit::Change;
 use log::{info, warn};
 use metrics::counter;
 use tokio::time::sleep;
@@ -23,7 +24,6 @@
 use crate::position::Position;
 use crate::record_log::LogDelta;
 use crate::transfer::Progress;
-use admit::Change;
 
 /// Longest wait of one watch. A dead connection is detected after this time plus
 /// `RESPONSE_TIMEOUT`, unless another member reports a newer revision first.
--- a/crates/gateway/src/target_notices.rs
+++ b/crates/gateway/src/target_notices.rs
@@ -1,15 +1,13 @@
 //! Acts on what targets state about themselves in their responses: that they are leaving, the limit
 //! that they name, and a pause that they ask for.
 
+use admit::{LimitReport, Target, target_key};
 use log::{info, warn};
 use metrics::counter;
 
 use crate::adapter::{Attestation, ResponseHead, StatedLimit};
 use crate::clock;
 use crate::node::Node;
-use admit::LimitReport;
-use admit::Target;
-use admit::target_key;
 
 /// Records what the response of a target says.
 pub(crate) fn record(node: &Node, target: &Target, head: &ResponseHead) {
