--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -4,6 +4,19 @@
 //! All decisions are made by an [`Owner`], which one member of the fleet runs for one or more shards
 //! of targets. The crate does no I/O, starts no tasks and reads no clock; each call takes the
 //! current time as `now`, a duration since an arbitrary start.
+//!
+//! | module | content |
+//! |---|---|
+//! | `model`, `offer` | configuration, targets, settings; offers, decisions and reports |
+//! | `catalog`, `leaving_targets`, `restore_hold` | active configuration and targets |
+//! | `owner`, `queued_offer` | state of an owner, and its queue |
+//! | `grant` | gives places to queued offers |
+//! | `placement`, `target_speed`, `target` | expected times of a request at a target |
+//! | `wait`, `tier_flow` | longest waits, and times to return |
+//! | `pace` | runs of targets that have just started or failed |
+//! | `rate_charge`, `rate_holder`, `rate_lease`, `rate_fallback`, `rate_demand`, `rate_message` | rates of workspaces |
+//! | `limits`, `limit_bucket`, `named_limits`, `retry_budget`, `token_bucket` | shares of the limits of the fleet |
+//! | `shard`, `convert`, `sliding_extremum` | shards; counts; extremes over a window |
 
 #![forbid(unsafe_code)]
 
--- a/crates/admit/src/owner.rs
+++ b/crates/admit/src/owner.rs
@@ -15,6 +15,7 @@
 use crate::model::{Name, Settings, Unit};
 use crate::named_limits::NamedLimits;
 use crate::offer::{Decision, Offer, Refusal, RunEnd, RunId, RunReport, StartReport};
+use crate::pace::Pace;
 use crate::queued_offer::QueuedOffer;
 use crate::rate_charge::{Charge, RateLeases, fleet_rate};
 use crate::retry_budget::RetryBudget;
@@ -164,6 +165,13 @@
             })
     }
 
+    /// Number of targets that may not use all of their slots, because they have just started or failed.
+    #[must_use]
+    pub fn paced_targets(&self) -> usize {
+        let states = self.targets.values();
+        states.filter(|state| state.pace != Pace::Full).count()
+    }
+
     /// Applies the targets, pools and workspaces of the catalog.
     pub fn apply_catalog(&mut self, now: Duration, catalog: &Catalog) {
         let mut seen = HashSet::new();
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -54,10 +54,12 @@
     /// it, the response looks complete, and only the rest of the request, which can't be written, shows
     /// the reset.
     pub(crate) async fn is_in_order(&mut self) -> bool {
-        match timeout(END_TIMEOUT, self.0.wait_for(Option::is_some)).await {
-            Ok(ended) => ended.is_ok_and(|ended| *ended == Some(true)),
-            Err(_) => true,
+        let ended = timeout(END_TIMEOUT, self.0.wait_for(Option::is_some)).await;
+        let is_in_order = ended.map_or(true, |ended| ended.is_ok_and(|ended| *ended == Some(true)));
+        if !is_in_order {
+            counter!("primrosechute_damaged_responses_total", "reason" => "reset").increment(1);
         }
+        is_in_order
     }
 }
 
--- a/crates/gateway/src/http_server.rs
+++ b/crates/gateway/src/http_server.rs
@@ -170,6 +170,12 @@
     let report_age = node.owner.borrow().oldest_report(now);
     gauge!("primrosechute_target_report_age_seconds").set(report_age.as_secs_f64());
     let version = u32::try_from(node.catalog.borrow().version()).unwrap_or(u32::MAX);
+    let (runs, unread_tokens) = node.owner.borrow().running_totals();
+    gauge!("primrosechute_granted_runs").set(u32::try_from(runs).unwrap_or(u32::MAX));
+    let unread_tokens = u32::try_from(unread_tokens).unwrap_or(u32::MAX);
+    gauge!("primrosechute_unread_prompt_tokens").set(unread_tokens);
+    let paced = node.owner.borrow().paced_targets();
+    gauge!("primrosechute_paced_targets").set(u32::try_from(paced).unwrap_or(u32::MAX));
     gauge!("primrosechute_config_version").set(version);
     let age = node.catalog.borrow().config_age(now);
     gauge!("primrosechute_config_age_seconds").set(age.as_secs_f64());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,8 @@
 //! that each fleet-wide limit is enforced in one place. If the owner stops responding, another
 //! member takes over.
 //!
+//! The decisions of owners are in the crate [`admit`].
+//!
 //! The traits in [`adapter`] hide the HTTP headers, paths and store API of a deployment.
 //!
 //! | module | content | I/O |
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -50,10 +50,14 @@
     /// connection. If the target closes it in order and then resets it, the response looks complete,
     /// and only the rest of the request, which can't be written, shows the reset.
     pub(crate) async fn has_ended_in_order(&mut self) -> bool {
-        match timeout(END_TIMEOUT, &mut self.end).await {
-            Ok(ended) => matches!(ended, Ok(Ok(()))),
-            Err(_) => true,
+        let Ok(ended) = timeout(END_TIMEOUT, &mut self.end).await else {
+            return true;
+        };
+        let is_in_order = matches!(ended, Ok(Ok(())));
+        if !is_in_order {
+            counter!("primrosechute_damaged_responses_total", "reason" => "reset").increment(1);
         }
+        is_in_order
     }
 }
 
