Case 7: a stream that pauses is cut when its replacement can't be sent

Cause: a silent stream is given up before another worker has taken the request, and that is tried once.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-exec target/review-2/cases poison "$folder"
+exec target/review-2/cases stall "$folder"
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -14,6 +15,8 @@
 
 pub const FRONTEND_PORT: u16 = 8221;
 const READINESS_PORT: u16 = 8224;
+const SIGKILL: i32 = 9;
+const SIGTERM: i32 = 15;
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
 unsafe extern "C" {
@@ -28,6 +31,8 @@
     pub log: PathBuf,
     record: Record,
     child: Arc<Mutex<Option<Child>>>,
+    /// Whether it has got SIGTERM, or was killed, at least once.
+    was_stopped: Arc<AtomicBool>,
 }
 
 /// A store and members, on a network of their own in the loopback range.
@@ -46,7 +51,7 @@
 pub fn end_all() {
     for pid in STARTED.lock().unwrap().drain(..) {
         // The process was started here and was not waited for.
-        unsafe { kill(pid, 9) };
+        unsafe { kill(pid, SIGKILL) };
     }
 }
 
@@ -94,6 +99,7 @@
                 log: self.dir.join(format!("member-{at}.log")),
                 record: self.record.clone(),
                 child: Arc::default(),
+                was_stopped: Arc::default(),
             });
         }
         Ok(())
@@ -168,16 +174,22 @@
             let _ = child.kill();
             let _ = child.wait();
             STARTED.lock().unwrap().retain(|&started| started != pid);
+            self.was_stopped.store(true, Ordering::Relaxed);
             self.record.line(&format!("SIGKILL of member {}", self.ip));
         }
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: i32) {
+    pub fn was_stopped(&self) -> bool {
+        self.was_stopped.load(Ordering::Relaxed)
+    }
+
+    /// SIGTERM, after which the process shuts down by itself.
+    pub fn stop(&self) {
         if let Some(child) = self.child.lock().unwrap().as_ref() {
             // The process was started here and was not waited for.
-            unsafe { kill(pid_of(child), signal) };
-            self.record.line(&format!("signal {signal} to member {}", self.ip));
+            unsafe { kill(pid_of(child), SIGTERM) };
+            self.was_stopped.store(true, Ordering::Relaxed);
+            self.record.line(&format!("SIGTERM to member {}", self.ip));
         }
     }
 
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -9,7 +9,6 @@
     pub method: String,
     pub path: String,
     headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
 }
 
 impl Request {
@@ -90,31 +89,24 @@
 }
 
 /// Reads the next request of a channel; `None` if the caller has closed it.
-pub fn read_request(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Request>> {
+pub fn read_request(reader: &mut impl BufRead) -> io::Result<Option<Request>> {
     let Some((first, headers)) = read_head(reader)? else {
         return Ok(None);
     };
     let mut words = first.split(' ');
     let method = words.next().unwrap_or_default().to_owned();
     let path = words.next().unwrap_or_default().to_owned();
-    let mut body = Vec::new();
+    // No stand-in needs the body.
     if is_chunked(&headers) {
-        loop {
-            let chunk = read_chunk(reader)?;
-            if chunk.is_empty() {
-                break;
-            }
-            body.extend(chunk);
-        }
+        while !read_chunk(reader)?.is_empty() {}
     } else if let Some(length) = find(&headers, "content-length") {
-        body = vec![0; length.parse().map_err(|_| io::ErrorKind::InvalidData)?];
+        let mut body = vec![0; length.parse().map_err(|_| io::ErrorKind::InvalidData)?];
         reader.read_exact(&mut body)?;
     }
     Ok(Some(Request {
         method,
         path,
         headers,
-        body,
     }))
 }
 
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,8 +5,11 @@
 
 mod fleet;
 mod http;
+mod limit;
 mod poison;
 mod record;
+mod roll;
+mod stall;
 mod stale_grant;
 mod store;
 mod worker;
@@ -50,6 +53,8 @@
     let result = match case.as_str() {
         "stale-grant" => stale_grant::run(&record, has_trouble),
         "poison" => poison::run(&record, has_trouble),
+        "limit" => limit::run(&record, has_trouble),
+        "stall" => stall::run(&record, has_trouble),
         other => Err(format!("unknown case {other}")),
     };
     fleet::end_all();
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -2,9 +2,9 @@
 
 use std::io::BufReader;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, Weak};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Request};
 use crate::record::Record;
@@ -36,7 +36,7 @@
     running: usize,
     waiting: usize,
     has_crashed: bool,
-    channels: Vec<TcpStream>,
+    channels: Vec<Weak<TcpStream>>,
 }
 
 /// A worker; clones share it.
@@ -44,6 +44,8 @@
 pub struct Worker {
     pub identity: Identity,
     pub record: Record,
+    /// The worker forgets a channel that is idle for this long, without notice.
+    drop_idle_after: Option<Duration>,
     load: Arc<(Mutex<Load>, Condvar)>,
     answer: Arc<Answer>,
 }
@@ -53,12 +55,23 @@
         identity: Identity,
         record: &Record,
         answer: impl Fn(&Worker, &Request, &TcpStream) -> std::io::Result<Next> + Send + Sync + 'static,
+    ) -> std::io::Result<Self> {
+        Self::start_forgetful(identity, record, None, answer)
+    }
+
+    /// Starts a worker that forgets idle channels.
+    pub fn start_forgetful(
+        identity: Identity,
+        record: &Record,
+        drop_idle_after: Option<Duration>,
+        answer: impl Fn(&Worker, &Request, &TcpStream) -> std::io::Result<Next> + Send + Sync + 'static,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(identity.address)?;
         listener.set_nonblocking(true)?;
         let worker = Worker {
             identity,
             record: record.clone(),
+            drop_idle_after,
             load: Arc::default(),
             answer: Arc::new(answer),
         };
@@ -88,9 +101,8 @@
                 Ok((stream, _)) => {
                     let _ = stream.set_nonblocking(false);
                     let _ = stream.set_nodelay(true);
-                    let mut load = self.load.0.lock().unwrap();
-                    load.channels.extend(stream.try_clone());
-                    drop(load);
+                    let stream = Arc::new(stream);
+                    self.load.0.lock().unwrap().channels.push(Arc::downgrade(&stream));
                     let server = self.clone();
                     thread::spawn(move || server.serve(&stream));
                 }
@@ -100,8 +112,17 @@
     }
 
     fn serve(&self, stream: &TcpStream) {
-        let mut reader = BufReader::new(stream.try_clone().unwrap());
-        while let Ok(Some(req)) = http::read_request(&mut reader) {
+        let mut reader = BufReader::new(stream);
+        loop {
+            let idle_since = Instant::now();
+            // The next bytes on a channel that was dropped are reset: it is closed with bytes unread.
+            let next = stream.peek(&mut [0]);
+            if next.is_err() || self.drop_idle_after.is_some_and(|limit| idle_since.elapsed() > limit) {
+                return;
+            }
+            let Ok(Some(req)) = http::read_request(&mut reader) else {
+                return;
+            };
             match self.handle(&req, stream) {
                 Ok(Next::Keep) => {}
                 Ok(Next::Crash) => return self.crash(),
@@ -162,7 +183,7 @@
     fn crash(&self) {
         let mut load = self.load.0.lock().unwrap();
         load.has_crashed = true;
-        for channel in load.channels.drain(..) {
+        for channel in load.channels.drain(..).filter_map(|channel| channel.upgrade()) {
             let _ = channel.shutdown(Shutdown::Both);
         }
         self.record.line(&format!("crash of {}", self.identity.id));
