Case 10: members that start alone send a cold worker too much

Cause: a process that has met nobody takes itself for the first owner and uses 0.525 of a cold worker's bound, and so does each of the others.

--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -9,6 +9,8 @@
     pub method: String,
     pub path: String,
     headers: Vec<(String, String)>,
+    /// Time at which it had arrived.
+    pub arrived: Instant,
 }
 
 impl Request {
@@ -107,6 +109,7 @@
         method,
         path,
         headers,
+        arrived: Instant::now(),
     }))
 }
 
--- a/review/standins-2/limit.rs
+++ b/review/standins-2/limit.rs
@@ -84,7 +84,7 @@
         let worker = Worker::start(identity, record, move |worker, req, stream| {
             let member = req.header("x-attempt-id").and_then(|id| id.rsplit('-').next()?.parse().ok());
             seen.lock().unwrap().arrivals.push(Arrival {
-                at: worker.record.now(),
+                at: worker.record.now().saturating_sub(req.arrived.elapsed()),
                 worker: worker.identity.id.clone(),
                 member: member.unwrap_or(0),
             });
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 //! `cases NAME FOLDER` plays a case and writes `record.txt` into its folder. It exits with 1 if the rule
 //! was broken, 0 if it held, and 2 if the case couldn't run.
 
+mod cold;
 mod fleet;
 mod http;
 mod limit;
@@ -55,6 +56,7 @@
         "poison" => poison::run(&record, has_trouble),
         "limit" => limit::run(&record, has_trouble),
         "stall" => stall::run(&record, has_trouble),
+        "cold" => cold::run(&record, has_trouble),
         other => Err(format!("unknown case {other}")),
     };
     fleet::end_all();
