--- a/review/standins-2/cold.rs
+++ b/review/standins-2/cold.rs
@@ -24,12 +24,12 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]}"#;
 
 const MEMBERS: usize = 9;
-const WORKERS: u8 = 5;
+const WORKERS: u8 = 4;
 /// The worker that turns cold, and for how long it is.
 const COLD: &str = "i-0";
 const COLD_TIME: Duration = Duration::from_millis(3000);
 /// Requests a second at the whole fleet, all the time.
-const PER_S: f64 = 200.0;
+const PER_S: f64 = 160.0;
 const CALM_TIME: Duration = Duration::from_millis(3500);
 const TIME: Duration = Duration::from_secs(7);
 /// The kill comes this long after the worker turned cold, and the processes are back after a short delay.
--- a/review/standins-2/stale_grant.rs
+++ b/review/standins-2/stale_grant.rs
@@ -27,7 +27,7 @@
 /// Members that are killed at the same moment: less than 0.55 of them.
 const KILLED: usize = 3;
 /// Users that come to each member at the same moment: at first, and in each wave after that.
-const AT_FIRST: usize = 12;
+const AT_FIRST: usize = 11;
 const IN_WAVE: usize = 3;
 const WAVES: usize = 8;
 const WAVE_INTERVAL: Duration = Duration::from_millis(100);
