--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 //! | `crash_check` | checks whether the target of a broken run has crashed | TCP |
 //! | `retry_decision` | response to the caller or retry after an attempt | none |
 //! | `run_listing` | which owners get the list of runs | none |
+//! | `run_number` | numbers of runs, unique in the fleet | none |
 //! | `message` | datagrams between members | none |
 //! | `buffer_budget` | bounds the memory of all buffers together | none |
 //! | `body` | bodies of requests and responses | through `upstream` |
@@ -70,6 +71,7 @@
 mod request_log;
 mod retry_decision;
 mod run_listing;
+mod run_number;
 mod serve;
 mod sighting_codec;
 mod store_follower;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -12,6 +12,7 @@
 use crate::membership::{Heartbeat, Member, Membership, Sighting};
 use crate::poison_parts::PartReport;
 use crate::position::Position;
+use crate::run_number::RunNumber;
 use crate::sighting_codec;
 
 /// Maximum size of a datagram that is received.
@@ -351,9 +352,9 @@
 }
 
 impl StartMsg {
-    pub(crate) fn new(run: u64, report: &StartReport) -> Self {
+    pub(crate) fn new(run: RunNumber, report: &StartReport) -> Self {
         StartMsg {
-            run,
+            run: run.to_wire(),
             first_event_ms: millis(report.first_event),
             load: report.load.as_ref().map(LoadMsg::from),
         }
@@ -564,13 +565,13 @@
 }
 
 impl ReleaseMsg {
-    pub(crate) fn new(run: u64, report: &RunReport) -> Self {
+    pub(crate) fn new(run: RunNumber, report: &RunReport) -> Self {
         let load = report.load.unwrap_or_default();
         let time_per_unit = report
             .time_per_unit
             .map_or(0, |time_per_unit| time_per_unit.as_micros());
         ReleaseMsg {
-            run,
+            run: run.to_wire(),
             end: report.end.code(),
             time_per_unit_us: u32::try_from(time_per_unit).unwrap_or(u32::MAX),
             has_load: report.load.is_some(),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -28,9 +28,32 @@
 use crate::rate_link;
 use crate::record_log::RecordLog;
 use crate::run_listing::RunListing;
+use crate::run_number::RunNumber;
 use crate::target_pauses::TargetPauses;
 use crate::upstream::UpstreamPool;
 
+/// Why a reply is meant for no request of this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StrayReply {
+    /// It is for a process that ran at this address before.
+    OtherProcess,
+    /// Another owner is asked for the run by now.
+    NotAsked,
+    /// No request waits for it any more.
+    Over,
+}
+
+impl StrayReply {
+    /// Label in metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            StrayReply::OtherProcess => "other_process",
+            StrayReply::NotAsked => "not_asked",
+            StrayReply::Over => "over",
+        }
+    }
+}
+
 /// Reply of an owner to an offer.
 #[derive(Clone, Debug)]
 pub(crate) enum Reply {
@@ -49,6 +72,12 @@
     },
 }
 
+/// An offer of this entry that waits for the reply of one owner.
+struct PendingOffer {
+    asked: Ipv4Addr,
+    tx: mpsc::UnboundedSender<Reply>,
+}
+
 /// A run of this entry that is in flight.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct InFlight {
@@ -119,12 +148,12 @@
     pub(crate) last_store_success: Cell<Duration>,
     /// Successful calls of this member to the store, since one failed.
     pub(crate) store_contact: Cell<Option<StoreContact>>,
-    pub(crate) runs: RefCell<HashMap<u64, InFlight>>,
+    pub(crate) runs: RefCell<HashMap<RunNumber, InFlight>>,
     pub(crate) run_listing: RefCell<RunListing>,
-    pending: RefCell<HashMap<u64, mpsc::UnboundedSender<Reply>>>,
+    pending: RefCell<HashMap<RunNumber, PendingOffer>>,
     /// Addresses of the entries that sent offers or heartbeats to this process, by incarnation.
     entry_addresses: RefCell<HashMap<u64, Ipv4Addr>>,
-    next_run: Cell<u64>,
+    next_run: Cell<RunNumber>,
     /// `Membership::discoveries` when the owner's limit shares were set.
     limit_shares_discoveries: Cell<u64>,
     socket: UdpSocket,
@@ -168,7 +197,7 @@
             run_listing: RefCell::default(),
             pending: RefCell::default(),
             entry_addresses: RefCell::default(),
-            next_run: Cell::new(1),
+            next_run: Cell::new(RunNumber::first(incarnation)),
             limit_shares_discoveries: Cell::new(0),
             incarnation,
             dialect,
@@ -219,41 +248,77 @@
         now.saturating_sub(self.last_store_success.get())
     }
 
-    pub(crate) fn new_run(&self) -> u64 {
+    pub(crate) fn new_run(&self) -> RunNumber {
         let run = self.next_run.get();
-        self.next_run.set(run + 1);
+        self.next_run.set(run.next());
         run
     }
 
     /// Id of a run of this entry.
-    pub(crate) fn local_run_id(&self, run: u64) -> RunId {
+    pub(crate) fn local_run_id(&self, run: RunNumber) -> RunId {
         RunId {
             entry: self.incarnation,
-            run,
+            run: run.to_wire(),
         }
     }
 
-    /// Registers a run for which replies are expected.
-    pub(crate) fn register_pending(&self, run: u64) -> mpsc::UnboundedReceiver<Reply> {
+    /// Registers a run for which replies of one owner are expected, in place of those of any other.
+    pub(crate) fn register_pending(
+        &self,
+        run: RunNumber,
+        asked: Ipv4Addr,
+    ) -> mpsc::UnboundedReceiver<Reply> {
         let (tx, rx) = mpsc::unbounded_channel();
-        self.pending.borrow_mut().insert(run, tx);
+        let offer = PendingOffer { asked, tx };
+        self.pending.borrow_mut().insert(run, offer);
         rx
     }
 
-    pub(crate) fn remove_pending(&self, run: u64) {
+    pub(crate) fn remove_pending(&self, run: RunNumber) {
         self.pending.borrow_mut().remove(&run);
     }
 
-    /// Passes a reply to the request that waits for it. Returns false if there is none.
-    pub(crate) fn deliver(&self, run: u64, reply: Reply) -> bool {
+    /// Passes a reply to the request that waits for it.
+    ///
+    /// # Errors
+    /// Returns why the reply is meant for no request.
+    pub(crate) fn deliver(
+        &self,
+        run: RunNumber,
+        from: Ipv4Addr,
+        reply: Reply,
+    ) -> Result<(), StrayReply> {
+        if !run.is_of(self.incarnation) {
+            return Err(StrayReply::OtherProcess);
+        }
         let pending = self.pending.borrow();
-        pending.get(&run).is_some_and(|tx| tx.send(reply).is_ok())
+        let offer = pending.get(&run).ok_or(StrayReply::Over)?;
+        if offer.asked != from {
+            return Err(StrayReply::NotAsked);
+        }
+        offer.tx.send(reply).map_err(|_| StrayReply::Over)
     }
 
     pub(crate) fn record_entry(&self, incarnation: u64, ip: Ipv4Addr) {
         self.entry_addresses.borrow_mut().insert(incarnation, ip);
     }
 
+    /// Forgets the process that chose a run and was replaced by another one at its address, with all
+    /// its runs and offers. Returns false if it is not known.
+    pub(crate) fn drop_replaced_entry(&self, ip: Ipv4Addr, run: RunNumber) -> bool {
+        let mut addresses = self.entry_addresses.borrow_mut();
+        let ended: Vec<u64> = addresses
+            .extract_if(|&incarnation, &mut at| at == ip && run.is_of(incarnation))
+            .map(|(incarnation, _)| incarnation)
+            .collect();
+        if ended.is_empty() {
+            return false;
+        }
+        let mut owner = self.owner.borrow_mut();
+        owner.drop_entries(|incarnation| ended.contains(&incarnation));
+        true
+    }
+
     /// Forgets entries whose process has ended, and their runs.
     pub(crate) fn drop_ended_entries(&self, now: Duration) {
         let membership = self.membership.borrow();
@@ -432,7 +497,7 @@
     }
 
     /// Tells the owner that granted a run that its first event has arrived.
-    pub(crate) fn start_run(&self, owner: Ipv4Addr, run: u64, report: &StartReport) {
+    pub(crate) fn start_run(&self, owner: Ipv4Addr, run: RunNumber, report: &StartReport) {
         if owner == self.settings.ip {
             let id = self.local_run_id(run);
             self.owner.borrow_mut().start(clock::now(), id, report);
@@ -442,7 +507,7 @@
     }
 
     /// Ends a run at the owner that granted it.
-    pub(crate) fn release(&self, owner: Ipv4Addr, run: u64, report: &RunReport) {
+    pub(crate) fn release(&self, owner: Ipv4Addr, run: RunNumber, report: &RunReport) {
         self.runs.borrow_mut().remove(&run);
         if owner == self.settings.ip {
             let id = self.local_run_id(run);
@@ -456,7 +521,9 @@
     fn send_decision(&self, decision: Decision) {
         let id = decision.id();
         if id.entry == self.incarnation {
-            self.deliver(id.run, self.reply(decision));
+            let run = RunNumber::from_wire(id.run);
+            // A request that is over has withdrawn its offer.
+            let _ = self.deliver(run, self.settings.ip, self.reply(decision));
             return;
         }
         let Some(to) = self.entry_addresses.borrow().get(&id.entry).copied() else {
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -18,9 +18,10 @@
     Body, Datagram, GrantMsg, HeartbeatMsg, LimitMsg, MAX_DATAGRAM, PartReportMsg, ReleaseMsg,
     RunMsg,
 };
-use crate::node::{InFlight, Node, Reply};
+use crate::node::{InFlight, Node, Reply, StrayReply};
 use crate::poison_parts::PartReport;
 use crate::rate_link;
+use crate::run_number::RunNumber;
 use crate::sighting_codec;
 use crate::target_notices;
 
@@ -111,8 +112,8 @@
         msg.runs = runs
             .iter()
             .filter(|(_, run)| run.owner == ip)
-            .map(|(&id, run)| RunMsg {
-                run: id,
+            .map(|(&number, run)| RunMsg {
+                run: number.to_wire(),
                 target: run.target,
             })
             .collect();
@@ -124,7 +125,7 @@
 fn add_list_recipients(
     node: &Node,
     now: Duration,
-    runs: &HashMap<u64, InFlight>,
+    runs: &HashMap<RunNumber, InFlight>,
     to: &mut Vec<Ipv4Addr>,
 ) {
     let membership = node.membership.borrow();
@@ -198,9 +199,7 @@
                 node.send(from, Body::Queued(id.run));
             }
         }
-        Body::Queued(run) => {
-            node.deliver(run, Reply::Queued);
-        }
+        Body::Queued(run) => deliver(node, from, run, Reply::Queued),
         Body::Grant(msg) => handle_grant(node, from, msg),
         Body::Refuse(msg) => {
             let reply = Reply::Refused {
@@ -208,16 +207,9 @@
                 retry_after: Duration::from_millis(msg.retry_ms.into()),
                 is_final: msg.is_final,
             };
-            node.deliver(msg.run, reply);
-        }
-        Body::Release(msg) => {
-            let id = RunId {
-                entry: sender,
-                run: msg.run,
-            };
-            node.owner.borrow_mut().release(now, id, &msg.to_report());
-            node.decide();
+            deliver(node, from, msg.run, reply);
         }
+        Body::Release(msg) => handle_release(node, now, (sender, from), &msg),
         Body::Start(msg) => {
             let id = RunId {
                 entry: sender,
@@ -250,6 +242,8 @@
             "member: discovered {}, incarnation {sender:016x}",
             heartbeat.from.ip
         );
+        // Frees what the process that it replaces has held here.
+        node.drop_ended_entries(now);
     }
     let reports: Vec<PartReport> = msg.poison_parts.iter().map(PartReport::from).collect();
     let refused = node.poison_parts.borrow_mut().merge(now, &reports);
@@ -281,20 +275,51 @@
     }
 }
 
-/// Delivers a grant. If no request waits for it, it is released; otherwise its slot would stay
+/// Delivers a reply that takes no slot at the owner. One that is meant for no request is dropped.
+fn deliver(node: &Node, from: Ipv4Addr, run: u64, reply: Reply) {
+    if let Err(stray) = node.deliver(RunNumber::from_wire(run), from, reply) {
+        count_stray(stray);
+    }
+}
+
+fn count_stray(stray: StrayReply) {
+    counter!("primrosechute_stray_replies_total", "reason" => stray.label()).increment(1);
+}
+
+/// Delivers a grant. If it is meant for no request, it is returned; otherwise its slot would stay
 /// taken.
 fn handle_grant(node: &Node, from: Ipv4Addr, msg: GrantMsg) {
-    let run = msg.run;
+    let run = RunNumber::from_wire(msg.run);
     let held = node.runs.borrow().get(&run).map(|run| run.owner);
+    if held == Some(from) {
+        return;
+    }
     let granted = Reply::Granted {
         from,
         target: Name::from(msg.target),
         has_met_limit: msg.has_met_limit,
     };
-    if held == Some(from) || node.deliver(run, granted) {
+    let Err(stray) = node.deliver(run, from, granted) else {
         return;
+    };
+    count_stray(stray);
+    if stray == StrayReply::OtherProcess {
+        info!("peer: a grant of {from} is for a process that ran here before; it is returned");
     }
     // The run may be in flight with a permit of another owner, so it stays in the list of runs.
     let unused = ReleaseMsg::new(run, &RunReport::of(RunEnd::Unused));
     node.send_end(from, Body::Release(unused));
 }
+
+/// Ends a run of the sender. If another process at its address chose the run, that one has ended.
+fn handle_release(node: &Node, now: Duration, (sender, from): (u64, Ipv4Addr), msg: &ReleaseMsg) {
+    let run = RunNumber::from_wire(msg.run);
+    if run.is_of(sender) || !node.drop_replaced_entry(from, run) {
+        let id = RunId {
+            entry: sender,
+            run: msg.run,
+        };
+        node.owner.borrow_mut().release(now, id, &msg.to_report());
+    }
+    node.decide();
+}
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -5,12 +5,15 @@
 use std::time::Duration;
 
 use admit::{Name, Refusal, RunEnd, RunReport, StartReport, Target, TargetLoad, TokenCounts};
+use log::warn;
+use metrics::counter;
 use rand::seq::IteratorRandom;
 use tokio::time::timeout;
 
 use crate::clock;
 use crate::message::{Body, OfferMsg, millis};
 use crate::node::{InFlight, Node, Reply};
+use crate::run_number::RunNumber;
 
 /// An unanswered offer is sent again after this time; replies take a few milliseconds.
 const RESEND_INTERVAL: Duration = Duration::from_millis(40);
@@ -50,7 +53,7 @@
 pub(crate) struct Permit {
     node: Rc<Node>,
     owner: Ipv4Addr,
-    run: u64,
+    run: RunNumber,
     pub(crate) target: Target,
     pub(crate) key: u64,
     /// Whether it was granted only after a wait for targets at the limits that they name.
@@ -88,7 +91,7 @@
 /// An offer that has not been decided; dropping it withdraws the offer.
 struct PendingOffer<'a> {
     node: &'a Rc<Node>,
-    run: u64,
+    run: RunNumber,
     current_owner: Option<Ipv4Addr>,
 }
 
@@ -103,7 +106,8 @@
             self.node.owner.borrow_mut().withdraw(clock::now(), id);
             self.node.decide();
         } else {
-            self.node.send_end(current_owner, Body::Withdraw(self.run));
+            let withdraw = Body::Withdraw(self.run.to_wire());
+            self.node.send_end(current_owner, withdraw);
         }
     }
 }
@@ -168,7 +172,6 @@
 ) -> Result<Permit, PermitRefused> {
     let started_at = clock::now().saturating_sub(spent);
     let run = node.new_run();
-    let mut replies = node.register_pending(run);
     let mut pending = PendingOffer {
         node,
         run,
@@ -193,14 +196,11 @@
         let next = owners.into_iter().find(|ip| !skipped.contains(ip));
         let decide_locally = silent_owners >= MAX_SILENT_OWNERS || waited > request.max_wait;
         let owner = next.filter(|_| !decide_locally).unwrap_or(me);
-        if pending
-            .current_owner
-            .is_some_and(|current_owner| current_owner != owner)
-        {
+        if pending.current_owner != Some(owner) {
             // The previous owner may still have it queued; its late replies are ignored.
             pending.withdraw();
-            replies = node.register_pending(run);
         }
+        let mut replies = node.register_pending(run, owner);
         pending.current_owner = Some(owner);
         let msg = offer_msg(node, request, run, (shard, shards), max_wait, waited);
         let Some(reply) = ask_owner(node, owner, &msg, &mut replies, max_wait).await else {
@@ -230,7 +230,7 @@
                 has_met_limit,
             } => {
                 pending.current_owner = None;
-                let Some(mut permit) = accept_grant(node, from, run, &target) else {
+                let Some(mut permit) = accept_grant(node, request, (from, run), &target) else {
                     // The catalog of this member rules the target out, or the target has asked this
                     // member for a pause; the owner may not know that.
                     skipped.push(from);
@@ -271,7 +271,8 @@
     max_wait: Duration,
 ) -> Option<Reply> {
     if owner == node.settings.ip {
-        node.offer(msg.clone().into_offer(node.local_run_id(msg.run)));
+        let run = RunNumber::from_wire(msg.run);
+        node.offer(msg.clone().into_offer(node.local_run_id(run)));
         let reply = timeout(max_wait + DECISION_MARGIN, replies.recv()).await;
         return reply.ok().flatten();
     }
@@ -306,12 +307,25 @@
 }
 
 /// Checks a grant against what this member knows of the target, right before the request is sent.
-fn accept_grant(node: &Rc<Node>, from: Ipv4Addr, run: u64, target: &str) -> Option<Permit> {
+fn accept_grant(
+    node: &Rc<Node>,
+    request: &PermitRequest,
+    (from, run): (Ipv4Addr, RunNumber),
+    target: &str,
+) -> Option<Permit> {
     let catalog = node.catalog.borrow();
     let pauses = node.target_pauses.borrow();
     let now = clock::now();
     let is_usable = |target: &&Target| {
-        catalog.is_open(target) && !pauses.is_paused(now, admit::target_key(target))
+        let is_of_pool = target.pool == request.pool;
+        if !is_of_pool {
+            counter!("primrosechute_grants_of_other_pools_total").increment(1);
+            warn!(
+                "peer: {from} granted {}, which is not of pool {}",
+                target.id, request.pool
+            );
+        }
+        is_of_pool && catalog.is_open(target) && !pauses.is_paused(now, admit::target_key(target))
     };
     let Some(target) = catalog.target(target).filter(is_usable) else {
         drop((catalog, pauses));
@@ -361,7 +375,7 @@
 fn offer_msg(
     node: &Node,
     request: &PermitRequest,
-    run: u64,
+    run: RunNumber,
     (shard, shards): (u32, u32),
     max_wait: Duration,
     waited: Duration,
@@ -371,7 +385,7 @@
     let paused = node.target_pauses.borrow().targets(clock::now());
     avoid.extend(paused.into_iter().take(MAX_AVOIDED_PAUSES));
     OfferMsg {
-        run,
+        run: run.to_wire(),
         pool: request.pool.to_string(),
         shard,
         shards,
