--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -52,6 +52,26 @@
     }
 }
 
+/// Which connection a request is sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Channel {
+    /// An idle one if there is any. The target may have dropped it without notice.
+    Pooled,
+    New,
+}
+
+/// Limits and kind of one send.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt<'a> {
+    /// Time that the target is given.
+    pub(crate) time_left: Duration,
+    /// Longest wait for the response head.
+    pub(crate) head_timeout: Duration,
+    /// Event after which a stream goes on.
+    pub(crate) last_event: Option<&'a str>,
+    pub(crate) channel: Channel,
+}
+
 /// Result of one send.
 pub(crate) enum SendOutcome {
     /// No byte of the request was sent.
@@ -78,11 +98,12 @@
     node: &Rc<Node>,
     req: &OutboundRequest,
     target: &Target,
-    time_left: Duration,
-    head_timeout: Duration,
-    last_event: Option<&str>,
+    attempt: &Attempt<'_>,
 ) -> SendOutcome {
-    let idle = node.upstreams.take(clock::now(), target.address);
+    let idle = match attempt.channel {
+        Channel::Pooled => node.upstreams.take(clock::now(), target.address),
+        Channel::New => None,
+    };
     let connect_started = clock::now();
     let mut upstream = match idle {
         Some(upstream) => upstream,
@@ -91,18 +112,19 @@
             Err(_) => return SendOutcome::NotSent,
         },
     };
-    let time_left = time_left.saturating_sub(clock::now().saturating_sub(connect_started));
+    let connect_time = clock::now().saturating_sub(connect_started);
+    let time_left = attempt.time_left.saturating_sub(connect_time);
     let forward = ForwardContext {
         target: &target.id,
         workspace: req.workspace.as_deref(),
         time_left,
-        last_event,
+        last_event: attempt.last_event,
     };
     let mut outbound = Request::new(Full::new(req.body.clone()));
     *outbound.method_mut() = req.method.clone();
     *outbound.uri_mut() = req.uri.clone();
     *outbound.headers_mut() = node.dialect.target_headers(&req.headers, &forward);
-    let head_deadline = clock::now() + head_timeout;
+    let head_deadline = clock::now() + attempt.head_timeout;
     let sending = upstream.sender.try_send_request(outbound);
     let response = match node.before(head_deadline, sending).await {
         None => return SendOutcome::TimedOut,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,9 @@
 //! | `feed`, `feed_client`, `feed_server` | pass on changes of the store to other members | TCP |
 //! | `peer_link` | exchanges datagrams | UDP |
 //! | `http_server`, `request`, `attempt`, `relay`, `upstream` | serves requests | TCP |
+//! | `target_stream` | the stream of one target | TCP |
+//! | `takeover` | lets another target go on with a stream | through `attempt` |
+//! | `event_splitter` | splits streams into complete events | none |
 //! | `rate_link` | asks the holders of rates for tokens | through `node` |
 //! | `permit` | asks owners for permits | through `peer_link` |
 //! | `request_log` | logs and metrics of a request | log, metrics |
@@ -51,6 +54,7 @@
 mod catalog_expiry;
 mod clock;
 mod crash_check;
+mod event_splitter;
 mod feed;
 mod feed_client;
 mod feed_server;
@@ -75,8 +79,10 @@
 mod serve;
 mod sighting_codec;
 mod store_follower;
+mod takeover;
 mod target_notices;
 mod target_pauses;
+mod target_stream;
 mod transfer;
 mod upstream;
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::adapter::{Attestation, HeadError, RequestHead};
-use crate::attempt::{self, OutboundRequest, ReceivedHead, SendOutcome};
+use crate::attempt::{self, Attempt, Channel, OutboundRequest, ReceivedHead, SendOutcome};
 use crate::body::{self, Body, BodyError};
 use crate::buffer_budget::Buffered;
 use crate::clock;
@@ -36,7 +36,7 @@
 /// Shortest time after which a target that doesn't respond is given up.
 const MIN_HEAD_TIMEOUT: Duration = Duration::from_millis(600);
 /// The request is refused after this many targets that could not be reached.
-const MAX_UNREACHABLE_TARGETS: u32 = 4;
+pub(crate) const MAX_UNREACHABLE_TARGETS: u32 = 4;
 /// Longest wait of a request for the first configuration; a fraction of usual target latencies.
 const FIRST_CONFIG_WAIT: Duration = Duration::from_millis(200);
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -49,7 +49,12 @@
 /// Shortest retry time given to callers.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// With less time than this left, no further attempt is made.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
+pub(crate) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
+
+/// Time after which a target that doesn't respond is given up, if another one can be asked.
+pub(crate) fn head_timeout(route: &Route) -> Duration {
+    (route.target_latency * HEAD_TIMEOUT_FACTOR).max(MIN_HEAD_TIMEOUT)
+}
 
 /// Handles one request. If the caller leaves, this future is dropped, which releases everything
 /// that it holds.
@@ -240,22 +245,19 @@
             };
             let can_retry = self.can_retry();
             let head_timeout = if can_retry && self.route.kind.is_retryable() {
-                self.time_left()
-                    .min((self.route.target_latency * HEAD_TIMEOUT_FACTOR).max(MIN_HEAD_TIMEOUT))
+                self.time_left().min(head_timeout(&self.route))
             } else {
                 self.time_left()
             };
             let target = permit.target.clone();
             let sent_at = clock::now();
-            let sent = attempt::send(
-                &self.node,
-                &self.req,
-                &target,
-                self.time_left(),
+            let attempt = Attempt {
+                time_left: self.time_left(),
                 head_timeout,
-                None,
-            )
-            .await;
+                last_event: None,
+                channel: Channel::Pooled,
+            };
+            let sent = attempt::send(&self.node, &self.req, &target, &attempt).await;
             if !matches!(sent, SendOutcome::NotSent) {
                 self.permit_request.sends += 1;
                 self.log.record_send();
@@ -283,11 +285,12 @@
                     {
                         self.log.record_first_byte();
                         let stream = StreamContext {
-                            log: self.log,
+                            log: self.log.into(),
                             node: self.node,
                             req: self.req,
                             route: self.route,
-                            permit_request: self.permit_request,
+                            permit_request: self.permit_request.into(),
+                            unreachable_targets: self.unreachable_targets.into(),
                             deadline: self.deadline,
                             _serving: serving,
                         };
@@ -356,7 +359,8 @@
             return Err(refused);
         }
         let waited = clock::now().saturating_sub(asked_at);
-        self.log.record_permit(&permit, waited);
+        self.log.record_permit(&permit);
+        self.log.record_permit_wait(waited);
         Ok(permit)
     }
 
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -78,11 +78,15 @@
         self.longest_pause = self.longest_pause.max(pause);
     }
 
-    /// Records a permit.
-    pub(crate) fn record_permit(&mut self, permit: &Permit, permit_wait: Duration) {
+    /// Records the member that decided and the target that serves the request.
+    pub(crate) fn record_permit(&mut self, permit: &Permit) {
         self.owner = permit.owner().to_string();
         self.target = Name::clone(&permit.target.id);
         self.has_met_limit |= permit.has_met_limit;
+    }
+
+    /// Records the time for which a permit was waited for.
+    pub(crate) fn record_permit_wait(&mut self, permit_wait: Duration) {
         self.permit_wait += permit_wait;
         histogram!("primrosechute_permit_wait_seconds").record(permit_wait.as_secs_f64());
     }
