--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -4,25 +4,36 @@
 //! fails. After a crash the target does not accept connections for a while.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use admit::{Target, target_key};
 use log::warn;
 use metrics::counter;
+use tokio::time::sleep;
 
 use crate::clock;
 use crate::node::Node;
 use crate::upstream;
 
+/// Time from the end of a run to the check. The connections of a process that ends may break a few
+/// milliseconds before its listener is closed, and until then the kernel accepts further ones.
+const CHECK_DELAY: Duration = Duration::from_millis(100);
+
 /// Checks the target of a run that broke, or was given up, before its answer began, and blames the request and the
 /// parts of its prompt if it has crashed. Does not delay the caller.
 pub(crate) fn check_target(node: &Rc<Node>, parts: &Rc<[u64]>, target: &Target) {
     let (node, parts, target) = (Rc::clone(node), Rc::clone(parts), target.clone());
     tokio::task::spawn_local(async move {
+        sleep(CHECK_DELAY).await;
         // The connection is not kept: the pool takes its connections for used ones, on which a
         // refusal without the id of its request doesn't count.
-        if upstream::connect(target.address).await.is_err() {
+        let outcome = if upstream::connect(target.address).await.is_err() {
             blame(&node, &parts, &target);
-        }
+            "crashed"
+        } else {
+            "alive"
+        };
+        counter!("primrosechute_crash_checks_total", "outcome" => outcome).increment(1);
     });
 }
 
