--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -19,7 +19,7 @@
 /// milliseconds before its listener is closed, and until then the kernel accepts further ones.
 const CHECK_DELAY: Duration = Duration::from_millis(100);
 
-/// Checks the target of a run that broke, or was given up, before its answer began, and blames the request and the
+/// Checks the target of a run that broke, or was given up for silence, and blames the request and the
 /// parts of its prompt if it has crashed. Does not delay the caller.
 pub(crate) fn check_target(node: &Rc<Node>, parts: &Rc<[u64]>, target: &Target) {
     let (node, parts, target) = (Rc::clone(node), Rc::clone(parts), target.clone());
--- a/crates/gateway/src/poison_parts.rs
+++ b/crates/gateway/src/poison_parts.rs
@@ -3,22 +3,27 @@
 //! counts as the last part of its prompt.
 //!
 //! Each member observes the runs of its own callers and learns from heartbeats what the others
-//! observed. A crash is blamed on the parts of the runs that it cut off before their answer began.
-//! Most of these parts are sound. An answer that begins on a part clears it, at all members; the
-//! poison parts are the fewest that explain all other crashes.
+//! observed. A crash is blamed on the parts of all runs that it cut off, at whatever event of their
+//! streams. Most of these parts are sound. A complete answer on a part clears it, at all members; the
+//! poison parts are the fewest that explain all other crashes. An answer that has only begun clears
+//! nothing: the request may crash its target at a later event.
 
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
-/// A part is refused after it was in the prompts of unanswered runs on this many crashed targets.
+/// A part is refused after it was in the prompts of runs on this many crashed targets.
 const REFUSE_AFTER_CRASHES: usize = 3;
+/// Requests that were cut off by exactly the same crashes can't be told apart. They are refused only
+/// after this many crashes: a sound one that ran beside a poison one by chance would be refused for as
+/// long as the poison one.
+const REFUSE_TIED_AFTER_CRASHES: usize = 5;
 /// Time for which a part is refused after its last crash. Then its requests are sent again, and one
 /// more crash is enough.
 const REFUSE_TIME: Duration = Duration::from_mins(2);
 /// Time for which a crash is remembered.
 const CRASH_MEMORY: Duration = Duration::from_mins(10);
-/// A part is not blamed for a crash if an answer began on it in this time before the crash.
+/// A part is not blamed for a crash if an answer on it was completed in this time before the crash.
 const ANSWER_MEMORY: Duration = Duration::from_secs(10);
 /// Time for which a suspected part is gossiped after its last crash. It takes a second to reach all
 /// members.
@@ -40,9 +45,9 @@
     pub part: u64,
     /// Position in the prompts; 0 is the first part.
     pub depth: u32,
-    /// Targets that crashed with unanswered runs of the part, each with the time since the crash.
+    /// Targets that crashed with runs of the part, each with the time since the crash.
     pub crashes: Vec<(u64, Duration)>,
-    /// Time since an answer began on the part, if one is known.
+    /// Time since an answer on the part was completed, if one is known.
     pub answered: Option<Duration>,
 }
 
@@ -93,19 +98,19 @@
         crashes.filter(move |crash| cleared_until.is_none_or(|until| crash.at >= until))
     }
 
-    /// Crashes that no answer has cleared, without those at the given targets.
-    fn unexplained_crashes(&self, explained: &HashSet<u64>) -> usize {
-        let crashes = self.blamed_crashes();
-        crashes
-            .filter(|crash| !explained.contains(&crash.target))
-            .count()
+    /// Targets of the crashes that no answer has cleared, without the given ones.
+    fn unexplained_crashes(&self, explained: &HashSet<u64>) -> HashSet<u64> {
+        let targets = self.blamed_crashes().map(|crash| crash.target);
+        targets
+            .filter(|target| !explained.contains(target))
+            .collect()
     }
 }
 
 /// What a member knows about the parts of prompts.
 #[derive(Default)]
 pub struct PoisonParts {
-    /// Time at which the last answer on a part began at this member.
+    /// Time at which the last answer on a part was completed at this member.
     answered: HashMap<u64, Duration>,
     suspects: HashMap<u64, Suspect>,
     /// Parts that explain the crashes, with the time until which they are refused.
@@ -129,7 +134,7 @@
         self.poison.values().filter(|&&until| now < until).count()
     }
 
-    /// Records that an answer began on a prompt with these parts.
+    /// Records that an answer on a prompt with these parts was completed.
     pub fn record_answer(&mut self, now: Duration, parts: &[u64]) {
         let mut is_suspected = false;
         for &part in parts {
@@ -147,7 +152,7 @@
         }
     }
 
-    /// Records that a target crashed with an unanswered run whose prompt has these parts.
+    /// Records that a target crashed with a run whose prompt has these parts.
     pub fn record_crash(&mut self, now: Duration, parts: &[u64], target: u64) -> Blame {
         let is_blamed = |part: &u64| {
             self.last_answer(*part)
@@ -246,28 +251,38 @@
     /// Updates the parts that explain the crashes: again and again the one with the most crashes
     /// that none before it explains. Sound parts of the same prompts, and of other runs on the same
     /// targets, have no crashes of their own. Of parts with the same crashes the last in the prompt
-    /// is the most specific.
+    /// is the most specific. If several are, the next crash may tell which of them is poison.
     fn find_poison(&mut self) {
         self.poison.clear();
         let mut explained: HashSet<u64> = HashSet::new();
         let suspects = self.suspects.iter();
-        let mut candidates: Vec<(&u64, &Suspect)> = suspects
+        let mut candidates: Vec<(u64, &Suspect)> = suspects
             .filter(|(_, suspect)| suspect.crashes.len() >= REFUSE_AFTER_CRASHES)
+            .map(|(&part, suspect)| (part, suspect))
             .collect();
         loop {
-            let unexplained = |suspect: &Suspect| suspect.unexplained_crashes(&explained);
-            let best = candidates
+            let crashes: Vec<HashSet<u64>> = candidates
                 .iter()
-                .enumerate()
-                .max_by_key(|(_, (part, suspect))| (unexplained(suspect), suspect.depth, **part));
-            let Some((at, &(&part, suspect))) = best else {
+                .map(|(_, suspect)| suspect.unexplained_crashes(&explained))
+                .collect();
+            let best = (0..candidates.len()).max_by_key(|&at| {
+                let (part, suspect) = candidates[at];
+                (crashes[at].len(), suspect.depth, part)
+            });
+            let Some(at) = best.filter(|&at| crashes[at].len() >= REFUSE_AFTER_CRASHES) else {
                 return;
             };
-            if unexplained(suspect) < REFUSE_AFTER_CRASHES {
-                return;
+            let (part, suspect) = candidates[at];
+            let is_tied = |other: usize| {
+                other != at
+                    && candidates[other].1.depth == suspect.depth
+                    && crashes[other] == crashes[at]
+            };
+            let has_tie = (0..candidates.len()).any(is_tied);
+            if !has_tie || crashes[at].len() >= REFUSE_TIED_AFTER_CRASHES {
+                self.poison.insert(part, suspect.last_crash() + REFUSE_TIME);
             }
-            explained.extend(suspect.blamed_crashes().map(|crash| crash.target));
-            self.poison.insert(part, suspect.last_crash() + REFUSE_TIME);
+            explained.extend(&crashes[at]);
             candidates.swap_remove(at);
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -35,6 +35,10 @@
 /// goes on meanwhile, since a silent one may still be at work.
 const STALL_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// A target that was silent for this long when its caller left may have failed. Sound ones pause for
+/// less between most events.
+const CHECKED_SILENCE: Duration = Duration::from_millis(300);
+
 type Sender = mpsc::Sender<Result<Buffered, Aborted>>;
 type Takeover<'a> = Pin<Box<dyn Future<Output = TakeoverEnd> + 'a>>;
 
@@ -184,8 +188,8 @@
     async fn run(mut self) -> (StreamEnd, u32) {
         loop {
             let end = match self.next_step().await {
-                Step::CallerLeft => Some(StreamEnd::CallerLeft),
-                Step::DeadlinePassed => Some(StreamEnd::DeadlinePassed),
+                Step::CallerLeft => Some(self.leave_source(StreamEnd::CallerLeft)),
+                Step::DeadlinePassed => Some(self.leave_source(StreamEnd::DeadlinePassed)),
                 Step::Source(StreamPart::Data(data)) => self.relay(&data).await,
                 Step::Source(StreamPart::Complete) => Some(self.complete().await),
                 Step::Source(StreamPart::Broken) => self.lose_source(),
@@ -244,9 +248,6 @@
         };
         let now = clock::now();
         let count = self.events.count();
-        if count > 0 && count_before == 0 {
-            self.record_answer(now);
-        }
         let source = self.source.as_mut()?;
         if let Some(pause) = source.record_data(now, count) {
             self.stream.log.borrow_mut().record_pause(pause);
@@ -258,11 +259,6 @@
         self.send(ready?).await
     }
 
-    fn record_answer(&self, now: Duration) {
-        let mut poison_parts = self.stream.node.poison_parts.borrow_mut();
-        poison_parts.record_answer(now, &self.stream.req.parts);
-    }
-
     async fn send(&mut self, ready: Bytes) -> Option<StreamEnd> {
         let reserved = self.reserved.split(ready.len());
         let sent = self.tx.send(Ok(Buffered::new(ready, reserved))).await;
@@ -275,12 +271,28 @@
             // Fails only if the caller has left.
             let _ = self.send(remainder).await;
         }
+        let node = &self.stream.node;
         if let Some(source) = self.source.take() {
-            source.complete(&self.stream.node, self.events.count());
+            source.complete(node, self.events.count());
         }
+        // Not sooner: a target that has begun may still crash on the request.
+        let mut poison_parts = node.poison_parts.borrow_mut();
+        poison_parts.record_answer(clock::now(), &self.stream.req.parts);
         StreamEnd::Complete
     }
 
+    /// Ends the run of a source that nobody waits for any more. If it is silent, its VM may have failed
+    /// without closing the connection.
+    fn leave_source(&mut self, end: StreamEnd) -> StreamEnd {
+        if let Some(source) = &self.source
+            && source.silence(clock::now()) >= CHECKED_SILENCE
+        {
+            let stream = self.stream;
+            crash_check::check_target(&stream.node, &stream.req.parts, &source.permit.target);
+        }
+        end
+    }
+
     /// Ends the run of a source whose stream broke. Another target is asked if it may be.
     fn lose_source(&mut self) -> Option<StreamEnd> {
         self.end_source("broken stream", RunEnd::Broken);
@@ -304,9 +316,7 @@
         };
         let stream = self.stream;
         stream.log.borrow().log_failed_attempt(reason);
-        if self.events.count() == 0 {
-            crash_check::check_target(&stream.node, &stream.req.parts, &source.permit.target);
-        }
+        crash_check::check_target(&stream.node, &stream.req.parts, &source.permit.target);
         stream
             .permit_request
             .borrow_mut()
@@ -350,15 +360,11 @@
             ready,
             reserved,
         } = successor;
-        let is_first = self.events.count() == 0 && events.count() > 0;
         self.stream.log.borrow_mut().record_permit(&source.permit);
         self.source = Some(source);
         self.events = events;
         self.reserved = reserved;
         self.silent_since = clock::now();
-        if is_first {
-            self.record_answer(self.silent_since);
-        }
         self.send(ready?).await
     }
 }
--- a/crates/gateway/src/target_stream.rs
+++ b/crates/gateway/src/target_stream.rs
@@ -31,6 +31,7 @@
     /// Time of the first data, and the number of events then.
     first_data: Option<(Duration, u32)>,
     last_data_at: Option<Duration>,
+    began_at: Duration,
 }
 
 /// What arrived next.
@@ -55,6 +56,7 @@
             has_started: false,
             first_data: None,
             last_data_at: None,
+            began_at: clock::now(),
         }
     }
 
@@ -100,6 +102,11 @@
         Some(pause)
     }
 
+    /// Time since the last data, or since the response head.
+    pub(crate) fn silence(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.last_data_at.unwrap_or(self.began_at))
+    }
+
     /// Ends the run of a complete stream, and keeps the connection for another request.
     pub(crate) fn complete(mut self, node: &Node, count: u32) {
         self.permit.report.events = Some(count);
--- a/crates/gateway/tests/poison_parts.rs
+++ b/crates/gateway/tests/poison_parts.rs
@@ -264,6 +264,47 @@
     assert_eq!(fleet.refusing(UNANSWERED), 0);
 }
 
+/// Guards against the refusal of a sound request that was cut off by the same crashes as a poison one. The
+/// next crash tells them apart.
+#[test]
+fn requests_with_the_same_crashes_are_refused_only_when_told_apart() {
+    const SOUND: u64 = 80;
+    // Of two equal parts the one with the larger hash would be taken.
+    for poison in [SOUND - 1, SOUND + 1] {
+        let mut fleet = Fleet::new(9);
+        for target in 0..3 {
+            let now = fleet.now;
+            fleet.members[0].record_crash(now, &[COMMON, SOUND], target);
+            fleet.members[1].record_crash(now, &[COMMON, poison], target);
+            fleet.now += ms(400);
+            fleet.gossip();
+        }
+        assert_eq!(fleet.refusing(SOUND), 0, "{poison}: three crashes");
+        assert_eq!(fleet.refusing(RARE), 0, "{poison}: the common part");
+
+        fleet.members[1].record_crash(fleet.now, &[COMMON, poison], 3);
+        fleet.now += ms(400);
+        fleet.gossip();
+
+        assert_eq!(fleet.refusing(SOUND), 0, "{poison}");
+        assert_eq!(fleet.refusing(poison), 9, "{poison}");
+    }
+}
+
+/// Guards against requests that crash targets for ever because they always come two at a time.
+#[test]
+fn requests_that_are_never_told_apart_are_refused() {
+    let mut parts = PoisonParts::default();
+    for target in 0..5 {
+        parts.record_crash(START, &[POISON], target);
+        parts.record_crash(START, &[POISON + 1], target);
+    }
+
+    let refused = [POISON, POISON + 1].map(|part| is_refused(&parts, START, part));
+
+    assert_ne!(refused, [false, false]);
+}
+
 /// Guards against memory and heartbeats that grow with the number of parts.
 #[test]
 fn the_state_is_bounded() {
