--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -136,8 +136,8 @@
     pub seq: u64,
 }
 
-/// A heartbeat: the sender and other members that it knows. An empty one is of a process that has just
-/// started.
+/// A heartbeat: the sender and other members that it knows. It names no others if it is of a process
+/// that has just started, or is sent only for its list of runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
     /// The sender.
@@ -149,7 +149,8 @@
 }
 
 impl Heartbeat {
-    /// Whether its sender knows no other member.
+    /// Whether it names no other member. Of an unknown sender, this means nearly always that it knows
+    /// none; an answer to a list of runs does no harm.
     #[must_use]
     pub fn is_lone(&self) -> bool {
         self.others.is_empty() && self.sightings.is_empty()
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -780,7 +780,8 @@
 
     /// Guards against owners that follow each other, restarted members that know nobody yet, and entries
     /// that ask others, which together send a target more than it bears if it has just turned cold and
-    /// no member knows it.
+    /// no member knows it. Partitions are left out: the sides don't know of each other, and together may
+    /// exceed the bound if all are saturated (docs/design/cold-bound.md).
     #[test]
     fn targets_that_may_be_cold_get_no_more_than_cold_ones_bear(
         size in 2usize..12,
