--- a/review/standins-3/parts.rs
+++ b/review/standins-3/parts.rs
@@ -309,6 +309,11 @@
         changed.notify_all();
     }
 
+    /// Revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.state.0.lock().expect("store").revision
+    }
+
     /// All open channels go silent for good; new ones work.
     pub fn silence_open_channels(&self) {
         self.silences.fetch_add(1, Ordering::SeqCst);
