--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,11 +3,11 @@
 # TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-[ -x target/release/primrosechute ] && [ -x target/review-3/quota_pauses ] || {
+[ -x target/release/primrosechute ] && [ -x target/review-3/query_crash ] || {
     echo "build first: the command of deploy/system.toml, then review/build-3.sh"
     exit 2
 }
-target/review-3/quota_pauses "$here/record.txt"
+target/review-3/query_crash "$here/record.txt"
 code=$?
 [ "$code" -le 2 ] || exit 2
 exit "$code"
--- a/review/standins-3/parts.rs
+++ b/review/standins-3/parts.rs
@@ -9,7 +9,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -257,8 +257,6 @@
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<(Mutex<StoreState>, Condvar)>,
-    /// Channels that were opened before this number of silences answer nothing any more.
-    silences: Arc<AtomicUsize>,
 }
 
 impl Store {
@@ -267,7 +265,6 @@
         let store = Store {
             address: listener.local_addr().expect("address"),
             state: Arc::default(),
-            silences: Arc::default(),
         };
         let accepting = store.clone();
         thread::spawn(move || {
@@ -309,19 +306,8 @@
         changed.notify_all();
     }
 
-    /// Revision of the last change.
-    pub fn revision(&self) -> u64 {
-        self.state.0.lock().expect("store").revision
-    }
-
-    /// All open channels go silent for good; new ones work.
-    pub fn silence_open_channels(&self) {
-        self.silences.fetch_add(1, Ordering::SeqCst);
-    }
-
     fn serve(&self, stream: &TcpStream) {
         let _ = stream.set_nodelay(true);
-        let opened = self.silences.load(Ordering::SeqCst);
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
             let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
@@ -340,12 +326,6 @@
                 }
                 _ => (404, "{}".to_owned()),
             };
-            if self.silences.load(Ordering::SeqCst) != opened {
-                // Holds the channel open without an answer until the caller closes it.
-                let mut sink = [0; 256];
-                while matches!(reader.read(&mut sink), Ok(len) if len > 0) {}
-                return;
-            }
             let answer = format!(
                 "HTTP/1.1 {status} OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
@@ -462,7 +442,6 @@
     pub worker: String,
     pub id: String,
     pub target: String,
-    pub member: Ipv4Addr,
     /// Whether the worker began to work on it.
     pub ran: bool,
     pub tokens: u64,
@@ -492,8 +471,8 @@
     sequence: Arc<AtomicU64>,
     now: Arc<Mutex<Option<Incarnation>>>,
     handler: Handler,
-    /// Whether its reports reach the store.
-    pub reports: Arc<AtomicBool>,
+    /// Listener of the last incarnation, which a dark machine keeps without accepting.
+    dark: Arc<Mutex<Option<TcpListener>>>,
 }
 
 static NEXT_WORKER: AtomicUsize = AtomicUsize::new(1);
@@ -523,7 +502,7 @@
             sequence: Arc::default(),
             now: Arc::default(),
             handler,
-            reports: Arc::new(AtomicBool::new(true)),
+            dark: Arc::default(),
         };
         worker.begin(listener);
         let reporting = worker.clone();
@@ -553,6 +532,7 @@
         self.running.store(0, Ordering::SeqCst);
         self.sequence.store(0, Ordering::SeqCst);
         self.report();
+        *self.dark.lock().expect("listener") = listener.try_clone().ok();
         let worker = self.clone();
         thread::spawn(move || worker.accept(&listener, &id));
     }
@@ -581,10 +561,6 @@
     }
 
     fn channel(&self, stream: &TcpStream, id: &str) {
-        let member = match stream.peer_addr() {
-            Ok(SocketAddr::V4(from)) => *from.ip(),
-            _ => return,
-        };
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
             if self.id() != id {
@@ -600,7 +576,6 @@
                 worker: id.to_owned(),
                 id: request.id(),
                 target: request.target.clone(),
-                member,
                 ran: !is_other && !is_full,
                 tokens,
             });
@@ -667,6 +642,7 @@
         for channel in &ended.channels {
             let _ = channel.shutdown(std::net::Shutdown::Both);
         }
+        *self.dark.lock().expect("listener") = None;
         self.log.line(&format!("worker {} crashes", ended.id));
         let (store, old) = (self.store.clone(), format!("servers/{}", ended.id));
         thread::spawn(move || {
@@ -687,9 +663,47 @@
         });
     }
 
+    /// The machine of the worker loses its power: its channels hang, and new ones are not answered, as those
+    /// that fill the queue of the listener take all places. After `down` all of them are reset, and the
+    /// worker is back under a new id. The old entry is removed after three report intervals.
+    pub fn go_dark(&self, down: Duration) {
+        let Some(ended) = self.now.lock().expect("worker").take() else {
+            return;
+        };
+        self.log.line(&format!("worker {} goes dark", ended.id));
+        let (store, old) = (self.store.clone(), format!("servers/{}", ended.id));
+        thread::spawn(move || {
+            thread::sleep(ENTRY_SILENCE);
+            store.delete(&old);
+        });
+        let worker = self.clone();
+        thread::spawn(move || {
+            let since = Instant::now();
+            // The channels of the ended incarnation stay open meanwhile.
+            let mut places = Vec::new();
+            while let Ok(stream) = TcpStream::connect_timeout(&worker.address, ms(20)) {
+                places.push(stream);
+            }
+            thread::sleep(down.saturating_sub(since.elapsed()));
+            for channel in &ended.channels {
+                let _ = channel.shutdown(std::net::Shutdown::Both);
+            }
+            *worker.dark.lock().expect("listener") = None;
+            drop(places);
+            loop {
+                if let Ok(listener) = TcpListener::bind(worker.address) {
+                    worker.begin(listener);
+                    worker.log.line(&format!("worker {} is back as {}", ended.id, worker.id()));
+                    return;
+                }
+                thread::sleep(ms(20));
+            }
+        });
+    }
+
     pub fn report(&self) {
         let now = self.now.lock().expect("worker");
-        let Some(now) = now.as_ref().filter(|_| self.reports.load(Ordering::SeqCst)) else {
+        let Some(now) = now.as_ref() else {
             return;
         };
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
--- a/review/standins-3/query_crash.rs
+++ b/review/standins-3/query_crash.rs
@@ -136,7 +136,7 @@
     let crashes = crashes.lock().expect("crashes").clone();
     let arrivals = site.arrivals.lock().expect("arrivals").clone();
     for a in &arrivals {
-        site.log.line(&format!("{:.3} worker {} gets {} of {}: {}", a.at, a.worker, a.id, a.member, a.target));
+        site.log.line(&format!("{:.3} worker {} gets {}: {}", a.at, a.worker, a.id, a.target));
     }
     let late = crashes.get(2).map_or(0, |third| {
         let from = third + STABLE_WINDOW_S;
--- a/review/standins-3/quota_pauses.rs
+++ b/review/standins-3/quota_pauses.rs
@@ -142,7 +142,7 @@
         }
     }
     for a in &arrivals {
-        site.log.line(&format!("{:.3} worker {} gets {} of {}: ran {}, {} tokens", a.at, a.worker, a.id, a.member, a.ran, a.tokens));
+        site.log.line(&format!("{:.3} worker {} gets {}: ran {}, {} tokens", a.at, a.worker, a.id, a.ran, a.tokens));
     }
     let bound = (RATE * WINDOW_S + BURST) * (1.0 + OVERAGE) + SLACK;
     let count = |at: usize| counts[at].load(Ordering::Relaxed);
