--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for case in quota_pauses query_crash silent_stream; do
+for case in quota_pauses query_crash dark_crash silent_stream; do
     rustc --edition 2024 -O -o "target/review-3/$case" "review/standins-3/$case.rs"
 done
