--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use admit::{Target, target_key};
-use log::warn;
+use log::{info, warn};
 use metrics::counter;
 use tokio::time::sleep;
 
+use crate::attempt::OutboundRequest;
 use crate::clock;
 use crate::node::Node;
 use crate::upstream;
@@ -21,14 +22,15 @@
 
 /// Checks the target of a run that broke, or was given up for silence, and blames the request and the
 /// parts of its prompt if it has crashed. Does not delay the caller.
-pub(crate) fn check_target(node: &Rc<Node>, parts: &Rc<[u64]>, target: &Target) {
-    let (node, parts, target) = (Rc::clone(node), Rc::clone(parts), target.clone());
+pub(crate) fn check_target(node: &Rc<Node>, req: &OutboundRequest, target: &Target) {
+    let (node, target) = (Rc::clone(node), target.clone());
+    let (id, parts) = (req.id.clone(), Rc::clone(&req.parts));
     tokio::task::spawn_local(async move {
         sleep(CHECK_DELAY).await;
         // The connection is not kept: the pool takes its connections for used ones, on which a
         // refusal without the id of its request doesn't count.
         let outcome = if upstream::connect(target.address).await.is_err() {
-            blame(&node, &parts, &target);
+            blame(&node, &id, &parts, &target);
             "crashed"
         } else {
             "alive"
@@ -37,10 +39,16 @@
     });
 }
 
-fn blame(node: &Node, parts: &[u64], target: &Target) {
+fn blame(node: &Node, id: &str, parts: &[u64], target: &Target) {
     let mut poison_parts = node.poison_parts.borrow_mut();
     let blame = poison_parts.record_crash(clock::now(), parts, target_key(target));
     counter!("primrosechute_crashed_runs_total").increment(1);
+    // Parts that are not blamed are cleared by answers. If these are all parts of a run, the crash counts
+    // against nothing.
+    info!(
+        id = id, target = &*target.id, parts = parts.len(), blamed = blame.parts.len();
+        "poison: a crash cut off a run"
+    );
     for &part in &blame.parts {
         warn!(part = &*hex(part), target = &*target.id; "poison: a target crashed");
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -288,7 +288,7 @@
             && source.silence(clock::now()) >= CHECKED_SILENCE
         {
             let stream = self.stream;
-            crash_check::check_target(&stream.node, &stream.req.parts, &source.permit.target);
+            crash_check::check_target(&stream.node, &stream.req, &source.permit.target);
         }
         end
     }
@@ -316,7 +316,7 @@
         };
         let stream = self.stream;
         stream.log.borrow().log_failed_attempt(reason);
-        crash_check::check_target(&stream.node, &stream.req.parts, &source.permit.target);
+        crash_check::check_target(&stream.node, &stream.req, &source.permit.target);
         stream
             .permit_request
             .borrow_mut()
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -301,7 +301,7 @@
             };
             match outcome.0 {
                 AttemptOutcome::Broken | AttemptOutcome::TimedOut => {
-                    crash_check::check_target(&self.node, &self.req.parts, &target);
+                    crash_check::check_target(&self.node, &self.req, &target);
                 }
                 AttemptOutcome::Answered {
                     status: 200..=299,
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -63,7 +63,7 @@
                 "entry: another target did not go on with a stream"
             );
             if matches!(end, RunEnd::Broken | RunEnd::TimedOut) {
-                crash_check::check_target(&stream.node, &stream.req.parts, &target);
+                crash_check::check_target(&stream.node, &stream.req, &target);
             }
             count(TakeoverEnd::Failed)
         }
