--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -57,7 +57,9 @@
     Target, TokenCounts, Unit, Workspace,
 };
 pub use named_limits::{LimitReport, NamedLimits};
-pub use offer::{Decision, Offer, Refusal, RunEnd, RunId, RunReport, StartReport, TargetLoad};
+pub use offer::{
+    Decision, Fingerprints, Offer, Refusal, RunEnd, RunId, RunReport, StartReport, TargetLoad,
+};
 pub use owner::Owner;
 pub use rate_holder::{HolderShares, LeaseRejection};
 pub use rate_message::{LeaseEvent, LeaseReply, LeaseRequest};
--- a/crates/admit/src/offer.rs
+++ b/crates/admit/src/offer.rs
@@ -46,12 +46,21 @@
     pub sends: u32,
     /// Keys of targets that must not get it.
     pub avoid: Vec<u64>,
-    /// Hash of the request, by which poison requests are recognized.
-    pub fingerprint: u64,
+    /// Hashes of the request, by which poison requests are recognized.
+    pub fingerprints: Fingerprints,
     /// Availability zone of the entry.
     pub zone: Name,
 }
 
+/// Hashes of a request, by which it is recognized when it comes again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Fingerprints {
+    /// Covers the caller, the path and the body.
+    pub coarse: u64,
+    /// Covers what `coarse` does, the method, the query and the headers that decide what a target does.
+    pub exact: u64,
+}
+
 impl Offer {
     /// Tokens in its prompt; zero if it declares none.
     pub(crate) fn prompt_tokens(&self) -> u32 {
--- a/crates/admit/tests/support/mod.rs
+++ b/crates/admit/tests/support/mod.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use admit::{
-    Change, Config, HttpLimits, Name, Offer, Pool, Rate, Route, RouteKind, RunId, Settings, Target,
-    TokenCounts, Unit, Workspace,
+    Change, Config, Fingerprints, HttpLimits, Name, Offer, Pool, Rate, Route, RouteKind, RunId,
+    Settings, Target, TokenCounts, Unit, Workspace,
 };
 
 pub const fn ms(ms: u64) -> Duration {
@@ -143,7 +143,10 @@
         time_left: Duration::from_secs(3),
         sends: 0,
         avoid: Vec::new(),
-        fingerprint: run,
+        fingerprints: Fingerprints {
+            coarse: run,
+            exact: run,
+        },
         zone: Name::from("zone-a"),
     }
 }
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -6,7 +6,7 @@
 
 use admit::{Change, Name, Settings, TargetLoad, TokenCounts};
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, HeaderName, Request, Response};
 
 use crate::transfer::Progress;
 
@@ -106,6 +106,10 @@
     /// Fails if the head is ambiguous or lacks a required header.
     fn parse_request_head(&self, headers: &HeaderMap) -> Result<RequestHead, HeadError>;
 
+    /// Headers that describe the work of a request, besides the standard ones. Requests that differ in
+    /// them are told apart when targets crash.
+    fn work_headers(&self) -> &'static [HeaderName];
+
     /// Headers for the target: the caller's headers without hop-by-hop headers and those that only
     /// the gateway sets, plus the values of `forward`.
     fn target_headers(&self, headers: &HeaderMap, forward: &ForwardContext<'_>) -> HeaderMap;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::buffer_budget::Reservation;
 use crate::clock;
 use crate::node::Node;
+use crate::poison_parts::Part;
 use crate::retry_decision::is_final_status;
 use crate::target_notices;
 use crate::upstream::{self, Upstream};
@@ -30,8 +31,8 @@
     pub(crate) id: String,
     pub(crate) workspace: Option<Name>,
     /// Parts of the prompt, by which poison is recognized. In place of the last one, which belongs to
-    /// this request alone, stands the fingerprint of the request.
-    pub(crate) parts: Rc<[u64]>,
+    /// this request alone, stand the fingerprints of the request.
+    pub(crate) parts: Rc<[Part]>,
     /// Covers the body.
     pub(crate) _reserved: Reservation,
 }
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -14,6 +14,7 @@
 use crate::attempt::OutboundRequest;
 use crate::clock;
 use crate::node::Node;
+use crate::poison_parts::Part;
 use crate::upstream;
 
 /// Time from the end of a run to the check. The connections of a process that ends may break a few
@@ -39,7 +40,7 @@
     });
 }
 
-fn blame(node: &Node, id: &str, parts: &[u64], target: &Target) {
+fn blame(node: &Node, id: &str, parts: &[Part], target: &Target) {
     let mut poison_parts = node.poison_parts.borrow_mut();
     let blame = poison_parts.record_crash(clock::now(), parts, target_key(target));
     counter!("primrosechute_crashed_runs_total").increment(1);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `target_notices` | acts on what targets state in their responses | through `node` |
 //! | `target_pauses` | targets that asked for a pause | none |
 //! | `log_throttle` | bounds lines about repeated faults | none |
+//! | `fingerprint` | what makes two requests the same | none |
 //! | `poison_parts` | detection of poison requests and poison parts of prompts | none |
 //! | `crash_check` | checks whether the target of a broken run has crashed | TCP |
 //! | `retry_decision` | response to the caller or retry after an attempt | none |
@@ -58,6 +59,7 @@
 mod feed;
 mod feed_client;
 mod feed_server;
+mod fingerprint;
 mod http_server;
 mod log_throttle;
 mod membership;
@@ -87,19 +89,20 @@
 mod upstream;
 
 pub use admit::{
-    Access, AccessError, Catalog, Change, Config, Decision, FleetView, HolderShares, HttpLimits,
-    LeaseEvent, LeaseRejection, LeaseReply, LeaseRequest, LimitReport, LimitShare, Name,
-    NamedLimits, Offer, Owner, Pool, Rate, Refusal, RetryBudget, Route, RouteKind, RunEnd, RunId,
-    RunReport, Settings, StartReport, Target, TargetLoad, TokenBucket, TokenCounts, Unit,
+    Access, AccessError, Catalog, Change, Config, Decision, Fingerprints, FleetView, HolderShares,
+    HttpLimits, LeaseEvent, LeaseRejection, LeaseReply, LeaseRequest, LimitReport, LimitShare,
+    Name, NamedLimits, Offer, Owner, Pool, Rate, Refusal, RetryBudget, Route, RouteKind, RunEnd,
+    RunId, RunReport, Settings, StartReport, Target, TargetLoad, TokenBucket, TokenCounts, Unit,
     Workspace, target_key,
 };
 pub use buffer_budget::{BufferBudget, Buffered, Reservation};
 pub use clock::now as boot_time;
 pub use feed::delta_len;
+pub use fingerprint::{FingerprintInput, fingerprints};
 pub use log_throttle::LogThrottle;
 pub use membership::{Heartbeat, Member, Membership, Sighting};
 pub use message::{gossip_len, repack, run_list_len};
-pub use poison_parts::{Blame, PartReport, PoisonParts};
+pub use poison_parts::{Blame, Part, PartReport, PoisonParts};
 pub use position::Position;
 pub use record_log::{LogDelta, RecordLog};
 pub use retry_decision::{AttemptOutcome, NextStep, next_step};
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use admit::{
-    LeaseReply, LeaseRequest, LimitReport, Offer, RunEnd, RunId, RunReport, StartReport,
-    TargetLoad, TokenCounts,
+    Fingerprints, LeaseReply, LeaseRequest, LimitReport, Offer, RunEnd, RunId, RunReport,
+    StartReport, TargetLoad, TokenCounts,
 };
 use prost::{Message, Oneof};
 
@@ -152,10 +152,10 @@
     pub(crate) part: u64,
     #[prost(message, repeated, tag = "2")]
     pub(crate) crashes: Vec<CrashMsg>,
-    /// Milliseconds since an answer began on the part, if one is known.
+    /// Milliseconds since an answer on the part was completed, if one is known.
     #[prost(uint32, optional, tag = "3")]
     pub(crate) answered_ms: Option<u32>,
-    /// Position in the prompts.
+    /// See `poison_parts::Part`.
     #[prost(uint32, tag = "4")]
     pub(crate) depth: u32,
 }
@@ -215,8 +215,9 @@
     pub(crate) sends: u32,
     #[prost(fixed64, repeated, tag = "13")]
     pub(crate) avoid: Vec<u64>,
+    /// Older builds send a hash of their own and no coarse one; both are unknown here.
     #[prost(fixed64, tag = "14")]
-    pub(crate) fingerprint: u64,
+    pub(crate) exact_fingerprint: u64,
     #[prost(string, tag = "15")]
     pub(crate) zone: String,
     #[prost(uint32, tag = "16")]
@@ -229,6 +230,8 @@
     pub(crate) aim_ms: Option<u32>,
     #[prost(uint32, optional, tag = "19")]
     pub(crate) max_pause_ms: Option<u32>,
+    #[prost(fixed64, tag = "20")]
+    pub(crate) coarse_fingerprint: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -558,7 +561,10 @@
             time_left: Duration::from_millis(self.left_ms.into()),
             sends: self.sends,
             avoid: self.avoid,
-            fingerprint: self.fingerprint,
+            fingerprints: Fingerprints {
+                coarse: self.coarse_fingerprint,
+                exact: self.exact_fingerprint,
+            },
             zone: self.zone.into(),
         }
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,7 +24,7 @@
 use crate::log_throttle::LogThrottle;
 use crate::membership::{Membership, vm_class, zone_code};
 use crate::message::{Body, Datagram, GrantMsg, RefuseMsg, ReleaseMsg, StartMsg, millis};
-use crate::poison_parts::PoisonParts;
+use crate::poison_parts::{Part, PoisonParts};
 use crate::rate_link;
 use crate::record_log::RecordLog;
 use crate::run_listing::RunListing;
@@ -420,7 +420,7 @@
         let refusal = self
             .poison_parts
             .borrow()
-            .refusal(now, &[offer.fingerprint]);
+            .refusal(now, &Part::of_fingerprints(offer.fingerprints));
         if let Some(retry_after) = refusal {
             // The entry may not know it yet.
             self.owner.borrow_mut().withdraw(now, offer.id);
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use admit::{Name, Refusal, RunEnd, RunReport, StartReport, Target, TargetLoad, TokenCounts};
+use admit::{
+    Fingerprints, Name, Refusal, RunEnd, RunReport, StartReport, Target, TargetLoad, TokenCounts,
+};
 use log::warn;
 use metrics::counter;
 use rand::seq::IteratorRandom;
@@ -38,7 +40,7 @@
     pub(crate) session: u64,
     pub(crate) sends: u32,
     pub(crate) avoid: Vec<u64>,
-    pub(crate) fingerprint: u64,
+    pub(crate) fingerprints: Fingerprints,
     /// Longest wait for a permit.
     pub(crate) max_wait: Duration,
     /// Time at which the response, or its first event, is late.
@@ -402,7 +404,8 @@
         left_ms: millis(request.time_left.saturating_sub(waited)),
         sends: request.sends,
         avoid,
-        fingerprint: request.fingerprint,
+        exact_fingerprint: request.fingerprints.exact,
+        coarse_fingerprint: request.fingerprints.coarse,
         zone: node.settings.zone.to_string(),
     }
 }
--- a/crates/gateway/src/poison_parts.rs
+++ b/crates/gateway/src/poison_parts.rs
@@ -1,6 +1,6 @@
 //! Detects requests that crash the targets that run them, and parts of prompts that do so whatever
-//! else the request holds. The fingerprint of a request, by which its repetitions are recognized,
-//! counts as the last part of its prompt.
+//! else the request holds. The fingerprints of a request, by which its repetitions are recognized,
+//! count as the last parts of its prompt.
 //!
 //! Each member observes the runs of its own callers and learns from heartbeats what the others
 //! observed. A crash is blamed on the parts of all runs that it cut off, at whatever event of their
@@ -12,6 +12,8 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
+use admit::Fingerprints;
+
 /// A part is refused after it was in the prompts of runs on this many crashed targets.
 const REFUSE_AFTER_CRASHES: usize = 3;
 /// Requests that were cut off by exactly the same crashes can't be told apart. They are refused only
@@ -38,12 +40,51 @@
 /// Maximum number of suspected parts in one heartbeat.
 const MAX_REPORTS: usize = 12;
 
+/// Depths of the fingerprints. They are the same for all requests, however many parts their prompts have.
+const COARSE_DEPTH: u32 = u32::MAX - 1;
+const EXACT_DEPTH: u32 = u32::MAX;
+
+/// Something that requests may have in common and that may be the cause of crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Identifies the part.
+    pub hash: u64,
+    /// How specific it is: its position in the prompt, 0 for the first part, or a larger number for a
+    /// fingerprint.
+    pub depth: u32,
+}
+
+impl Part {
+    /// The part at a position of a prompt.
+    #[must_use]
+    pub const fn of_prompt(position: u32, hash: u64) -> Self {
+        Part {
+            hash,
+            depth: position,
+        }
+    }
+
+    /// The parts that stand for a whole request.
+    #[must_use]
+    pub const fn of_fingerprints(fingerprints: Fingerprints) -> [Self; 2] {
+        let coarse = Part {
+            hash: fingerprints.coarse,
+            depth: COARSE_DEPTH,
+        };
+        let exact = Part {
+            hash: fingerprints.exact,
+            depth: EXACT_DEPTH,
+        };
+        [coarse, exact]
+    }
+}
+
 /// Observations about one part, as they are gossiped. Times are ages.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PartReport {
     /// Hash of the part.
     pub part: u64,
-    /// Position in the prompts; 0 is the first part.
+    /// Depth of the part, see [`Part`].
     pub depth: u32,
     /// Targets that crashed with runs of the part, each with the time since the crash.
     pub crashes: Vec<(u64, Duration)>,
@@ -68,7 +109,7 @@
 
 #[derive(Default)]
 struct Suspect {
-    /// Position in the prompts; 0 is the first part.
+    /// See [`Part`].
     depth: u32,
     /// The newest crashes, oldest first.
     crashes: VecDeque<Crash>,
@@ -120,10 +161,10 @@
 impl PoisonParts {
     /// Time for which requests with any of the parts are refused; `None` if they are not.
     #[must_use]
-    pub fn refusal(&self, now: Duration, parts: &[u64]) -> Option<Duration> {
+    pub fn refusal(&self, now: Duration, parts: &[Part]) -> Option<Duration> {
         let until = parts
             .iter()
-            .filter_map(|part| self.poison.get(part))
+            .filter_map(|part| self.poison.get(&part.hash))
             .max()?;
         until.checked_sub(now).filter(|left| !left.is_zero())
     }
@@ -135,11 +176,11 @@
     }
 
     /// Records that an answer on a prompt with these parts was completed.
-    pub fn record_answer(&mut self, now: Duration, parts: &[u64]) {
+    pub fn record_answer(&mut self, now: Duration, parts: &[Part]) {
         let mut is_suspected = false;
-        for &part in parts {
-            self.answered.insert(part, now);
-            if let Some(suspect) = self.suspects.get_mut(&part) {
+        for part in parts {
+            self.answered.insert(part.hash, now);
+            if let Some(suspect) = self.suspects.get_mut(&part.hash) {
                 suspect.last_answer = Some(now);
                 is_suspected = true;
             }
@@ -153,20 +194,19 @@
     }
 
     /// Records that a target crashed with a run whose prompt has these parts.
-    pub fn record_crash(&mut self, now: Duration, parts: &[u64], target: u64) -> Blame {
-        let is_blamed = |part: &u64| {
-            self.last_answer(*part)
+    pub fn record_crash(&mut self, now: Duration, parts: &[Part], target: u64) -> Blame {
+        let is_blamed = |part: &&Part| {
+            self.last_answer(part.hash)
                 .is_none_or(|at| now.saturating_sub(at) >= ANSWER_MEMORY)
         };
-        let blamed = (0..).zip(parts).filter(|(_, part)| is_blamed(part));
-        let blamed: Vec<(u32, u64)> = blamed.map(|(depth, &part)| (depth, part)).collect();
-        for &(depth, part) in &blamed {
-            let suspect = self.suspect(part);
-            suspect.depth = suspect.depth.max(depth);
+        let blamed: Vec<Part> = parts.iter().filter(is_blamed).copied().collect();
+        for part in &blamed {
+            let suspect = self.suspect(part.hash);
+            suspect.depth = suspect.depth.max(part.depth);
             suspect.add_crash(Crash { target, at: now });
         }
         Blame {
-            parts: blamed.into_iter().map(|(_, part)| part).collect(),
+            parts: blamed.into_iter().map(|part| part.hash).collect(),
             refused: self.find_newly_refused(now),
         }
     }
@@ -250,8 +290,8 @@
 
     /// Updates the parts that explain the crashes: again and again the one with the most crashes
     /// that none before it explains. Sound parts of the same prompts, and of other runs on the same
-    /// targets, have no crashes of their own. Of parts with the same crashes the last in the prompt
-    /// is the most specific. If several are, the next crash may tell which of them is poison.
+    /// targets, have no crashes of their own. Of parts with the same crashes the deepest is the most
+    /// specific. If they belong to several requests, the next crash may tell which of them is poison.
     fn find_poison(&mut self) {
         self.poison.clear();
         let mut explained: HashSet<u64> = HashSet::new();
@@ -273,13 +313,9 @@
                 return;
             };
             let (part, suspect) = candidates[at];
-            let is_tied = |other: usize| {
-                other != at
-                    && candidates[other].1.depth == suspect.depth
-                    && crashes[other] == crashes[at]
-            };
-            let has_tie = (0..candidates.len()).any(is_tied);
-            if !has_tie || crashes[at].len() >= REFUSE_TIED_AFTER_CRASHES {
+            let same_crashes = (0..candidates.len()).filter(|&other| crashes[other] == crashes[at]);
+            let depths = same_crashes.map(|other| candidates[other].1.depth);
+            if !is_tied(suspect.depth, depths) || crashes[at].len() >= REFUSE_TIED_AFTER_CRASHES {
                 self.poison.insert(part, suspect.last_crash() + REFUSE_TIME);
             }
             explained.extend(&crashes[at]);
@@ -313,3 +349,12 @@
         self.answered.retain(|_, &mut at| at > median);
     }
 }
+
+/// Whether parts with the same crashes, of which `best` is the deepest, can't be told apart. Two of one
+/// depth belong to different requests. Each request has a coarse fingerprint, so two of these are two
+/// requests as well, even if the exact one of only one of them was repeated.
+fn is_tied(best: u32, depths: impl Iterator<Item = u32>) -> bool {
+    let mut seen = HashSet::new();
+    let mut compared = depths.filter(|&depth| depth >= best.min(COARSE_DEPTH));
+    compared.any(|depth| !seen.insert(depth))
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,15 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use admit::{Access, AccessError, Name, Refusal, Route, RunEnd};
-use bytes::Bytes;
+use admit::{Access, AccessError, Fingerprints, Name, Refusal, Route, RunEnd};
 use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use log::info;
 use metrics::counter;
 use rand::RngExt;
 use tokio::time::sleep;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::adapter::{Attestation, HeadError, RequestHead};
 use crate::attempt::{self, Attempt, Channel, OutboundRequest, ReceivedHead, SendOutcome};
@@ -21,8 +19,10 @@
 use crate::buffer_budget::Buffered;
 use crate::clock;
 use crate::crash_check;
+use crate::fingerprint::{self, FingerprintInput};
 use crate::node::{CountGuard, Node};
 use crate::permit::{self, Permit, PermitRequest};
+use crate::poison_parts::Part;
 use crate::relay::{self, StreamContext};
 use crate::request_log::RequestLog;
 use crate::retry_decision::{AttemptOutcome, NextStep, next_step};
@@ -154,8 +154,16 @@
         allowed.workspace.as_ref().map(|workspace| &workspace.name),
         version,
     );
-    let fingerprint = fingerprint(path, head.key.as_deref(), &body);
-    let permit_request = permit_request(&allowed, &head, fingerprint, received_at);
+    let workspace = allowed.workspace.as_ref().map(|w| w.name.clone());
+    let fingerprints = fingerprint::fingerprints(&FingerprintInput {
+        workspace: workspace.as_deref(),
+        method: &parts.method,
+        uri: &parts.uri,
+        headers: &parts.headers,
+        work_headers: node.dialect.work_headers(),
+        body: &body,
+    });
+    let permit_request = permit_request(&allowed, &head, fingerprints, received_at);
     log.record_request(&permit_request);
     Ok(AdmittedRequest {
         node: Rc::clone(node),
@@ -166,8 +174,8 @@
             headers: parts.headers,
             body,
             id: head.id,
-            workspace: allowed.workspace.as_ref().map(|w| w.name.clone()),
-            parts: prompt_parts(&head.prompt_parts, fingerprint),
+            workspace,
+            parts: request_parts(&head.prompt_parts, fingerprints),
             _reserved: reserved,
         },
         route: allowed.route,
@@ -178,10 +186,12 @@
     })
 }
 
-fn prompt_parts(declared: &[(u64, u32)], fingerprint: u64) -> Rc<[u64]> {
+fn request_parts(declared: &[(u64, u32)], fingerprints: Fingerprints) -> Rc<[Part]> {
     let shared = declared.split_last().map_or(&[][..], |(_, shared)| shared);
-    let shared = shared.iter().map(|&(part, _)| part);
-    shared.chain([fingerprint]).collect()
+    let shared = (0..).zip(shared);
+    let shared = shared.map(|(depth, &(hash, _))| Part::of_prompt(depth, hash));
+    let own = Part::of_fingerprints(fingerprints);
+    shared.chain(own).collect()
 }
 
 /// Waits briefly for the first configuration: a process that has just started reads it within
@@ -196,7 +206,7 @@
 fn permit_request(
     allowed: &Access,
     head: &RequestHead,
-    fingerprint: u64,
+    fingerprints: Fingerprints,
     received_at: Duration,
 ) -> PermitRequest {
     let route = &allowed.route;
@@ -212,7 +222,7 @@
         session: head.prompt_parts.last().map_or(0, |&(part, _)| part),
         sends: 0,
         avoid: Vec::new(),
-        fingerprint,
+        fingerprints,
         max_wait: route.target_latency.mul_f64(PERMIT_WAIT_SHARE),
         due: received_at + route.target_latency,
         max_pause: route.max_pause.filter(|_| route.kind.is_stream()),
@@ -371,7 +381,8 @@
         let Some(left) = poison_parts.refusal(now, &self.req.parts) else {
             return Ok(());
         };
-        let itself = poison_parts.refusal(now, &[self.permit_request.fingerprint]);
+        let own = Part::of_fingerprints(self.permit_request.fingerprints);
+        let itself = poison_parts.refusal(now, &own);
         let reason = itself.map_or(Refusal::PoisonPart, |_| Refusal::Poison);
         Err((reason, left))
     }
@@ -509,12 +520,3 @@
     let response = node.dialect.local_response(status, id, reason, retry_after);
     response.map(Body::from)
 }
-
-/// Hash that identifies repeated sends of the same request.
-fn fingerprint(path: &str, key: Option<&str>, body: &Bytes) -> u64 {
-    let mut hash = Xxh3::new();
-    hash.update(path.as_bytes());
-    hash.update(key.unwrap_or_default().as_bytes());
-    hash.update(body);
-    hash.digest()
-}
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use gateway::{
-    Catalog, Change, Decision, LeaseReply, LeaseRequest, Membership, NamedLimits, Owner, Refusal,
-    RunEnd, RunId, RunReport, TokenCounts,
+    Catalog, Change, Decision, Fingerprints, LeaseReply, LeaseRequest, Membership, NamedLimits,
+    Owner, Refusal, RunEnd, RunId, RunReport, TokenCounts,
 };
 use proptest::prelude::*;
 use support::{
@@ -531,7 +531,11 @@
         offer.sends = sends;
         offer.shard = shard;
         offer.shards = shards;
-        offer.fingerprint = run ^ (self.members[from].incarnation << 32);
+        let hash = run ^ (self.members[from].incarnation << 32);
+        offer.fingerprints = Fingerprints {
+            coarse: hash,
+            exact: hash,
+        };
         offer.token_counts = Some(TokenCounts {
             prompt_tokens: tokens_of(run),
             output_tokens: 0,
