--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -90,7 +90,9 @@
     let (heartbeat, mut to) = node.membership.borrow_mut().next_heartbeat(now);
     let gossip_recipients = to.len();
     add_list_recipients(node, now, &node.runs.borrow(), &mut to);
-    let msg = heartbeat_msg(node, now, &heartbeat);
+    let reports = node.poison_parts.borrow().reports(now);
+    node.poison_parts.borrow_mut().record_reports(now, &reports);
+    let msg = heartbeat_msg(node, now, &heartbeat, &reports);
     for (at, ip) in to.into_iter().enumerate() {
         let mut msg = msg.clone();
         if at >= gossip_recipients {
@@ -111,7 +113,8 @@
 fn answer_newcomer(node: &Node, now: Duration, ip: Ipv4Addr) {
     update_local_member(node, now);
     let heartbeat = node.membership.borrow_mut().heartbeat(now);
-    let mut msg = heartbeat_msg(node, now, &heartbeat);
+    let reports = node.poison_parts.borrow().reports(now);
+    let mut msg = heartbeat_msg(node, now, &heartbeat, &reports);
     if node.membership.borrow().reads_packed(ip) {
         msg.pack_sightings(&heartbeat.sightings);
     }
@@ -129,12 +132,16 @@
 }
 
 /// The message of a heartbeat, without runs.
-fn heartbeat_msg(node: &Node, now: Duration, heartbeat: &Heartbeat) -> HeartbeatMsg {
+fn heartbeat_msg(
+    node: &Node,
+    now: Duration,
+    heartbeat: &Heartbeat,
+    reports: &[PartReport],
+) -> HeartbeatMsg {
     let mut msg = HeartbeatMsg::new(heartbeat);
     let limits = node.named_limits.borrow_mut().reports(now);
     msg.limits = limits.iter().map(LimitMsg::from).collect();
     msg.leaving = node.catalog.borrow().recently_leaving(now);
-    let reports = node.poison_parts.borrow().reports(now);
     msg.poison_parts = reports.iter().map(PartReportMsg::from).collect();
     msg
 }
--- a/crates/gateway/src/poison_parts.rs
+++ b/crates/gateway/src/poison_parts.rs
@@ -39,6 +39,8 @@
 const MAX_REPORTED_CRASHES: usize = 4;
 /// Maximum number of suspected parts in one heartbeat.
 const MAX_REPORTS: usize = 12;
+/// How many of these are chosen by rank. The others take turns.
+const MAX_RANKED_REPORTS: usize = MAX_REPORTS / 2;
 
 /// Depths of the fingerprints. They are the same for all requests, however many parts their prompts have.
 const COARSE_DEPTH: u32 = u32::MAX - 1;
@@ -114,6 +116,8 @@
     /// The newest crashes, oldest first.
     crashes: VecDeque<Crash>,
     last_answer: Option<Duration>,
+    /// Time of the last heartbeat that reported it, if it has had no further crash since.
+    last_report: Option<Duration>,
 }
 
 impl Suspect {
@@ -123,6 +127,7 @@
         }
         let position = self.crashes.partition_point(|c| c.at <= crash.at);
         self.crashes.insert(position, crash);
+        self.last_report = None;
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.pop_front();
         }
@@ -139,6 +144,17 @@
         crashes.filter(move |crash| cleared_until.is_none_or(|until| crash.at >= until))
     }
 
+    fn report(&self, now: Duration, part: u64) -> PartReport {
+        let age = |at: Duration| now.saturating_sub(at);
+        let newest = self.crashes.iter().rev().take(MAX_REPORTED_CRASHES);
+        PartReport {
+            part,
+            depth: self.depth,
+            crashes: newest.map(|crash| (crash.target, age(crash.at))).collect(),
+            answered: self.last_answer.map(age),
+        }
+    }
+
     /// Targets of the crashes that no answer has cleared, without the given ones.
     fn unexplained_crashes(&self, explained: &HashSet<u64>) -> HashSet<u64> {
         let targets = self.blamed_crashes().map(|crash| crash.target);
@@ -234,38 +250,53 @@
         self.find_newly_refused(now)
     }
 
-    /// Reports for the next heartbeat: refused parts, those with the most crashes, and then the
-    /// newest.
+    /// Reports for the next heartbeat. Refused parts and those with several crashes come first, up to half
+    /// of the reports. The others take turns: a crash that cuts off many runs leaves many parts with
+    /// one crash each, and any of them may be the cause.
     #[must_use]
     pub fn reports(&self, now: Duration) -> Vec<PartReport> {
-        let is_refused = |part: &u64| self.poison.get(part).is_some_and(|&until| now < until);
-        let is_gossiped = |part: &u64, suspect: &Suspect| {
-            let age = now.saturating_sub(suspect.last_crash());
-            is_refused(part) || age < SUSPECT_GOSSIP_TIME
-        };
-        let suspects = self.suspects.iter();
-        let mut gossiped: Vec<(&u64, &Suspect)> = suspects
-            .filter(|(part, suspect)| is_gossiped(part, suspect))
+        let mut gossiped: Vec<(u64, &Suspect)> = self
+            .suspects
+            .iter()
+            .filter(|(part, suspect)| self.is_gossiped(now, **part, suspect))
+            .map(|(&part, suspect)| (part, suspect))
             .collect();
-        gossiped.sort_unstable_by_key(|(part, suspect)| {
+        let rank = |&(part, suspect): &(u64, &Suspect)| {
             let crashes = suspect.blamed_crashes().count();
-            Reverse((is_refused(part), crashes, suspect.last_crash()))
-        });
-        gossiped.truncate(MAX_REPORTS);
-        let age = |at: Duration| now.saturating_sub(at);
-        let report = |(&part, suspect): (&u64, &Suspect)| PartReport {
-            part,
-            depth: suspect.depth,
-            crashes: suspect
-                .crashes
-                .iter()
-                .rev()
-                .take(MAX_REPORTED_CRASHES)
-                .map(|crash| (crash.target, age(crash.at)))
-                .collect(),
-            answered: suspect.last_answer.map(age),
+            (self.is_refused(now, part), crashes, suspect.last_crash())
         };
-        gossiped.into_iter().map(report).collect()
+        gossiped.sort_by_cached_key(|entry| Reverse(rank(entry)));
+        let is_ranked = |entry: &&(u64, &Suspect)| {
+            let (is_refused, crashes, _) = rank(entry);
+            is_refused || crashes > 1
+        };
+        let ranked = gossiped.iter().take_while(is_ranked).count();
+        let (ranked, others) = gossiped.split_at_mut(ranked.min(MAX_RANKED_REPORTS));
+        // Stable, so of those that were reported at the same time the highest in rank is the first.
+        others.sort_by_key(|(_, suspect)| suspect.last_report);
+        let chosen = ranked.iter().chain(others.iter()).take(MAX_REPORTS);
+        chosen
+            .map(|&(part, suspect)| suspect.report(now, part))
+            .collect()
+    }
+
+    /// Records that parts were reported in a heartbeat to other members. Those with the longest time since
+    /// then are the next.
+    pub fn record_reports(&mut self, now: Duration, reports: &[PartReport]) {
+        for report in reports {
+            if let Some(suspect) = self.suspects.get_mut(&report.part) {
+                suspect.last_report = Some(now);
+            }
+        }
+    }
+
+    fn is_gossiped(&self, now: Duration, part: u64, suspect: &Suspect) -> bool {
+        let age = now.saturating_sub(suspect.last_crash());
+        self.is_refused(now, part) || age < SUSPECT_GOSSIP_TIME
+    }
+
+    fn is_refused(&self, now: Duration, part: u64) -> bool {
+        self.poison.get(&part).is_some_and(|&until| now < until)
     }
 
     /// Forgets crashes and answers that no longer matter.
--- a/crates/gateway/tests/poison_parts.rs
+++ b/crates/gateway/tests/poison_parts.rs
@@ -53,8 +53,16 @@
 
     /// Each member gets the reports of all others.
     fn gossip(&mut self) {
-        let reports: Vec<Vec<PartReport>> =
-            self.members.iter().map(|m| m.reports(self.now)).collect();
+        let now = self.now;
+        let reports: Vec<Vec<PartReport>> = self
+            .members
+            .iter_mut()
+            .map(|member| {
+                let reports = member.reports(now);
+                member.record_reports(now, &reports);
+                reports
+            })
+            .collect();
         for member in &mut self.members {
             for reports in &reports {
                 member.merge(self.now, reports);
@@ -361,6 +369,36 @@
     }
 }
 
+/// Guards against a crashing request that stays unknown to the other members, as its crashes cut off more
+/// runs of one member than a heartbeat reports: all have one crash and were never answered.
+#[test]
+fn a_request_is_refused_though_a_crash_cuts_off_many_runs_of_a_member() {
+    const CUT_OFF: u64 = 22;
+    const ROWS: u64 = 20;
+    let mut refusing = 0;
+    for row in 0..ROWS {
+        let mut fleet = Fleet::new(9);
+        for target in 0..3 {
+            let now = fleet.now;
+            let crashed = &mut fleet.members[usize::try_from(target).expect("small")];
+            for at in 0..CUT_OFF {
+                let sound = 1000 * (target + 1) + 2 * at;
+                crashed.record_crash(now, &request(sound, sound + 1), target);
+            }
+            crashed.record_crash(now, &request(row, 100 + row), target);
+            // One second, the interval at which such a request comes again.
+            for _ in 0..4 {
+                fleet.now += ms(250);
+                fleet.gossip();
+            }
+        }
+        let refuses = |m: &&PoisonParts| is_request_refused(m, fleet.now, row, 100 + row);
+        refusing += fleet.members.iter().filter(refuses).count();
+    }
+
+    assert_eq!(refusing, 9 * usize::try_from(ROWS).expect("small"));
+}
+
 /// Guards against a request that crashes targets for ever as its query is new each time.
 #[test]
 fn a_request_whose_query_is_new_each_time_is_refused() {
@@ -413,7 +451,7 @@
     const COARSE: u64 = 50;
     const OLD_POISON: u64 = 60;
     const OLD_SOUND: u64 = 61;
-    let is_old = |member: usize| member % 2 == 0;
+    let is_old = |member: usize| member.is_multiple_of(2);
     let mut fleet = Fleet::new(8);
     let mut crashes = 0;
     for round in 0..30 {
