--- a/crates/daemon/src/entry/admit.rs
+++ b/crates/daemon/src/entry/admit.rs
@@ -7,7 +7,7 @@
 use ::http::{HeaderMap, HeaderName, HeaderValue, header};
 use axum::body::{Body, HttpBody};
 use bytes::{Bytes, BytesMut};
-use gateway::Reservation;
+use gateway::{FingerprintInput, Fingerprints, Reservation, fingerprints};
 use http_body_util::BodyExt;
 use serde::Deserialize;
 use sheet::{Access, Name, PoolKind, Route, Sheet, key_hash};
@@ -57,8 +57,8 @@
     pub(super) prompt_tokens: u64,
     /// Hash of the first bytes of the body, for affinity to warm prefix caches.
     pub(super) prefix_hash: u64,
-    /// Hash of the body alone, to recognize a poison request, which crashes targets.
-    pub(super) fingerprint: u64,
+    /// Hashes to recognize a poison request, which crashes targets.
+    pub(super) fingerprints: Fingerprints,
     pub(super) deadline: Duration,
     pub(super) hard_deadline: Duration,
     /// Covers the body.
@@ -151,6 +151,14 @@
             rewritten_body: None,
         },
     };
+    let fingerprints = fingerprints(&FingerprintInput {
+        workspace: caller.as_ref().map(|caller| &*caller.workspace),
+        method: &parts.method,
+        uri: &parts.uri,
+        headers: &parts.headers,
+        work_headers: &[],
+        body: &body,
+    });
     let max_run = match kind {
         PoolKind::Engine => MAX_RUN_AFTER_DEADLINE,
         PoolKind::Service => node.settings.timing.stream_silent * MAX_SERVICE_RUN_SILENCES,
@@ -164,7 +172,7 @@
             .map_or_else(|| "/".to_string(), ToString::to_string),
         headers: parts.headers.clone(),
         prefix_hash: xxh3_64(&body[..body.len().min(PREFIX_BYTES)]),
-        fingerprint: xxh3_64(&body),
+        fingerprints,
         body: size.rewritten_body.unwrap_or(body),
         pool: route.pool.clone(),
         kind,
--- a/crates/daemon/src/entry/permit.rs
+++ b/crates/daemon/src/entry/permit.rs
@@ -182,7 +182,8 @@
             prefix: job.prefix_hash,
             deadline_us: micros(job.deadline.saturating_sub(now)),
             hard_deadline_us: micros(job.hard_deadline.saturating_sub(now)),
-            fingerprint: job.fingerprint,
+            fingerprint: job.fingerprints.exact,
+            coarse_fingerprint: Some(job.fingerprints.coarse),
         };
         let rx = if *owner == node.settings.vm {
             node.offer(offer, node.incarnation)
--- a/crates/daemon/src/entry/suspect.rs
+++ b/crates/daemon/src/entry/suspect.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use futures_util::future::join_all;
+use futures_util::future::{join, join_all};
+use gateway::Fingerprints;
 use sheet::Name;
 use wire::{Body, Suspect};
 
@@ -16,9 +17,15 @@
 /// Broadcasts between owners alone lose a race with a caller that resends the request as soon as it
 /// has the response, so that each owner would let it crash a target.
 pub(super) async fn notify_owners(node: &Arc<Node>, job: &Job, held: &HeldPermit) {
+    let Fingerprints { coarse, exact } = job.fingerprints;
+    let notify = |hash| notify_of(node, job, held, hash);
+    join(notify(exact), notify(coarse)).await;
+}
+
+async fn notify_of(node: &Arc<Node>, job: &Job, held: &HeldPermit, fingerprint: u64) {
     // A time of zero only queries. The release was sent before on the same link.
     let ask = Suspect {
-        fingerprint: job.fingerprint,
+        fingerprint,
         targets: vec![held.target.to_string()],
         remember_us: 0,
     };
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -366,6 +366,7 @@
                 deadline: now + Duration::from_micros(offer.deadline_us),
                 hard_deadline: now + Duration::from_micros(offer.hard_deadline_us),
                 fingerprint: offer.fingerprint,
+                coarse_fingerprint: offer.coarse_fingerprint,
             },
             entry,
             reply,
--- a/crates/daemon/tests/support/messages.rs
+++ b/crates/daemon/tests/support/messages.rs
@@ -125,6 +125,7 @@
             deadline_us: 1,
             hard_deadline_us: 1,
             fingerprint: u64::MAX,
+            coarse_fingerprint: Some(u64::MAX),
         })
     };
     let moves = |workspace: &str, receiver| {
--- a/crates/sched/benches/decision.rs
+++ b/crates/sched/benches/decision.rs
@@ -32,6 +32,7 @@
         deadline: Duration::from_hours(10) + Duration::from_micros(mixed % 1_000_000),
         hard_deadline: Duration::from_hours(20),
         fingerprint: number,
+        coarse_fingerprint: Some(number),
     }
 }
 
--- a/crates/sched/src/containment.rs
+++ b/crates/sched/src/containment.rs
@@ -1,9 +1,15 @@
-//! Containment of poison requests, which crash targets, by fingerprint of the body.
+//! Containment of poison requests, which crash targets, by their fingerprints.
+//!
+//! Each request has an exact fingerprint, and mostly a coarse one that similar requests share. A crash counts
+//! against both as long as the exact one is not suspect: a request that comes again is found by the
+//! exact one, and the coarse one is refused only for crashes by different requests. A complete isolated
+//! run clears both, so that sound requests clear the coarse one and leave the exact one of a poison
+//! request suspect.
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use crate::model::Name;
+use crate::model::{Fingerprints, Name};
 
 /// Number of crashes after which a fingerprint is refused. A repeated crash of the same target
 /// counts only for an isolated run.
@@ -12,7 +18,7 @@
 /// Record of one fingerprint, sent to other owners.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Suspect {
-    /// Hash of the body.
+    /// Exact or coarse hash of a request.
     pub fingerprint: u64,
     /// Targets that crashed while it ran. A name occurs more than once if an isolated run crashed
     /// that target again; the list is empty if an isolated run has cleared the fingerprint.
@@ -22,7 +28,7 @@
 }
 
 /// Determines how requests with a fingerprint are handled.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum FingerprintState {
     Clear,
     /// Runs isolated on an empty target.
@@ -57,10 +63,16 @@
         }
     }
 
-    pub(crate) fn state(&self, now: Duration, fingerprint: u64) -> FingerprintState {
+    /// How a request with these fingerprints is handled: by the graver of their states.
+    pub(crate) fn state(&self, now: Duration, fingerprints: Fingerprints) -> FingerprintState {
         if self.records.is_empty() {
             return FingerprintState::Clear;
         }
+        let states = fingerprints.iter().map(|hash| self.state_of(now, hash));
+        states.max().unwrap_or(FingerprintState::Clear)
+    }
+
+    fn state_of(&self, now: Duration, fingerprint: u64) -> FingerprintState {
         match self.records.get(&fingerprint) {
             Some(record) if record.until <= now => FingerprintState::Clear,
             Some(record) if record.crashed.len() >= CRASHES_TO_REFUSE => FingerprintState::Refused,
@@ -69,8 +81,13 @@
         }
     }
 
-    /// Targets that crashed while the fingerprint ran.
-    pub(crate) fn crashed(&self, fingerprint: u64) -> &[Name] {
+    /// Targets that crashed while a request with one of the fingerprints ran.
+    pub(crate) fn crashed_by(&self, fingerprints: Fingerprints) -> Vec<Name> {
+        let crashed = fingerprints.iter().flat_map(|hash| self.crashed(hash));
+        crashed.cloned().collect()
+    }
+
+    fn crashed(&self, fingerprint: u64) -> &[Name] {
         let record = self.records.get(&fingerprint);
         record.map_or(&[], |record| &record.crashed)
     }
@@ -85,19 +102,23 @@
         })
     }
 
-    /// Whether an isolated run of this fingerprint is in flight.
-    pub(crate) fn has_isolated_run(&self, fingerprint: u64) -> bool {
-        let record = self.records.get(&fingerprint);
-        record.is_some_and(|record| record.isolated_run)
+    /// Whether an isolated run with one of these fingerprints is in flight.
+    pub(crate) fn has_isolated_run(&self, fingerprints: Fingerprints) -> bool {
+        let mut records = fingerprints
+            .iter()
+            .filter_map(|hash| self.records.get(&hash));
+        records.any(|record| record.isolated_run)
     }
 
-    pub(crate) fn set_isolated_run(&mut self, fingerprint: u64, isolated_run: bool) {
-        if let Some(record) = self.records.get_mut(&fingerprint) {
-            record.isolated_run = isolated_run;
+    pub(crate) fn set_isolated_run(&mut self, fingerprints: Fingerprints, isolated_run: bool) {
+        for hash in fingerprints.iter() {
+            if let Some(record) = self.records.get_mut(&hash) {
+                record.isolated_run = isolated_run;
+            }
         }
     }
 
-    /// Records that the fingerprint was in flight when the target crashed, either as the only run
+    /// Records that a request with the fingerprints was in flight when the target crashed, either as the only run
     /// (`isolated`) or beside others.
     ///
     /// A crash of an isolated run counts even on a target that crashed before: the owner may have
@@ -105,10 +126,20 @@
     pub(crate) fn record_crash(
         &mut self,
         now: Duration,
-        fingerprint: u64,
+        fingerprints: Fingerprints,
         target: &Name,
         isolated: bool,
     ) {
+        let is_explained = self.state_of(now, fingerprints.exact) != FingerprintState::Clear;
+        self.add_crash(now, fingerprints.exact, target, isolated);
+        if let Some(coarse) = fingerprints.coarse
+            && !is_explained
+        {
+            self.add_crash(now, coarse, target, isolated);
+        }
+    }
+
+    fn add_crash(&mut self, now: Duration, fingerprint: u64, target: &Name, isolated: bool) {
         self.remove_expired(now, fingerprint);
         let mut crashed = vec![target.clone()];
         if isolated {
@@ -118,11 +149,13 @@
         self.changed.insert(fingerprint);
     }
 
-    /// Clears a suspect fingerprint after a complete isolated run. A refused one stays refused.
-    pub(crate) fn clear(&mut self, now: Duration, fingerprint: u64) {
-        if self.state(now, fingerprint) == FingerprintState::Suspect {
-            self.records.remove(&fingerprint);
-            self.changed.insert(fingerprint);
+    /// Clears suspect fingerprints after a complete isolated run. Refused ones stay refused.
+    pub(crate) fn clear(&mut self, now: Duration, fingerprints: Fingerprints) {
+        for hash in fingerprints.iter() {
+            if self.state_of(now, hash) == FingerprintState::Suspect {
+                self.records.remove(&hash);
+                self.changed.insert(hash);
+            }
         }
     }
 
@@ -135,7 +168,7 @@
         until: Duration,
     ) {
         if crashed.is_empty() {
-            if self.state(now, fingerprint) == FingerprintState::Suspect {
+            if self.state_of(now, fingerprint) == FingerprintState::Suspect {
                 self.records.remove(&fingerprint);
             }
             return;
--- a/crates/sched/src/grant.rs
+++ b/crates/sched/src/grant.rs
@@ -160,7 +160,7 @@
 
     fn decide(&mut self, key: usize, reserved: Option<usize>) -> Decision {
         let descriptor = self.queue.get(key);
-        let state = self.containment.state(self.now, descriptor.fingerprint);
+        let state = self.containment.state(self.now, descriptor.fingerprints());
         let reason = if state == FingerprintState::Refused {
             Some(ShedReason::Poison)
         } else {
@@ -240,17 +240,17 @@
     /// whether the run was granted.
     fn grant_on_empty_target(&mut self, key: usize, reserved: &mut Option<usize>) -> bool {
         let descriptor = self.queue.get(key);
-        let fingerprint = descriptor.fingerprint;
-        let suspect = self.containment.state(self.now, fingerprint) == FingerprintState::Suspect;
-        if suspect && self.containment.has_isolated_run(fingerprint) {
+        let fingerprints = descriptor.fingerprints();
+        let suspect = self.containment.state(self.now, fingerprints) == FingerprintState::Suspect;
+        if suspect && self.containment.has_isolated_run(fingerprints) {
             return false;
         }
         // Prefers targets that this request has not crashed: a crash on another target is better
         // evidence, as the first target may itself be faulty.
         let crashed = if suspect {
-            self.containment.crashed(fingerprint)
+            self.containment.crashed_by(fingerprints)
         } else {
-            &[]
+            Vec::new()
         };
         let untried =
             |target: &Target| target.spec.schedulable && !crashed.contains(&target.spec.name);
@@ -285,7 +285,7 @@
             .set(descriptor.prefix, target_key, target.epoch);
         if isolated {
             self.containment
-                .set_isolated_run(descriptor.fingerprint, true);
+                .set_isolated_run(descriptor.fingerprints(), true);
         }
         self.stats.record_grant(descriptor.tier, descriptor.prompt);
         let id = PermitId(self.next_permit);
@@ -299,7 +299,7 @@
             target: target_key,
             cost,
             prompt: descriptor.prompt,
-            fingerprint: Some(descriptor.fingerprint),
+            fingerprints: Some(descriptor.fingerprints()),
             isolated,
             cold: target.is_cold(),
             epoch: target.epoch,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -35,6 +35,7 @@
 //!         deadline: Duration::from_secs(1),
 //!         hard_deadline: Duration::from_secs(30),
 //!         fingerprint: 1,
+//!         coarse_fingerprint: None,
 //!     },
 //! );
 //! let events = scheduler.poll(now);
--- a/crates/sched/src/model.rs
+++ b/crates/sched/src/model.rs
@@ -25,8 +25,33 @@
     pub deadline: Duration,
     /// Time by which the run must have ended; the owner stops counting the run then.
     pub hard_deadline: Duration,
-    /// Hash of the body, used to recognize poison requests.
+    /// Hash of all that tells the request from others, used to recognize poison requests.
     pub fingerprint: u64,
+    /// Hash that similar requests share, so that a poison request is recognized that is not quite the same
+    /// each time; `None` if the entry sends none.
+    pub coarse_fingerprint: Option<u64>,
+}
+
+impl Descriptor {
+    pub(crate) fn fingerprints(&self) -> Fingerprints {
+        Fingerprints {
+            exact: self.fingerprint,
+            coarse: self.coarse_fingerprint,
+        }
+    }
+}
+
+/// Hashes by which a poison request is recognized.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Fingerprints {
+    pub(crate) exact: u64,
+    pub(crate) coarse: Option<u64>,
+}
+
+impl Fingerprints {
+    pub(crate) fn iter(self) -> impl Iterator<Item = u64> {
+        [self.exact].into_iter().chain(self.coarse)
+    }
 }
 
 /// Number of a permit, unique within one incarnation of the owner.
--- a/crates/sched/src/observe.rs
+++ b/crates/sched/src/observe.rs
@@ -71,8 +71,8 @@
         target.running -= 1;
         if run.isolated {
             target.isolated = false;
-            if let Some(fingerprint) = run.fingerprint {
-                self.containment.set_isolated_run(fingerprint, false);
+            if let Some(fingerprints) = run.fingerprints {
+                self.containment.set_isolated_run(fingerprints, false);
             }
         }
         run
@@ -102,9 +102,9 @@
                 }
                 self.learn_from(&run, report, same_epoch.then_some(before), true);
                 if run.isolated
-                    && let Some(fingerprint) = run.fingerprint
+                    && let Some(fingerprints) = run.fingerprints
                 {
-                    self.containment.clear(self.now, fingerprint);
+                    self.containment.clear(self.now, fingerprints);
                 }
             }
         }
@@ -127,12 +127,12 @@
                 // runs on it don't become suspect. An isolated run still counts: a suspect must
                 // not crash one restarted target after the other.
                 if (responded || run.isolated)
-                    && let Some(fingerprint) = run.fingerprint
+                    && let Some(fingerprints) = run.fingerprints
                     && (first_unblamed..=epoch).contains(&run.epoch)
                 {
                     self.containment.record_crash(
                         now,
-                        fingerprint,
+                        fingerprints,
                         &target.spec.name,
                         run.isolated,
                     );
--- a/crates/sched/src/runs.rs
+++ b/crates/sched/src/runs.rs
@@ -6,7 +6,7 @@
 
 use slab::Slab;
 
-use crate::model::{Name, PermitId};
+use crate::model::{Fingerprints, Name, PermitId};
 
 /// One run in flight.
 pub(crate) struct Run {
@@ -17,7 +17,7 @@
     pub(crate) target: usize,
     pub(crate) cost: u64,
     pub(crate) prompt: u64,
-    pub(crate) fingerprint: Option<u64>,
+    pub(crate) fingerprints: Option<Fingerprints>,
     /// Whether nothing else may run beside it because its fingerprint is suspect.
     pub(crate) isolated: bool,
     /// Whether the target was cold at the grant.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -116,7 +116,7 @@
                 target: key,
                 cost: run.cost,
                 prompt: 0,
-                fingerprint: None,
+                fingerprints: None,
                 isolated: false,
                 cold: target.is_cold(),
                 epoch: target.epoch,
@@ -137,9 +137,9 @@
         for id in ids {
             let run = self.runs.remove(id);
             if run.isolated
-                && let Some(fingerprint) = run.fingerprint
+                && let Some(fingerprints) = run.fingerprints
             {
-                self.containment.set_isolated_run(fingerprint, false);
+                self.containment.set_isolated_run(fingerprints, false);
             }
             in_flight.push(InFlight {
                 request: run.request,
@@ -174,7 +174,8 @@
             self.shed(&descriptor, ShedReason::NoTarget);
             return;
         }
-        if self.containment.state(self.now, descriptor.fingerprint) == FingerprintState::Refused {
+        let state = self.containment.state(self.now, descriptor.fingerprints());
+        if state == FingerprintState::Refused {
             self.shed(&descriptor, ShedReason::Poison);
             return;
         }
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -50,6 +50,7 @@
             id.hash(&mut hasher);
             hasher.finish()
         },
+        coarse_fingerprint: None,
     }
 }
 
--- a/crates/sched/tests/containment.rs
+++ b/crates/sched/tests/containment.rs
@@ -214,3 +214,55 @@
     other.offer(secs(1), crashing("r6"));
     assert_eq!(sheds(&other.poll(secs(1))).len(), 1);
 }
+
+/// A request with fingerprints of its own and a coarse one that others share.
+fn similar(id: &str, fingerprint: u64, coarse: u64) -> Descriptor {
+    Descriptor {
+        fingerprint,
+        coarse_fingerprint: Some(coarse),
+        ..work(id, 0, "w", 10)
+    }
+}
+
+fn crash(scheduler: &mut Scheduler, at: Duration, request: Descriptor) {
+    let permit = run(scheduler, at, request);
+    scheduler.release(at, permit.id, report(RunEnd::Reset));
+}
+
+fn is_refused(scheduler: &mut Scheduler, at: Duration, request: Descriptor) -> bool {
+    scheduler.offer(at, request);
+    !sheds(&scheduler.poll(at)).is_empty()
+}
+
+/// Guards against a request that crashes targets for ever because similar sound ones clear it, and against
+/// sound ones that are refused with it.
+#[test]
+fn a_similar_sound_request_clears_the_coarse_fingerprint_alone() {
+    for sound_between in [false, true] {
+        let mut scheduler = warm(&["a", "b", "c"], 100);
+
+        crash(&mut scheduler, ZERO, similar("r1", 1, 7));
+        if sound_between {
+            let sound = run(&mut scheduler, secs(1), similar("s1", 2, 7));
+            scheduler.release(secs(1), sound.id, report(RunEnd::Complete));
+        }
+        crash(&mut scheduler, secs(2), similar("r2", 1, 7));
+
+        let refused = is_refused(&mut scheduler, secs(3), similar("r3", 1, 7));
+        assert!(refused, "{sound_between}: the crashing request");
+        let refused = is_refused(&mut scheduler, secs(3), similar("s2", 3, 7));
+        assert!(!refused, "{sound_between}: a sound request");
+    }
+}
+
+/// Guards against a request that crashes targets for ever because it is not quite the same each time.
+#[test]
+fn similar_requests_that_crash_two_targets_are_refused() {
+    let mut scheduler = warm(&["a", "b", "c"], 100);
+
+    crash(&mut scheduler, ZERO, similar("r1", 1, 7));
+    crash(&mut scheduler, secs(1), similar("r2", 2, 7));
+
+    assert!(is_refused(&mut scheduler, secs(2), similar("r3", 3, 7)));
+    assert!(!is_refused(&mut scheduler, secs(2), similar("s1", 4, 8)));
+}
--- a/crates/sched/tests/handover.rs
+++ b/crates/sched/tests/handover.rs
@@ -20,6 +20,7 @@
         deadline: now + Duration::from_secs(20),
         hard_deadline: now + Duration::from_mins(1),
         fingerprint: 1,
+        coarse_fingerprint: None,
     }
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -76,7 +76,7 @@
     /// Outcome of a request.
     #[prost(message, tag = "19")]
     OutcomeReply(OutcomeReply),
-    /// Record of a request body that was in flight when targets crashed.
+    /// Record of a request that was in flight when targets crashed.
     #[prost(message, tag = "20")]
     Suspect(Suspect),
     /// Asks for the sheet if it is newer than the given revision.
@@ -157,9 +157,12 @@
     /// Time left until the latest end of the run.
     #[prost(uint64, tag = "9")]
     pub hard_deadline_us: u64,
-    /// Hash of the body.
+    /// Exact hash of the request; in older builds a hash of the body.
     #[prost(fixed64, tag = "10")]
     pub fingerprint: u64,
+    /// Hash that similar requests share; missing in offers of older builds.
+    #[prost(fixed64, optional, tag = "11")]
+    pub coarse_fingerprint: Option<u64>,
 }
 
 /// Decision about an offer; sent when the decision is made, which may be long after the offer.
@@ -524,14 +527,14 @@
     pub reason: String,
 }
 
-/// Record of a request body that was in flight when targets crashed.
+/// Record of a request that was in flight when targets crashed.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Suspect {
-    /// Hash of the body.
+    /// Exact or coarse hash of the request.
     #[prost(fixed64, tag = "1")]
     pub fingerprint: u64,
     /// Targets that crashed while running it. A name occurs twice if an isolated run crashed that
-    /// target again; without any name, the record clears a suspect body.
+    /// target again; without any name, the record clears a suspect request.
     #[prost(string, repeated, tag = "2")]
     pub targets: Vec<String>,
     /// Time for which the receiver should remember it. If it is 0 and there are targets, the
