--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::adapter::{Attestation, ForwardContext, ResponseHead};
 use crate::buffer_budget::Reservation;
 use crate::clock;
+use crate::crash_check::AwaitedRun;
 use crate::node::Node;
 use crate::poison_parts::Part;
 use crate::retry_decision::is_final_status;
@@ -127,7 +128,10 @@
     *outbound.headers_mut() = node.dialect.target_headers(&req.headers, &forward);
     let head_deadline = clock::now() + attempt.head_timeout;
     let sending = upstream.sender.try_send_request(outbound);
-    let response = match node.before(head_deadline, sending).await {
+    let awaited = AwaitedRun::start(node, req, target);
+    let responded = node.before(head_deadline, sending).await;
+    awaited.end();
+    let response = match responded {
         None => return SendOutcome::TimedOut,
         Some(Err(mut err)) => {
             return match err.take_message() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 //! | `fingerprint` | what makes two requests the same | none |
 //! | `poison_parts` | detection of poison requests and poison parts of prompts | none |
 //! | `crash_check` | checks whether the target of a broken run has crashed | TCP |
+//! | `left_runs` | when the targets of runs whose callers left are checked | none |
 //! | `retry_decision` | response to the caller or retry after an attempt | none |
 //! | `run_listing` | which owners get the list of runs | none |
 //! | `run_number` | numbers of runs, unique in the fleet | none |
@@ -61,6 +62,7 @@
 mod feed_server;
 mod fingerprint;
 mod http_server;
+mod left_runs;
 mod log_throttle;
 mod membership;
 mod message;
@@ -99,6 +101,7 @@
 pub use clock::now as boot_time;
 pub use feed::delta_len;
 pub use fingerprint::{FingerprintInput, fingerprints};
+pub use left_runs::{EndedRun, LeftRuns};
 pub use log_throttle::LogThrottle;
 pub use membership::{Heartbeat, Member, Membership, Sighting};
 pub use message::{gossip_len, repack, run_list_len};
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -21,6 +21,7 @@
 use crate::adapter::HttpDialect;
 use crate::buffer_budget::BufferBudget;
 use crate::clock;
+use crate::left_runs::LeftRuns;
 use crate::log_throttle::LogThrottle;
 use crate::membership::{Membership, vm_class, zone_code};
 use crate::message::{Body, Datagram, GrantMsg, RefuseMsg, ReleaseMsg, StartMsg, millis};
@@ -118,6 +119,9 @@
     pub(crate) membership: RefCell<Membership>,
     pub(crate) owner: RefCell<Owner>,
     pub(crate) poison_parts: RefCell<PoisonParts>,
+    pub(crate) left_runs: RefCell<LeftRuns>,
+    /// Wakes the task that checks the targets of left runs.
+    pub(crate) run_left: Notify,
     pub(crate) named_limits: RefCell<NamedLimits>,
     /// Targets, by key, whose malformed limits were logged.
     pub(crate) malformed_limits: RefCell<LogThrottle<u64>>,
@@ -176,6 +180,8 @@
             membership: RefCell::new(membership),
             owner: RefCell::new(Owner::new(clock::now(), settings.clone())),
             poison_parts: RefCell::default(),
+            left_runs: RefCell::default(),
+            run_left: Notify::new(),
             named_limits: RefCell::default(),
             malformed_limits: RefCell::default(),
             target_pauses: RefCell::default(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,7 +18,7 @@
 use crate::body::{Aborted, Body, count_full};
 use crate::buffer_budget::{Buffered, Reservation};
 use crate::clock;
-use crate::crash_check;
+use crate::crash_check::{self, CHECKED_SILENCE};
 use crate::event_splitter::EventSplitter;
 use crate::node::{CountGuard, Node};
 use crate::permit::{Permit, PermitRequest};
@@ -35,10 +35,6 @@
 /// goes on meanwhile, since a silent one may still be at work.
 const STALL_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// A target that was silent for this long when its caller left may have failed. Sound ones pause for
-/// less between most events.
-const CHECKED_SILENCE: Duration = Duration::from_millis(300);
-
 type Sender = mpsc::Sender<Result<Buffered, Aborted>>;
 type Takeover<'a> = Pin<Box<dyn Future<Output = TakeoverEnd> + 'a>>;
 
@@ -288,7 +284,7 @@
             && source.silence(clock::now()) >= CHECKED_SILENCE
         {
             let stream = self.stream;
-            crash_check::check_target(&stream.node, &stream.req, &source.permit.target);
+            crash_check::check_left_target(&stream.node, &stream.req, &source.permit.target);
         }
         end
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -18,7 +18,7 @@
 use crate::body::{self, Body, BodyError};
 use crate::buffer_budget::Buffered;
 use crate::clock;
-use crate::crash_check;
+use crate::crash_check::{self, AwaitedRun};
 use crate::fingerprint::{self, FingerprintInput};
 use crate::node::{CountGuard, Node};
 use crate::permit::{self, Permit, PermitRequest};
@@ -433,7 +433,9 @@
             }
             Ok(body)
         };
+        let awaited = AwaitedRun::start(&self.node, &self.req, &permit.target);
         let body = self.node.before(self.deadline, read).await;
+        awaited.end();
         permit.report.load = head.load;
         let body = match body {
             Some(Ok(body)) => body,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,7 +13,7 @@
 use crate::adapter::{HttpDialect, SettingsSource, Store};
 use crate::http_server::{self, Service};
 use crate::node::Node;
-use crate::{catalog_expiry, clock, feed_server, peer_link, store_follower};
+use crate::{catalog_expiry, clock, crash_check, feed_server, peer_link, store_follower};
 
 /// How the process ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,6 +100,7 @@
     tokio::task::spawn_local(peer_link::receive_datagrams(Rc::clone(&node)));
     tokio::task::spawn_local(peer_link::run_heartbeats(Rc::clone(&node)));
     tokio::task::spawn_local(peer_link::poll_owner(Rc::clone(&node)));
+    tokio::task::spawn_local(crash_check::run_left_checks(Rc::clone(&node)));
     Ok((node, close))
 }
 
