--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -15,6 +15,7 @@
 //! | `wait`, `tier_flow` | longest waits, and times to return |
 //! | `pace` | runs of targets that have just started or failed |
 //! | `rate_charge`, `rate_holder`, `rate_lease`, `rate_fallback`, `rate_demand`, `rate_message` | rates of workspaces |
+//! | `grant_ledger` | what entries were granted by which owner |
 //! | `limits`, `limit_bucket`, `named_limits`, `retry_budget`, `token_bucket` | shares of the limits of the fleet |
 //! | `shard`, `convert`, `sliding_extremum` | shards; counts; extremes over a window |
 
@@ -24,6 +25,7 @@
 mod cold_bound;
 mod convert;
 mod grant;
+mod grant_ledger;
 mod leaving_targets;
 mod limit_bucket;
 mod limits;
@@ -52,6 +54,8 @@
 
 pub use catalog::{Access, AccessError, Catalog, Change};
 pub use convert::count_to_f64;
+pub use grant_ledger::{GrantLedger, GrantedElsewhere, OpenReport};
+pub use limits::rate_units;
 pub use model::{
     Config, FleetView, HttpLimits, LimitShare, Name, Pool, Rate, Route, RouteKind, Settings,
     Target, TokenCounts, Unit, Workspace,
--- a/crates/admit/src/limits.rs
+++ b/crates/admit/src/limits.rs
@@ -6,8 +6,9 @@
 
 use crate::catalog::Catalog;
 use crate::convert::count_to_f64;
-use crate::model::{LimitShare, Name, Rate, Settings, Unit};
-use crate::offer::Offer;
+use crate::grant_ledger::GrantedElsewhere;
+use crate::model::{LimitShare, Name, Rate, Settings, TokenCounts, Unit};
+use crate::offer::{Offer, RunId};
 use crate::owner::Owner;
 use crate::rate_charge::{Charge, RateLeases};
 use crate::target::OwnerShares;
@@ -103,15 +104,7 @@
             (None, Some(&(_, unit))) => unit,
             (None, None) => return Charge::Taken(0.0),
         };
-        let units = match (unit, offer.token_counts) {
-            (Unit::Request, _) => 1.0,
-            (Unit::Token { .. }, Some(token_counts)) => {
-                f64::from(token_counts.prompt_tokens) + f64::from(token_counts.output_tokens)
-            }
-            (Unit::Token { default_tokens }, None) => {
-                count_to_f64(usize::try_from(default_tokens).unwrap_or(usize::MAX))
-            }
-        };
+        let units = rate_units(unit, offer.token_counts);
         if let Some(rate) = rate
             && let Some(holder) = self.rate_holder(name)
         {
@@ -120,6 +113,32 @@
         self.charge_own_part(now, name, rate, units)
     }
 
+    /// Learns what other owners granted to the entry of an offer since it last asked this one. Must be
+    /// called before the offer is submitted.
+    pub fn learn_grants(
+        &mut self,
+        now: Duration,
+        catalog: &Catalog,
+        offer: &Offer,
+        elsewhere: &[GrantedElsewhere],
+    ) {
+        let Some(name) = offer.workspace.as_ref().filter(|_| !elsewhere.is_empty()) else {
+            return;
+        };
+        let RunId { entry, run } = offer.id;
+        let last = self.grant_reports.insert(entry, (run, now));
+        let is_repeated = last.is_some_and(|(last, _)| last == run);
+        if is_repeated || self.rate_holder(name).is_some() {
+            return;
+        }
+        let rate = catalog.workspace(name).and_then(|workspace| workspace.rate);
+        if let Some(bucket) = self.own_bucket(now, name, rate) {
+            for &granted in elsewhere {
+                bucket.deduct_elsewhere(now, granted);
+            }
+        }
+    }
+
     /// Charges the owner's own part of the rate. With one shard, its first owner has all of it.
     fn charge_own_part(
         &mut self,
@@ -128,16 +147,9 @@
         rate: Option<Rate>,
         units: f64,
     ) -> Charge {
-        let rate_share = self.rate_share();
-        if let Some(rate) = rate.filter(|_| !self.buckets.contains_key(name)) {
-            let (per_s, burst) = effective_rate(&self.settings, rate);
-            let bucket = TokenBucket::new(now, per_s * rate_share, burst * rate_share);
-            self.buckets.insert(name.clone(), (bucket, rate.unit));
-        }
-        let (bucket, _) = self
-            .buckets
-            .get_mut(name)
-            .expect("a bucket without a rate is known, and one with a rate was inserted above");
+        let bucket = self
+            .own_bucket(now, name, rate)
+            .expect("a bucket without a rate is known, and one with a rate is inserted");
         match bucket.try_take(now, units) {
             Ok(()) => Charge::Taken(units),
             Err(wait) => Charge::Refused {
@@ -147,6 +159,22 @@
         }
     }
 
+    /// Bucket of a workspace, which is created if the workspace has a rate.
+    fn own_bucket(
+        &mut self,
+        now: Duration,
+        name: &Name,
+        rate: Option<Rate>,
+    ) -> Option<&mut TokenBucket> {
+        let rate_share = self.rate_share();
+        if let Some(rate) = rate.filter(|_| !self.buckets.contains_key(name)) {
+            let (per_s, burst) = effective_rate(&self.settings, rate);
+            let bucket = TokenBucket::new(now, per_s * rate_share, burst * rate_share);
+            self.buckets.insert(name.clone(), (bucket, rate.unit));
+        }
+        self.buckets.get_mut(name).map(|(bucket, _)| bucket)
+    }
+
     pub(crate) fn refund(&mut self, offer: &Offer, charged: f64) {
         refund(
             self.settings.ip,
@@ -187,6 +215,20 @@
     }
 }
 
+/// Units of a rate that a request counts as.
+#[must_use]
+pub fn rate_units(unit: Unit, token_counts: Option<TokenCounts>) -> f64 {
+    match (unit, token_counts) {
+        (Unit::Request, _) => 1.0,
+        (Unit::Token { .. }, Some(token_counts)) => {
+            f64::from(token_counts.prompt_tokens) + f64::from(token_counts.output_tokens)
+        }
+        (Unit::Token { default_tokens }, None) => {
+            count_to_f64(usize::try_from(default_tokens).unwrap_or(usize::MAX))
+        }
+    }
+}
+
 /// Rate and burst that owners grant for a workspace's rate.
 pub(crate) fn effective_rate(settings: &Settings, rate: Rate) -> (f64, f64) {
     let per_s = rate.per_s * (1.0 + settings.rate_overage * RATE_OVERAGE_SHARE);
--- a/crates/admit/src/owner.rs
+++ b/crates/admit/src/owner.rs
@@ -78,6 +78,8 @@
     pub(crate) pools: HashMap<Name, PoolState>,
     pub(crate) cold_limits: HashMap<Name, f64>,
     pub(crate) buckets: HashMap<Name, (TokenBucket, Unit)>,
+    /// Run with which an entry last reported grants of others, and when, to recognize a repeated offer.
+    pub(crate) grant_reports: HashMap<u64, (u64, Duration)>,
     pub(crate) rates: RateLeases,
     pub(crate) runs: HashMap<RunId, Run>,
     pub(crate) session_targets: HashMap<u64, u64>,
@@ -108,6 +110,7 @@
             pools: HashMap::new(),
             cold_limits: HashMap::new(),
             buckets: HashMap::new(),
+            grant_reports: HashMap::new(),
             rates: RateLeases::default(),
             runs: HashMap::new(),
             session_targets: HashMap::new(),
@@ -416,6 +419,8 @@
     pub fn remove_stale(&mut self, now: Duration) {
         self.requesting_entries
             .retain(|_, &mut at| now.saturating_sub(at) < ENTRY_MEMORY);
+        self.grant_reports
+            .retain(|_, &mut (_, at)| now.saturating_sub(at) < ENTRY_MEMORY);
         self.remove_runs(|_, run| now >= run.deadline);
         self.rates.remove_stale(now);
     }
--- a/crates/admit/src/token_bucket.rs
+++ b/crates/admit/src/token_bucket.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::grant_ledger::GrantedElsewhere;
+
 /// Fraction of the burst with which a new owner starts. The previous owner may have granted the
 /// whole burst within the window of the rate.
 const INITIAL_FILL_RATIO: f64 = 0.25;
@@ -13,6 +15,9 @@
     burst: f64,
     level: f64,
     updated_at: Duration,
+    created_at: Duration,
+    /// Units that others granted shortly before this bucket was created.
+    granted_before: f64,
 }
 
 impl TokenBucket {
@@ -24,6 +29,8 @@
             burst,
             level: burst * INITIAL_FILL_RATIO,
             updated_at: now,
+            created_at: now,
+            granted_before: 0.0,
         }
     }
 
@@ -35,6 +42,8 @@
             burst,
             level: level.min(burst),
             updated_at: now,
+            created_at: now,
+            granted_before: 0.0,
         }
     }
 
@@ -78,6 +87,24 @@
         Err(Duration::try_from_secs_f64(shortfall / self.per_s).unwrap_or(Duration::MAX))
     }
 
+    /// Accounts for units that another owner granted some time ago. Those that the bucket has refilled
+    /// since don't count. If both granted at the same time, the level becomes negative, and the excess is
+    /// made up for, up to one burst.
+    pub(crate) fn deduct_elsewhere(&mut self, now: Duration, elsewhere: GrantedElsewhere) {
+        self.refill(now);
+        if elsewhere.age.as_secs_f64() * self.per_s >= self.burst {
+            return;
+        }
+        let left = if now.saturating_sub(elsewhere.age) < self.created_at {
+            // The initial level makes up for what was granted before, up to the rest of the burst.
+            self.granted_before += elsewhere.units;
+            self.burst - self.granted_before
+        } else {
+            self.level - elsewhere.units
+        };
+        self.level = self.level.min(left.max(-self.burst));
+    }
+
     /// Returns units that were not used.
     pub fn refund(&mut self, units: f64) {
         self.level = (self.level + units).min(self.burst);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -91,11 +91,11 @@
 mod upstream;
 
 pub use admit::{
-    Access, AccessError, Catalog, Change, Config, Decision, Fingerprints, FleetView, HolderShares,
-    HttpLimits, LeaseEvent, LeaseRejection, LeaseReply, LeaseRequest, LimitReport, LimitShare,
-    Name, NamedLimits, Offer, Owner, Pool, Rate, Refusal, RetryBudget, Route, RouteKind, RunEnd,
-    RunId, RunReport, Settings, StartReport, Target, TargetLoad, TokenBucket, TokenCounts, Unit,
-    Workspace, target_key,
+    Access, AccessError, Catalog, Change, Config, Decision, Fingerprints, FleetView, GrantLedger,
+    HolderShares, HttpLimits, LeaseEvent, LeaseRejection, LeaseReply, LeaseRequest, LimitReport,
+    LimitShare, Name, NamedLimits, Offer, Owner, Pool, Rate, Refusal, RetryBudget, Route,
+    RouteKind, RunEnd, RunId, RunReport, Settings, StartReport, Target, TargetLoad, TokenBucket,
+    TokenCounts, Unit, Workspace, target_key,
 };
 pub use buffer_budget::{BufferBudget, Buffered, Reservation};
 pub use clock::now as boot_time;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use admit::{
-    Fingerprints, LeaseReply, LeaseRequest, LimitReport, Offer, RunEnd, RunId, RunReport,
-    StartReport, TargetLoad, TokenCounts,
+    Fingerprints, GrantedElsewhere, LeaseReply, LeaseRequest, LimitReport, Offer, RunEnd, RunId,
+    RunReport, StartReport, TargetLoad, TokenCounts,
 };
 use prost::{Message, Oneof};
 
@@ -232,6 +232,18 @@
     pub(crate) max_pause_ms: Option<u32>,
     #[prost(fixed64, tag = "20")]
     pub(crate) coarse_fingerprint: u64,
+    /// What other owners granted the entry for the workspace since it last asked this one.
+    #[prost(message, repeated, tag = "21")]
+    pub(crate) granted_elsewhere: Vec<GrantedElsewhereMsg>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct GrantedElsewhereMsg {
+    #[prost(uint32, tag = "1")]
+    pub(crate) age_ms: u32,
+    /// Units of the workspace's rate.
+    #[prost(double, tag = "2")]
+    pub(crate) units: f64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -434,6 +446,23 @@
     }
 }
 
+impl GrantedElsewhereMsg {
+    pub(crate) fn new(elsewhere: &GrantedElsewhere) -> Self {
+        GrantedElsewhereMsg {
+            age_ms: millis(elsewhere.age),
+            units: elsewhere.units,
+        }
+    }
+
+    /// `None` if the units are no amount.
+    fn read(&self) -> Option<GrantedElsewhere> {
+        (self.units.is_finite() && self.units >= 0.0).then(|| GrantedElsewhere {
+            age: Duration::from_millis(self.age_ms.into()),
+            units: self.units,
+        })
+    }
+}
+
 impl From<&PartReport> for PartReportMsg {
     fn from(report: &PartReport) -> Self {
         let crash = |&(target, age): &(u64, Duration)| CrashMsg {
@@ -536,6 +565,11 @@
 const OLD_AIM_PER_WAIT: u32 = 2;
 
 impl OfferMsg {
+    pub(crate) fn granted_elsewhere(&self) -> Vec<GrantedElsewhere> {
+        let granted = self.granted_elsewhere.iter();
+        granted.filter_map(GrantedElsewhereMsg::read).collect()
+    }
+
     /// Converts the message to an offer.
     pub(crate) fn into_offer(self, id: RunId) -> Offer {
         Offer {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use admit::{
-    Catalog, Decision, Name, NamedLimits, Offer, Owner, Refusal, RunId, RunReport, Settings,
-    StartReport,
+    Catalog, Decision, GrantLedger, GrantedElsewhere, Name, NamedLimits, Offer, Owner, Refusal,
+    RunId, RunReport, Settings, StartReport,
 };
 use log::debug;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -120,6 +120,7 @@
     pub(crate) owner: RefCell<Owner>,
     pub(crate) poison_parts: RefCell<PoisonParts>,
     pub(crate) left_runs: RefCell<LeftRuns>,
+    pub(crate) grant_ledger: RefCell<GrantLedger>,
     /// Wakes the task that checks the targets of left runs.
     pub(crate) run_left: Notify,
     pub(crate) named_limits: RefCell<NamedLimits>,
@@ -181,6 +182,7 @@
             owner: RefCell::new(Owner::new(clock::now(), settings.clone())),
             poison_parts: RefCell::default(),
             left_runs: RefCell::default(),
+            grant_ledger: RefCell::default(),
             run_left: Notify::new(),
             named_limits: RefCell::default(),
             malformed_limits: RefCell::default(),
@@ -420,8 +422,9 @@
         self.decide();
     }
 
-    /// Submits an offer to the local owner, and decides.
-    pub(crate) fn offer(&self, offer: Offer) {
+    /// Submits an offer to the local owner, and decides. `elsewhere` is what other owners granted to the
+    /// entry.
+    pub(crate) fn offer(&self, offer: Offer, elsewhere: &[GrantedElsewhere]) {
         let now = clock::now();
         let refusal = self
             .poison_parts
@@ -442,9 +445,11 @@
         if let Some(workspace) = &offer.workspace {
             self.find_rate_holder(now, workspace);
         }
-        self.owner
-            .borrow_mut()
-            .offer(now, &self.catalog.borrow(), offer);
+        let catalog = self.catalog.borrow();
+        let mut owner = self.owner.borrow_mut();
+        owner.learn_grants(now, &catalog, &offer, elsewhere);
+        owner.offer(now, &catalog, offer);
+        drop((owner, catalog));
         self.decide();
     }
 
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -78,6 +78,7 @@
         }
         node.poison_parts.borrow_mut().expire(now);
         node.target_pauses.borrow_mut().expire(now);
+        node.grant_ledger.borrow_mut().expire(now);
         let mut limits = node.named_limits.borrow_mut();
         limits.remove_stale(now, |target| node.owner.borrow().has_target(target));
     }
@@ -230,7 +231,8 @@
                 entry: sender,
                 run: msg.run,
             };
-            node.offer(msg.into_offer(id));
+            let elsewhere = msg.granted_elsewhere();
+            node.offer(msg.into_offer(id), &elsewhere);
             if node.owner.borrow().is_queued(id) {
                 node.send(from, Body::Queued(id.run));
             }
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use admit::{
-    Fingerprints, Name, Refusal, RunEnd, RunReport, StartReport, Target, TargetLoad, TokenCounts,
+    Fingerprints, Name, OpenReport, Refusal, RunEnd, RunReport, StartReport, Target, TargetLoad,
+    TokenCounts,
 };
 use log::warn;
 use metrics::counter;
@@ -13,7 +14,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
-use crate::message::{Body, OfferMsg, millis};
+use crate::message::{Body, GrantedElsewhereMsg, OfferMsg, millis};
 use crate::node::{InFlight, Node, Reply};
 use crate::run_number::RunNumber;
 
@@ -204,8 +205,12 @@
         }
         let mut replies = node.register_pending(run, owner);
         pending.current_owner = Some(owner);
-        let msg = offer_msg(node, request, run, (shard, shards), max_wait, waited);
+        let mut msg = offer_msg(node, request, run, (shard, shards), max_wait, waited);
+        let report = report_grants(node, request, shards, owner, &mut msg);
         let Some(reply) = ask_owner(node, owner, &msg, &mut replies, max_wait).await else {
+            if let (Some(workspace), Some(report)) = (&request.workspace, report) {
+                node.grant_ledger.borrow_mut().undo(workspace, report);
+            }
             node.membership.borrow_mut().suspect(clock::now(), owner);
             skipped.push(owner);
             silent_owners += 1;
@@ -247,6 +252,7 @@
                     continue;
                 };
                 permit.has_met_limit = has_met_limit;
+                record_grant(node, request, from);
                 return Ok(permit);
             }
         }
@@ -274,7 +280,8 @@
 ) -> Option<Reply> {
     if owner == node.settings.ip {
         let run = RunNumber::from_wire(msg.run);
-        node.offer(msg.clone().into_offer(node.local_run_id(run)));
+        let elsewhere = msg.granted_elsewhere();
+        node.offer(msg.clone().into_offer(node.local_run_id(run)), &elsewhere);
         let reply = timeout(max_wait + DECISION_MARGIN, replies.recv()).await;
         return reply.ok().flatten();
     }
@@ -374,6 +381,35 @@
     (shard.or_else(untried).unwrap_or(0), shards)
 }
 
+/// Tells an owner what others granted. Only a rate with a single owner is given out by whichever owner is
+/// asked; with several shards there are a holder and leases.
+fn report_grants(
+    node: &Node,
+    request: &PermitRequest,
+    shards: u32,
+    owner: Ipv4Addr,
+    msg: &mut OfferMsg,
+) -> Option<OpenReport> {
+    let workspace = request.workspace.as_ref().filter(|_| shards == 1)?;
+    let mut ledger = node.grant_ledger.borrow_mut();
+    let (elsewhere, report) = ledger.report(clock::now(), workspace, owner);
+    msg.granted_elsewhere = elsewhere.iter().map(GrantedElsewhereMsg::new).collect();
+    Some(report)
+}
+
+fn record_grant(node: &Node, request: &PermitRequest, owner: Ipv4Addr) {
+    let Some(workspace) = &request.workspace else {
+        return;
+    };
+    let catalog = node.catalog.borrow();
+    let rate = catalog.workspace(workspace).and_then(|known| known.rate);
+    if let Some(rate) = rate {
+        let units = admit::rate_units(rate.unit, request.token_counts);
+        let mut ledger = node.grant_ledger.borrow_mut();
+        ledger.record(clock::now(), workspace, owner, units);
+    }
+}
+
 fn offer_msg(
     node: &Node,
     request: &PermitRequest,
@@ -407,5 +443,6 @@
         exact_fingerprint: request.fingerprints.exact,
         coarse_fingerprint: request.fingerprints.coarse,
         zone: node.settings.zone.to_string(),
+        granted_elsewhere: Vec::new(),
     }
 }
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use gateway::{
-    Catalog, Change, Decision, Fingerprints, LeaseReply, LeaseRequest, Membership, NamedLimits,
-    Owner, Refusal, RunEnd, RunId, RunReport, TokenCounts,
+    Catalog, Change, Decision, Fingerprints, GrantLedger, LeaseReply, LeaseRequest, Membership,
+    NamedLimits, Owner, Refusal, RunEnd, RunId, RunReport, TokenCounts,
 };
 use proptest::prelude::*;
 use support::{
@@ -110,6 +110,7 @@
     next_run: u64,
     /// Runs in flight, each with its owner and the key of its target.
     runs: HashMap<u64, (usize, u64)>,
+    ledger: GrantLedger,
     /// Offers queued at an owner, each with that owner and the number of earlier sends.
     waiting: HashMap<u64, (usize, u32)>,
 }
@@ -255,6 +256,7 @@
             heartbeat_at: self.now,
             next_run: 0,
             runs: HashMap::new(),
+            ledger: GrantLedger::default(),
             waiting: HashMap::new(),
         }
     }
@@ -540,10 +542,18 @@
             prompt_tokens: tokens_of(run),
             output_tokens: 0,
         });
+        let owner = self.members[asked].ip;
+        let ledger = &mut self.members[from].ledger;
+        let elsewhere = match shards {
+            1 => ledger.report(now, &WORKSPACE.into(), owner).0,
+            _ => Vec::new(),
+        };
         self.members[from].waiting.insert(run, (asked, sends));
         self.refresh_limit_shares(asked);
         self.find_rate_holder(asked);
-        self.members[asked].owner.offer(now, &self.catalog, offer);
+        let owner = &mut self.members[asked].owner;
+        owner.learn_grants(now, &self.catalog, &offer, &elsewhere);
+        owner.offer(now, &self.catalog, offer);
         self.refresh_limit_shares(asked);
     }
 
@@ -602,6 +612,9 @@
         let key = gateway::target_key(self.catalog.target(target).expect("a known target"));
         self.sends.entry(key).or_default().push(self.now);
         self.tokens.push((self.now, tokens_of(id.run).into()));
+        let (now, granted_by) = (self.now, self.members[owner].ip);
+        let ledger = &mut self.members[from].ledger;
+        ledger.record(now, &WORKSPACE.into(), granted_by, tokens_of(id.run).into());
         if sends > 0 {
             self.retries.push(self.now);
         }
@@ -746,6 +759,33 @@
     assert_eq!(cluster.rate_refusals, 0);
 }
 
+/// Guards against a rate that two owners give out in turn: entries leave the first owner each time it stands
+/// still or is cut off for a second, and the bucket of the owner that is not asked fills up meanwhile.
+#[test]
+fn the_rate_holds_while_its_owner_is_left_again_and_again() {
+    for is_cut_off in [false, true] {
+        let mut cluster = Cluster::with_targets(7, TARGETS, Bound::None);
+        cluster.load = 4;
+        for _ in 0..8 {
+            let membership = &cluster.members[0].membership;
+            let owner = cluster.at(membership.owners(cluster.now, 0)[0]);
+            let left = if is_cut_off {
+                Op::Isolate(1 << owner)
+            } else {
+                Op::Suspend(1 << owner)
+            };
+            cluster.apply(&left);
+            cluster.run(20);
+            cluster.apply(&Op::Heal);
+            cluster.run(20);
+        }
+
+        let checked = cluster.check();
+
+        checked.unwrap_or_else(|err| panic!("cut off: {is_cut_off}, {err}"));
+    }
+}
+
 proptest! {
     #![proptest_config(cases())]
 
