--- a/crates/admit/src/grant_ledger.rs
+++ b/crates/admit/src/grant_ledger.rs
@@ -94,13 +94,18 @@
         let is_new = |granted: &&Granted| {
             granted.owner != owner && before.is_none_or(|before| granted.at > before)
         };
-        let elsewhere = grants.granted.iter().filter(is_new);
-        let elsewhere: Vec<GrantedElsewhere> = elsewhere
-            .map(|granted| GrantedElsewhere {
-                age: now.saturating_sub(granted.at),
-                units: granted.units,
-            })
-            .collect();
+        let mut elsewhere: Vec<GrantedElsewhere> = Vec::new();
+        for granted in grants.granted.iter().filter(is_new) {
+            let age = now.saturating_sub(granted.at);
+            // Several owners may have granted in one slot.
+            match elsewhere.last_mut() {
+                Some(last) if last.age < age + SLOT => last.units += granted.units,
+                _ => elsewhere.push(GrantedElsewhere {
+                    age,
+                    units: granted.units,
+                }),
+            }
+        }
         if !elsewhere.is_empty() {
             grants.last_report = now;
         }
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -23,7 +23,7 @@
     header::RANGE,
 ];
 
-/// The parts of a request that its fingerprints cover.
+/// What the fingerprints of a request cover.
 #[derive(Clone, Copy, Debug)]
 pub struct FingerprintInput<'a> {
     /// Workspace of the caller, which targets see in place of the key; `None` on open routes.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -120,9 +120,9 @@
     pub(crate) owner: RefCell<Owner>,
     pub(crate) poison_parts: RefCell<PoisonParts>,
     pub(crate) left_runs: RefCell<LeftRuns>,
-    pub(crate) grant_ledger: RefCell<GrantLedger>,
     /// Wakes the task that checks the targets of left runs.
     pub(crate) run_left: Notify,
+    pub(crate) grant_ledger: RefCell<GrantLedger>,
     pub(crate) named_limits: RefCell<NamedLimits>,
     /// Targets, by key, whose malformed limits were logged.
     pub(crate) malformed_limits: RefCell<LogThrottle<u64>>,
@@ -182,8 +182,8 @@
             owner: RefCell::new(Owner::new(clock::now(), settings.clone())),
             poison_parts: RefCell::default(),
             left_runs: RefCell::default(),
-            grant_ledger: RefCell::default(),
             run_left: Notify::new(),
+            grant_ledger: RefCell::default(),
             named_limits: RefCell::default(),
             malformed_limits: RefCell::default(),
             target_pauses: RefCell::default(),
@@ -445,6 +445,9 @@
         if let Some(workspace) = &offer.workspace {
             self.find_rate_holder(now, workspace);
         }
+        if !elsewhere.is_empty() {
+            metrics::counter!("primrosechute_rate_reports_total").increment(1);
+        }
         let catalog = self.catalog.borrow();
         let mut owner = self.owner.borrow_mut();
         owner.learn_grants(now, &catalog, &offer, elsewhere);
