--- a/crates/admit/src/cold_bound.rs
+++ b/crates/admit/src/cold_bound.rs
@@ -88,9 +88,7 @@
         let per_s = *self.cold_limits.get(pool)?;
         let bound = per_s * self.settings.cold_overage + self.settings.cold_slack;
         let limit_share = self.limit_share_of(shard)?;
-        let first_since = usize::try_from(shard)
-            .ok()
-            .and_then(|shard| *self.first_since.get(shard)?);
+        let first_since = self.first_since(shard);
         let is_settled = |since| now.saturating_sub(since) >= NEW_OWNER_TIME;
         let cold = if first_since.is_some_and(is_settled) {
             COLD_SHARE
--- a/crates/admit/src/limit_bucket.rs
+++ b/crates/admit/src/limit_bucket.rs
@@ -30,8 +30,18 @@
         self.per_s = per_s;
     }
 
-    /// Whether one more request may be sent. `share` is this owner's share of the limit.
-    pub(crate) fn has_room(&mut self, now: Duration, share: f64) -> bool {
+    /// Whether one more request may be sent. `share` is this owner's share of the limit. An owner that
+    /// has been the first one since `first_since` has saved nothing before: another one used the limit.
+    pub(crate) fn has_room(
+        &mut self,
+        now: Duration,
+        share: f64,
+        first_since: Option<Duration>,
+    ) -> bool {
+        if let Some(since) = first_since.filter(|&since| since > self.updated_at) {
+            self.level = self.level.min(0.0);
+            self.updated_at = since;
+        }
         let per_s = self.per_s.max(MIN_PER_S) * share;
         let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
         self.updated_at = self.updated_at.max(now);
--- a/crates/admit/src/limits.rs
+++ b/crates/admit/src/limits.rs
@@ -191,9 +191,16 @@
             caps: self.caps(now, pool, shard),
             slots: self.slot_share(shard),
             limit: self.named_limit_share(shard),
+            first_since: self.first_since(shard),
         }
     }
 
+    /// Time since which this owner has been the first one of a shard.
+    pub(crate) fn first_since(&self, shard: u32) -> Option<Duration> {
+        let shard = usize::try_from(shard).ok()?;
+        *self.first_since.get(shard)?
+    }
+
     /// Share of a target's slots that this owner may use. Entries skip a first owner that is slow,
     /// which may still grant runs to other entries; both owners together must stay within the
     /// slots.
--- a/crates/admit/src/target.rs
+++ b/crates/admit/src/target.rs
@@ -47,6 +47,8 @@
     pub(crate) slots: f64,
     /// Share of the limits that targets have named.
     pub(crate) limit: f64,
+    /// Time since which it has been the first owner, if it is.
+    pub(crate) first_since: Option<Duration>,
 }
 
 /// Whether a target may get one more run.
@@ -189,7 +191,7 @@
         let is_below_limit = self
             .limit
             .as_mut()
-            .is_none_or(|limit| limit.has_room(now, shares.limit));
+            .is_none_or(|limit| limit.has_room(now, shares.limit, shares.first_since));
         match (has_capacity, is_below_limit) {
             (true, true) => Room::Free,
             (true, false) => Room::LimitReached,
--- a/crates/admit/tests/owner.rs
+++ b/crates/admit/tests/owner.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use admit::{
-    Catalog, Change, Decision, FleetView, LimitShare, Owner, Refusal, RunEnd, RunId, RunReport,
+    Catalog, Change, Decision, FleetView, LimitShare, NamedLimits, Owner, Refusal, RunEnd, RunId,
+    RunReport, target_key,
 };
 use support::{listing, ms, offer, settings};
 
@@ -158,6 +159,50 @@
     assert!(later >= 20, "{later} sends in a later second");
 }
 
+/// Guards against a target that gets one more second of its limit with each change of the first owner, as
+/// the bucket of the one that takes over has filled up while another one used the limit.
+#[test]
+fn an_owner_that_becomes_the_first_has_saved_nothing_of_a_named_limit() {
+    const LIMIT: f64 = 20.0;
+    let (mut owner, catalog) = owner_without_cold_limit(1, 100);
+    let mut limits = NamedLimits::default();
+    limits.record(ms(1), target_key(&support::target("t-0", 100)), Some(LIMIT));
+    owner.apply_named_limits(ms(1), &limits);
+    let mut next_run = 0;
+    let mut granted_at = |now: Duration, is_first_owner: bool| {
+        let limit_share = LimitShare {
+            share: 1.0,
+            cold_share: 1.0,
+            member_share: 1.0,
+            is_first_owner,
+            view: FleetView::Settled,
+        };
+        owner.set_limit_shares(now, vec![limit_share]);
+        for _ in 0..100 {
+            next_run += 1;
+            owner.offer(now, &catalog, offer(1, next_run));
+        }
+        let runs = granted(&owner.poll(now));
+        for &run in &runs {
+            let served = RunReport::of(RunEnd::Served);
+            owner.release(now, RunId { entry: 1, run }, &served);
+        }
+        runs.len()
+    };
+
+    // Another member decides for some seconds.
+    let mut before = 0;
+    for at in 0..20 {
+        before = granted_at(ms(500 * at), false).max(before);
+    }
+    let at_once = granted_at(ms(10_500), true);
+    let in_a_second = granted_at(ms(11_000), true) + granted_at(ms(11_500), true);
+
+    assert!(before > 0, "an owner that is not the first one has a share");
+    assert_eq!(at_once, 0);
+    assert!((15..=20).contains(&in_a_second), "{in_a_second}");
+}
+
 /// Guards against targets with two owners, each with limits of its own, whenever many targets crash
 /// or return: members learn of it at different moments.
 #[test]
