--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -139,11 +139,6 @@
     // Best effort: these only reduce latency and detect dead peers sooner.
     let _ = stream.set_nodelay(true);
     let _ = socket.set_tcp_keepalive(&probes);
-    // Resets the connection when it is closed. Otherwise the kernel goes on sending a request that was given
-    // up, and it arrives as soon as the link is whole again. After a complete response nothing is left to send.
-    if let Err(err) = socket.set_linger(Some(Duration::ZERO)) {
-        debug!("target: a connection to {address} will not be reset: {err}");
-    }
     let (sender, conn) = http1::Builder::new()
         .max_buf_size(MAX_READ_BUFFER)
         .handshake(TokioIo::new(stream))
