--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -252,7 +252,9 @@
                     continue;
                 };
                 permit.has_met_limit = has_met_limit;
-                record_grant(node, request, from);
+                if shards == 1 {
+                    record_grant(node, request, from);
+                }
                 return Ok(permit);
             }
         }
@@ -382,7 +384,7 @@
 }
 
 /// Tells an owner what others granted. Only a rate with a single owner is given out by whichever owner is
-/// asked; with several shards there are a holder and leases.
+/// asked; with several shards there are a holder and leases, and neither are grants recorded.
 fn report_grants(
     node: &Node,
     request: &PermitRequest,
